--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the demonstration and the fleet that they run on."""
--- /dev/null
+++ b/benchmarks/demo.py
@@ -0,0 +1,67 @@
+"""Demonstration: one streamed completion, one order, one stock look-up."""
+
+import httpcore
+import msgspec
+
+from benchmarks.fleet import ACCOUNT_KEY, Fleet, Vm
+
+
+def main() -> None:
+    """Runs the demonstration; raises when an answer is not as it should be."""
+    with Fleet(vm_count=4) as fleet:
+        print('VMs:', ', '.join(vm.name for vm in fleet.vms))
+        _show_budget(fleet)
+        stream = _call(
+            fleet.vms[1],
+            'POST',
+            '/v1/chat/completions',
+            {
+                'model': 'drafts',
+                'messages': [{'role': 'user', 'content': 'a chestnut sack'}],
+                'max_tokens': 16,
+                'stream': True,
+            },
+        )
+        print('draft:', stream)
+        order = _call(
+            fleet.vms[2],
+            'POST',
+            '/services/orders/orders',
+            {'article': 'sack-50kg', 'pieces': 200},
+        )
+        print('order:', order)
+        stock = _call(fleet.vms[3], 'GET', '/services/orders/stock/sack', None)
+        print('stock:', stock)
+        _show_budget(fleet)
+    print('all processes ended')
+
+
+def _call(vm: Vm, method: str, path: str, body: object) -> str:
+    response = httpcore.request(
+        method,
+        vm.url + path,
+        headers={'authorization': f'Bearer {ACCOUNT_KEY}'},
+        content=b'' if body is None else msgspec.json.encode(body),
+    )
+    if response.status != 200:
+        raise RuntimeError(response.content.decode())
+    text = response.content.decode()
+    if not text.startswith('data: '):
+        return text
+    if not text.endswith('data: [DONE]\n\n'):
+        raise RuntimeError('the stream did not end whole')
+    return ''.join(
+        msgspec.json.decode(line[6:])['choices'][0]['delta'].get('content', '')
+        for line in text.splitlines()
+        if line.startswith('data: {')
+    )
+
+
+def _show_budget(fleet: Fleet) -> None:
+    print(
+        'budget:', fleet.operate(fleet.vms[0], 'GET', '/budget?name=drafting')
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,324 @@
+"""Starts stand-ins and VMs as separate processes on loopback.
+
+Used by the demo, the features and the benchmarks. Every process started here
+is ended by its process id.
+"""
+
+import hashlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from types import TracebackType
+
+import attrs
+import httpcore
+import msgspec
+
+OPERATORS_KEY = 'operators-key'
+ACCOUNT_KEY = 'account-key'
+EMPTY_ACCOUNT_KEY = 'empty-account-key'
+_START_TIMEOUT_SECONDS = 30
+_STOP_TIMEOUT_SECONDS = 30
+
+
+def free_port() -> int:
+    """Returns a TCP port of loopback that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+@attrs.frozen(kw_only=True)
+class Vm:
+    """Addresses of one VM of the fleet."""
+
+    name: str
+    zone: str
+    callers: str
+    operators: str
+    peers: str
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f'http://{self.callers}'
+
+
+class Fleet:
+    """A platform, engines, a service and VMs; a context manager."""
+
+    def __init__(
+        self,
+        *,
+        vm_count: int = 4,
+        zones: Sequence[str] = ('mill', 'port'),
+        engine_count: int = 2,
+        slot_count: int = 64,
+        token_interval_ms: float = 5,
+        first_token_ms: int = 10,
+        program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
+    ) -> None:
+        """Chooses free ports; nothing runs before ``start``."""
+        self._program = tuple(program)
+        self._folder = tempfile.TemporaryDirectory(prefix='teaseldale-')
+        self.path = pathlib.Path(self._folder.name)
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.platform = _address()
+        self.service = _address()
+        self.engines = [_address() for _ in range(engine_count)]
+        self.slot_count = slot_count
+        self._token_interval_ms = token_interval_ms
+        self._first_token_ms = first_token_ms
+        self.vms = [
+            Vm(
+                name=f'{zones[index % len(zones)]}-{index}',
+                zone=zones[index % len(zones)],
+                callers=_address(),
+                operators=_address(),
+                peers=_address(),
+            )
+            for index in range(vm_count)
+        ]
+
+    def __enter__(self) -> 'Fleet':
+        """Starts everything and puts the first note in force."""
+        try:
+            self.start()
+        except BaseException:
+            self.print_logs()
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        self.stop()
+
+    def start(self) -> None:
+        """Starts all processes and waits until every VM is ready."""
+        (self.path / 'operators.key').write_text(OPERATORS_KEY)
+        self._spawn(
+            'platform', 'standin', 'platform', '--address', self.platform
+        )
+        for index, address in enumerate(self.engines):
+            self.start_engine(index, address)
+        self._spawn('service', 'standin', 'service', '--address', self.service)
+        wait_for_port(self.platform)
+        for vm in self.vms:
+            self.start_vm(vm)
+        for vm in self.vms:
+            wait_for_port(vm.operators)
+        self.apply_note(self.first_note())
+        for vm in self.vms:
+            self.wait_until_ready(vm)
+
+    def start_engine(self, index: int, address: str) -> None:
+        """Starts one engine stand-in."""
+        self._spawn(
+            f'engine-{index}',
+            'standin',
+            'engine',
+            '--address',
+            address,
+            '--slot_count',
+            str(self.slot_count),
+            '--token_interval_ms',
+            str(self._token_interval_ms),
+            '--first_token_ms',
+            str(self._first_token_ms),
+        )
+
+    def start_vm(self, vm: Vm) -> None:
+        """Starts one VM as a process."""
+        settings = self.path / f'{vm.name}.toml'
+        settings.write_text(self.settings_of(vm))
+        self._spawn(vm.name, 'serve', '--settings', str(settings))
+
+    def settings_of(self, vm: Vm) -> str:
+        """Returns the VM's settings file."""
+        return f"""
+[vm]
+name = "{vm.name}"
+availability_zone = "{vm.zone}"
+peer_address = "{vm.peers}"
+callers_address = "{vm.callers}"
+operators_address = "{vm.operators}"
+operators_key_file = "{self.path / 'operators.key'}"
+
+[platform]
+table_url = "http://{self.platform}"
+membership_url = "http://{self.platform}"
+
+[logs]
+format = "key_value"
+"""
+
+    def first_note(self) -> str:
+        """Returns the note that configures routes, accounts and upstreams."""
+        upstreams = ''.join(
+            f"""
+[[additions.upstreams]]
+name = "runner-{index}"
+route = "drafts"
+version = "v1"
+url = "http://{address}"
+availability_zone = "{self.vms[0].zone}"
+slot_count = {self.slot_count}
+"""
+            for index, address in enumerate(self.engines)
+        )
+        return f"""
+name = "first"
+team = "platform"
+
+[[additions.budgets]]
+name = "drafting"
+initial_tokens = 100000000
+
+[[additions.budgets]]
+name = "empty"
+initial_tokens = 0
+
+[[additions.accounts]]
+name = "ben-salah"
+key_hash = "{hash_of(ACCOUNT_KEY)}"
+budgets = ["drafting"]
+
+[[additions.accounts]]
+name = "empty-account"
+key_hash = "{hash_of(EMPTY_ACCOUNT_KEY)}"
+budgets = ["empty"]
+
+[[additions.routes]]
+name = "drafts"
+kind = "completion"
+version = "v1"
+
+[[additions.routes]]
+name = "orders"
+kind = "service"
+version = "v1"
+idempotent = false
+{upstreams}
+[[additions.upstreams]]
+name = "order-desk"
+route = "orders"
+version = "v1"
+url = "http://{self.service}"
+availability_zone = "{self.vms[0].zone}"
+slot_count = 64
+"""
+
+    def apply_note(self, text: str) -> object:
+        """Applies a note at the first VM."""
+        return self.operate(self.vms[0], 'POST', '/notes', text.encode())
+
+    def operate(
+        self,
+        vm: Vm,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> object:
+        """Calls a VM's operators' interface; raises on a refusal."""
+        response = httpcore.request(
+            method,
+            f'http://{vm.operators}{path}',
+            headers={'authorization': f'Bearer {OPERATORS_KEY}'},
+            content=body,
+        )
+        if response.status != 200:
+            raise RuntimeError(response.content.decode())
+        if path == '/metrics':
+            return response.content.decode()
+        return msgspec.json.decode(response.content)
+
+    def set_faults(self, address: str, **faults: object) -> None:
+        """Switches faults of a stand-in; all others are switched off."""
+        response = httpcore.request(
+            'POST',
+            f'http://{address}/faults',
+            content=msgspec.json.encode(faults),
+        )
+        if response.status != 200:
+            raise RuntimeError(response.content.decode())
+
+    def statistics(self, address: str) -> dict[str, object]:
+        """Returns what a stand-in has counted."""
+        response = httpcore.request('GET', f'http://{address}/statistics')
+        counted: dict[str, object] = msgspec.json.decode(response.content)
+        return counted
+
+    def wait_until_ready(self, vm: Vm) -> None:
+        """Waits until the VM's readiness check succeeds."""
+        deadline = time.monotonic() + _START_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            response = httpcore.request('GET', f'http://{vm.operators}/readyz')
+            if response.status == 200:
+                return
+            time.sleep(0.05)
+        raise TimeoutError(f'{vm.name} is not ready')
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process started here."""
+        self.processes[name].send_signal(number)
+
+    def print_logs(self) -> None:
+        """Prints the end of each process's log."""
+        for log in sorted(self.path.glob('*.log')):
+            print(f'--- {log.name}', log.read_text()[-2000:], sep='\n')
+
+    def stop(self) -> None:
+        """Ends all processes started here."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
+        for process in self.processes.values():
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._folder.cleanup()
+
+    def _spawn(self, name: str, *arguments: str) -> None:
+        log = (self.path / f'{name}.log').open('wb')
+        self.processes[name] = subprocess.Popen(
+            (*self._program, *arguments),
+            stdout=log,
+            stderr=log,
+        )
+        log.close()
+
+
+def hash_of(key: str) -> str:
+    """Returns the hash under which an account's key is stored."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def wait_for_port(address: str) -> None:
+    """Waits until something listens at ``address``."""
+    host, _, port = address.rpartition(':')
+    deadline = time.monotonic() + _START_TIMEOUT_SECONDS
+    while time.monotonic() < deadline:
+        with socket.socket() as probe:
+            if probe.connect_ex((host, int(port))) == 0:
+                return
+        time.sleep(0.02)
+    raise TimeoutError(f'nothing listens at {address}')
+
+
+def _address() -> str:
+    return f'127.0.0.1:{free_port()}'
--- /dev/null
+++ b/teaseldale/budgets/__init__.py
@@ -0,0 +1,18 @@
+"""Spending of prepaid token budgets."""
+
+from teaseldale.budgets._ledger import LedgerRow, TableLedger
+from teaseldale.budgets._spending import (
+    BaseSpending,
+    BudgetState,
+    Reservation,
+)
+from teaseldale.budgets._transactional_spending import TransactionalSpending
+
+__all__ = (
+    'BaseSpending',
+    'BudgetState',
+    'LedgerRow',
+    'Reservation',
+    'TableLedger',
+    'TransactionalSpending',
+)
--- /dev/null
+++ b/teaseldale/budgets/_ledger.py
@@ -0,0 +1,136 @@
+"""Rows of budgets in the table service."""
+
+import attrs
+import msgspec
+
+from teaseldale.budgets._spending import BudgetState
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.platform import (
+    BaseTableService,
+    Committed,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+
+LEDGER_TABLE = 'ledger'
+
+
+@attrs.frozen(kw_only=True)
+class LedgerRow:
+    """Totals of one budget; ``billed + open <= topped up`` always holds."""
+
+    topped_up_tokens: int
+    billed_tokens: int = 0
+    open_tokens: int = 0
+
+    @property
+    def free_tokens(self) -> int:
+        """Tokens neither billed nor set aside."""
+        return self.topped_up_tokens - self.billed_tokens - self.open_tokens
+
+
+@attrs.frozen(kw_only=True)
+class ReadLedgerRow:
+    """A row and the revision that a change of it must check."""
+
+    name: str
+    row: LedgerRow
+    revision: int
+
+    def check(self) -> RowCheck:
+        """Condition that the row is as it was read."""
+        return RowCheck(
+            table=LEDGER_TABLE,
+            key=self.name,
+            revision=self.revision,
+        )
+
+    def write(self, row: LedgerRow) -> RowWrite:
+        """Write that replaces the row."""
+        return RowWrite(
+            table=LEDGER_TABLE,
+            key=self.name,
+            value=msgspec.msgpack.encode(row),
+        )
+
+
+class TableLedger:
+    """Reads, creates and tops up budgets."""
+
+    def __init__(self, *, table: BaseTableService) -> None:
+        """Creates a ledger over ``table``."""
+        self._table = table
+
+    async def read(self, name: str) -> ReadLedgerRow | None:
+        """Reads a budget's row; None when the budget has no row."""
+        found = await self._table.read(table=LEDGER_TABLE, key=name)
+        if found is None or found.value is None:
+            return None
+        return ReadLedgerRow(
+            name=name,
+            row=msgspec.msgpack.decode(found.value, type=LedgerRow),
+            revision=found.revision,
+        )
+
+    async def state(self, name: str) -> BudgetState | None:
+        """Reads a budget's totals."""
+        found = await self.read(name)
+        if found is None:
+            return None
+        return BudgetState(
+            name=name,
+            topped_up_tokens=found.row.topped_up_tokens,
+            billed_tokens=found.row.billed_tokens,
+            open_tokens=found.row.open_tokens,
+        )
+
+    async def create(self, name: str, initial_tokens: int) -> bool:
+        """Inserts a budget's row; False when it was there already."""
+        absent = ReadLedgerRow(
+            name=name,
+            row=LedgerRow(topped_up_tokens=0),
+            revision=0,
+        )
+        outcome = await self._table.commit(
+            make_transaction(
+                checks=(absent.check(),),
+                writes=(
+                    absent.write(LedgerRow(topped_up_tokens=initial_tokens)),
+                ),
+            ),
+        )
+        return isinstance(outcome, Committed)
+
+    async def top_up(self, name: str, tokens: int) -> BudgetState | Refusal:
+        """Credits ``tokens``; refused when the budget is unknown."""
+        while True:
+            found = await self.read(name)
+            if found is None:
+                return _unknown_budget(name)
+            credited = attrs.evolve(
+                found.row,
+                topped_up_tokens=found.row.topped_up_tokens + tokens,
+            )
+            outcome = await self._table.commit(
+                make_transaction(
+                    checks=(found.check(),),
+                    writes=(found.write(credited),),
+                ),
+            )
+            if isinstance(outcome, Committed):
+                return BudgetState(
+                    name=name,
+                    topped_up_tokens=credited.topped_up_tokens,
+                    billed_tokens=credited.billed_tokens,
+                    open_tokens=credited.open_tokens,
+                )
+
+
+def _unknown_budget(name: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.BAD_REQUEST,
+        message=f'There is no budget {name!r}; add it by a note first.',
+        not_run=True,
+        step=Step.RESERVE,
+    )
--- /dev/null
+++ b/teaseldale/command/_event_loop.py
@@ -0,0 +1,33 @@
+"""Running of the event loop until a signal asks to stop."""
+
+import os
+import signal
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+# Keeps libuv, inside uvloop below 0.23, from opening io_uring descriptors.
+# Later releases of uvloop ignore it.
+_IO_URING_VARIABLE = 'UV_USE_IO_URING'
+
+
+def run_until_signal(
+    function: Callable[[anyio.Event], Awaitable[None]],
+) -> None:
+    """Runs ``function`` with an event that SIGTERM or SIGINT sets."""
+    os.environ[_IO_URING_VARIABLE] = '0'
+
+    async def run() -> None:  # noqa: WPS430
+        shutdown = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_set_on_signal, shutdown)
+            await function(shutdown)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run, backend='asyncio', backend_options={'use_uvloop': True})
+
+
+async def _set_on_signal(shutdown: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            shutdown.set()
--- /dev/null
+++ b/teaseldale/command/_program.py
@@ -0,0 +1,86 @@
+"""Assembly of one VM's services."""
+
+import pathlib
+import uuid
+
+import anyio
+
+from teaseldale.budgets import TableLedger, TransactionalSpending
+from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.entry import CallersInterface, RequestParts
+from teaseldale.kernel import Kernel
+from teaseldale.metrics import Metrics
+from teaseldale.moves import InForceVersion
+from teaseldale.notes import TableConfiguration
+from teaseldale.operations import OperatorsInterface, OperatorsParts
+from teaseldale.peers import PynngPeerNetwork, VmIdentity
+from teaseldale.platform import HttpMembershipList, HttpTableService
+from teaseldale.requests import TableRequestRegistry
+from teaseldale.routing import LeastInFlightChoice, LocalRouter
+from teaseldale.settings import Settings
+from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
+
+
+def build_kernel(settings: Settings, shutdown: anyio.Event) -> Kernel:
+    """Creates all services of one VM in their order of start."""
+    clock = SystemClock()
+    metrics = Metrics()
+    table = HttpTableService(
+        base_url=settings.platform.table_url,
+        timeout_ms=settings.platform.timeout_ms,
+    )
+    peers = _peer_network(settings, clock)
+    configuration = TableConfiguration(table=table, clock=clock)
+    operators = OperatorsInterface(
+        address=settings.vm.operators_address,
+        parts=OperatorsParts(
+            configuration=configuration,
+            ledger=TableLedger(table=table),
+            peers=peers,
+            metrics=metrics,
+            shutdown=shutdown,
+            operators_key=_read_secret(settings.vm.operators_key_file),
+        ),
+    )
+    callers = CallersInterface(
+        address=settings.vm.callers_address,
+        parts=RequestParts(
+            configuration=configuration,
+            registry=TableRequestRegistry(table=table),
+            spending=TransactionalSpending(table=table),
+            versions=InForceVersion(),
+            router=LocalRouter(
+                configuration=configuration,
+                choice=LeastInFlightChoice(),
+            ),
+            engines=HttpEngineClient(),
+            services=HttpServiceClient(),
+            clock=clock,
+            metrics=metrics,
+        ),
+        limits=settings.limits,
+    )
+    kernel = Kernel()
+    for service in (operators, peers, configuration, callers):
+        kernel.register(service)
+    return kernel
+
+
+def _peer_network(settings: Settings, clock: BaseClock) -> PynngPeerNetwork:
+    return PynngPeerNetwork(
+        identity=VmIdentity(
+            name=settings.vm.name,
+            incarnation=uuid.uuid4().hex,
+            availability_zone=settings.vm.availability_zone,
+            address=settings.vm.peer_address,
+        ),
+        membership=HttpMembershipList(
+            base_url=settings.platform.membership_url,
+            timeout_ms=settings.platform.timeout_ms,
+        ),
+        clock=clock,
+    )
+
+
+def _read_secret(path: str) -> str:
+    return pathlib.Path(path).read_text('utf-8').strip()
--- /dev/null
+++ b/teaseldale/command/_standins.py
@@ -0,0 +1,70 @@
+"""Commands that run stand-ins in the foreground."""
+
+import functools
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from teaseldale.command._event_loop import run_until_signal
+from teaseldale.standins import EngineStandin, PlatformStandin, ServiceStandin
+from teaseldale.standins._engine import EngineFaults
+from teaseldale.web import EmbeddedServer, Exchange
+
+
+class StandinCommands:
+    """Runs a stand-in until it is interrupted."""
+
+    def platform(self, *, address: str = '127.0.0.1:7000') -> None:
+        """Serves a table service and a membership list in memory."""
+        _serve(address, PlatformStandin().respond)
+
+    def engine(
+        self,
+        *,
+        address: str,
+        name: str = 'engine',
+        slot_count: int = 16,
+        token_interval_ms: float = 20,
+        first_token_ms: int = 50,
+        checks_fencing: bool = False,
+    ) -> None:
+        """Serves a model engine that streams words at a set pace."""
+        standin = EngineStandin(
+            name=name,
+            slot_count=slot_count,
+            checks_fencing=checks_fencing,
+            faults=EngineFaults(
+                token_interval_ms=token_interval_ms,
+                first_token_ms=first_token_ms,
+            ),
+        )
+        _serve(address, standin.respond)
+
+    def service(
+        self,
+        *,
+        address: str,
+        checks_request_key: bool = False,
+    ) -> None:
+        """Serves orders and stock."""
+        standin = ServiceStandin(checks_request_key=checks_request_key)
+        _serve(address, standin.respond)
+
+
+def _serve(
+    address: str,
+    respond: Callable[[Exchange], Awaitable[None]],
+) -> None:
+    run_until_signal(functools.partial(_serve_until, address, respond))
+
+
+async def _serve_until(
+    address: str,
+    respond: Callable[[Exchange], Awaitable[None]],
+    shutdown: anyio.Event,
+) -> None:
+    server = EmbeddedServer(address=address, respond=respond)
+    async with anyio.create_task_group() as tasks:
+        await server.start(tasks)
+        await shutdown.wait()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/teaseldale/entry/__init__.py
@@ -0,0 +1,7 @@
+"""Callers' interface over HTTP."""
+
+from teaseldale.entry._callers import CallersInterface
+from teaseldale.entry._completion import CompletionRunner
+from teaseldale.entry._parts import RequestParts
+
+__all__ = ('CallersInterface', 'CompletionRunner', 'RequestParts')
--- /dev/null
+++ b/teaseldale/entry/_lifecycle.py
@@ -0,0 +1,91 @@
+"""What every request passes through: reserve, work, settle, record."""
+
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from teaseldale.answers import StoredAnswer
+from teaseldale.budgets import Reservation
+from teaseldale.entry._parts import RequestParts
+from teaseldale.notes import ClientAccount, Route
+from teaseldale.outcomes import PlatformError, Refusal
+from teaseldale.requests import OpenedRequest
+
+
+@attrs.frozen(kw_only=True)
+class WorkOutcome:
+    """How the upstream's work ended and what it costs."""
+
+    answer: StoredAnswer | Refusal
+    used_tokens: int = 0  # billed also for a refusal whose work was done
+
+
+Work = Callable[[Reservation], Awaitable[WorkOutcome]]
+
+
+class RequestLifecycle:
+    """Brings each opened request to exactly one bill and one outcome."""
+
+    def __init__(self, *, parts: RequestParts) -> None:
+        """Uses the given parts."""
+        self._parts = parts
+
+    async def run(
+        self,
+        opened: OpenedRequest,
+        *,
+        budgets: tuple[str, ...],
+        tokens: int,
+        work: Work,
+    ) -> None:
+        """Runs ``work`` if ``tokens`` can be reserved; ends the answer."""
+        reserved = await self._parts.spending.reserve(
+            request=opened.request,
+            budgets=budgets,
+            tokens=tokens,
+        )
+        if isinstance(reserved, Refusal):
+            await self._give_up(opened, reserved)
+            return
+        outcome = await work(reserved)
+        await self._settle(reserved, outcome)
+        if isinstance(outcome.answer, Refusal):
+            await self._give_up(opened, outcome.answer)
+        else:
+            await self._finish(opened, outcome.answer)
+
+    async def _settle(
+        self,
+        reserved: Reservation,
+        outcome: WorkOutcome,
+    ) -> None:
+        try:
+            await self._parts.spending.settle(
+                reserved,
+                used_tokens=outcome.used_tokens,
+            )
+        except PlatformError as error:
+            self._parts.metrics.increment('settlements_failed', error.step)
+
+    async def _finish(
+        self,
+        opened: OpenedRequest,
+        stored: StoredAnswer,
+    ) -> None:
+        try:
+            await self._parts.registry.finish(opened, stored)
+        except PlatformError as error:
+            self._parts.metrics.increment('outcomes_not_stored', error.step)
+        opened.answer.finish(stored)
+
+    async def _give_up(self, opened: OpenedRequest, refusal: Refusal) -> None:
+        try:
+            await self._parts.registry.abandon(opened, not_run=refusal.not_run)
+        except PlatformError as error:
+            self._parts.metrics.increment('outcomes_not_stored', error.step)
+        opened.answer.fail(refusal)
+
+
+def charged_budgets(account: ClientAccount, route: Route) -> tuple[str, ...]:
+    """Returns the budgets that pay for a request, each once."""
+    return tuple(dict.fromkeys((*account.budgets, *route.budgets)))
--- /dev/null
+++ b/teaseldale/entry/_parts.py
@@ -0,0 +1,27 @@
+"""The parts of the program that serve one request."""
+
+import attrs
+
+from teaseldale.budgets import BaseSpending
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.moves import BaseVersionAssignment
+from teaseldale.notes import BaseConfigurationSource
+from teaseldale.requests import BaseRequestRegistry
+from teaseldale.routing import BaseRouter
+from teaseldale.upstreams import BaseEngineClient, BaseServiceClient
+
+
+@attrs.frozen(kw_only=True)
+class RequestParts:
+    """Interfaces that a request passes through, in this order."""
+
+    configuration: BaseConfigurationSource
+    registry: BaseRequestRegistry
+    spending: BaseSpending
+    versions: BaseVersionAssignment
+    router: BaseRouter
+    engines: BaseEngineClient
+    services: BaseServiceClient
+    clock: BaseClock
+    metrics: Metrics
--- /dev/null
+++ b/teaseldale/fakes/__init__.py
@@ -0,0 +1,13 @@
+"""Fakes for tests of parts that are embedded: time, table service, peers."""
+
+from teaseldale.fakes._peers import FakePeerFabric, FakePeerNetwork
+from teaseldale.fakes._table import FakeTableService
+from teaseldale.fakes._virtual_time import VirtualClock, run_in_virtual_time
+
+__all__ = (
+    'FakePeerFabric',
+    'FakePeerNetwork',
+    'FakeTableService',
+    'VirtualClock',
+    'run_in_virtual_time',
+)
--- /dev/null
+++ b/teaseldale/fakes/_peers.py
@@ -0,0 +1,133 @@
+"""Peer links in memory: links can be cut, VMs paused or removed."""
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from teaseldale.outcomes import PeerUnreachableError, Step
+from teaseldale.peers import BasePeerNetwork, Handler, VmIdentity
+
+_MS_PER_SECOND = 1000
+
+
+class FakePeerFabric:
+    """All fake VMs and the state of the links between them."""
+
+    def __init__(self, *, latency_ms: int = 1) -> None:
+        """Creates a fabric without VMs; ``latency_ms`` is one way."""
+        self.networks: dict[str, 'FakePeerNetwork'] = {}
+        self.cut_links: set[frozenset[str]] = set()  # pairs of VM names
+        self.paused: set[str] = set()  # names of VMs that do not answer
+        self.latency_ms = latency_ms
+        self.message_count = 0
+        self.byte_count = 0
+
+    def join(self, identity: VmIdentity) -> 'FakePeerNetwork':
+        """Adds a VM; one of the same name is replaced."""
+        network = FakePeerNetwork(fabric=self, identity=identity)
+        self.networks[identity.name] = network
+        return network
+
+    def remove(self, name: str) -> None:
+        """Removes a VM as if it had died."""
+        self.networks.pop(name, None)
+
+    def cut(self, first: str, second: str) -> None:
+        """Cuts the link between two VMs in both directions."""
+        self.cut_links.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """Restores all links."""
+        self.cut_links.clear()
+
+    def connected(self, first: str, second: str) -> bool:
+        """Whether a message would pass now."""
+        ends = frozenset((first, second))
+        return (
+            ends not in self.cut_links
+            and ends.issubset(self.networks)
+            and ends.isdisjoint(self.paused)
+        )
+
+
+class FakePeerNetwork(BasePeerNetwork):
+    """One VM's end of the fabric."""
+
+    def __init__(self, *, fabric: FakePeerFabric, identity: VmIdentity) -> None:
+        """Creates the end; use ``FakePeerFabric.join``."""
+        self._fabric = fabric
+        self._identity = identity
+        self._handlers: dict[type, Handler] = {}
+
+    @property
+    def identity(self) -> VmIdentity:
+        """Identity of this VM."""
+        return self._identity
+
+    def handle(
+        self,
+        message_type: type,
+        *,
+        kind: str,
+        reply_type: type,
+        handler: Handler,
+        version: int = 1,
+    ) -> None:
+        """Registers the handler of one message type."""
+        self._handlers[message_type] = handler
+
+    async def request(
+        self,
+        peer: VmIdentity,
+        message: Any,
+        *,
+        timeout_ms: int,
+    ) -> Any:
+        """Passes the message on if the link is up both ways."""
+        try:
+            with anyio.fail_after(timeout_ms / _MS_PER_SECOND):
+                await self._pass_link(peer, message)
+                target = self._fabric.networks[peer.name]
+                reply = await target.receive(self._identity, message)
+                await self._pass_link(peer, reply)
+        except TimeoutError as error:
+            raise _unreachable(peer, 'time-out') from error
+        if target.identity != peer:
+            raise _unreachable(peer, 'replaced by another incarnation')
+        return reply
+
+    async def receive(self, sender: VmIdentity, message: Any) -> Any:
+        """Runs the handler of a message that arrived."""
+        return await self._handlers[type(message)](sender, message)
+
+    def known_peers(self) -> tuple[VmIdentity, ...]:
+        """All VMs of the fabric but this one."""
+        return tuple(
+            network.identity
+            for network in self._fabric.networks.values()
+            if network.identity.name != self._identity.name
+        )
+
+    def reachable_peers(self) -> tuple[VmIdentity, ...]:
+        """Known peers to which the link is up."""
+        return tuple(
+            peer
+            for peer in self.known_peers()
+            if self._fabric.connected(self._identity.name, peer.name)
+        )
+
+    async def _pass_link(self, peer: VmIdentity, message: Any) -> None:
+        self._fabric.message_count += 1
+        self._fabric.byte_count += len(msgspec.msgpack.encode(message))
+        await anyio.sleep(self._fabric.latency_ms / _MS_PER_SECOND)
+        if not self._fabric.connected(self._identity.name, peer.name):
+            await anyio.sleep_forever()
+
+
+def _unreachable(peer: VmIdentity, reason: str) -> PeerUnreachableError:
+    return PeerUnreachableError(
+        step=Step.PEER_REQUEST,
+        peer=peer.key,
+        reason=reason,
+    )
--- /dev/null
+++ b/teaseldale/fakes/_table.py
@@ -0,0 +1,101 @@
+"""Table service in memory whose faults are switched by attributes."""
+
+import asyncio
+import random
+
+import anyio
+
+from teaseldale.outcomes import PlatformError, Step
+from teaseldale.platform import (
+    BaseTableService,
+    Committed,
+    Conflicted,
+    InMemoryTable,
+    Row,
+    Transaction,
+)
+
+_MS_PER_SECOND = 1000
+
+
+class FakeTableService(BaseTableService):
+    """One VM's view of a shared in-memory table service."""
+
+    def __init__(
+        self,
+        *,
+        state: InMemoryTable,
+        random_source: random.Random,
+        latency_ms: int = 2,
+        timeout_ms: int = 500,
+    ) -> None:
+        """Creates a view; several views may share one ``state``."""
+        self.state = state
+        self.down = False  # no call reaches the service
+        self.lose_answers = False  # writes take effect, answers are lost
+        self.late_commits = False  # writes take effect after the time-out
+        self.lose_answer_share: float = (
+            0  # part of commits whose answer is lost
+        )
+        self.latency_ms = latency_ms
+        self.commit_count = 0
+        self.read_count = 0
+        self._random = random_source
+        self._timeout_ms = timeout_ms
+
+    async def commit(self, transaction: Transaction) -> Committed | Conflicted:
+        """Applies the transaction under the faults switched on."""
+        self.commit_count += 1
+        await self._delay(Step.TABLE_COMMIT)
+        if self.late_commits:
+            delay_ms = self._timeout_ms * 2
+            _apply_later(self.state, transaction, delay_ms)
+            raise _lost(Step.TABLE_COMMIT, 'time-out')
+        outcome = self.state.commit(transaction)
+        lost = self._random.random() < self.lose_answer_share
+        if self.lose_answers or lost:
+            await anyio.sleep(self._timeout_ms / _MS_PER_SECOND)
+            raise _lost(Step.TABLE_COMMIT, 'answer lost')
+        return outcome
+
+    async def read(self, *, table: str, key: str) -> Row | None:
+        """Reads one row."""
+        self.read_count += 1
+        await self._delay(Step.TABLE_READ)
+        return self.state.read(table=table, key=key)
+
+    async def scan(
+        self,
+        *,
+        table: str,
+        prefix: str = '',
+        after_revision: int = 0,
+    ) -> tuple[Row, ...]:
+        """Reads rows changed after a revision."""
+        self.read_count += 1
+        await self._delay(Step.TABLE_READ)
+        return self.state.scan(
+            table=table,
+            prefix=prefix,
+            after_revision=after_revision,
+        )
+
+    async def _delay(self, step: Step) -> None:
+        if self.down:
+            await anyio.sleep(self._timeout_ms / _MS_PER_SECOND)
+            raise _lost(step, 'time-out')
+        await anyio.sleep(self.latency_ms / _MS_PER_SECOND)
+
+
+def _apply_later(
+    state: InMemoryTable,
+    transaction: Transaction,
+    delay_ms: int,
+) -> None:
+
+    loop = asyncio.get_running_loop()
+    loop.call_later(delay_ms / _MS_PER_SECOND, state.commit, transaction)
+
+
+def _lost(step: Step, reason: str) -> PlatformError:
+    return PlatformError(step=step, peer='fake-table', reason=reason)
--- /dev/null
+++ b/teaseldale/fakes/_virtual_time.py
@@ -0,0 +1,66 @@
+"""Virtual time: an event loop whose clock jumps to the next timer."""
+
+import asyncio
+import selectors
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+
+from teaseldale.clock import BaseClock
+
+_MS_PER_SECOND = 1000
+_WALL_START_MS = 1_700_000_000_000
+_ResultT = TypeVar('_ResultT')
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Selector that advances the loop's time in place of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_seconds: float = 0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        ready = super().select(0)
+        if not ready and timeout is not None and timeout > 0:
+            self.now_seconds += timeout
+        return ready
+
+
+class _VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """Event loop without waiting; serves tasks and timers only."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        return self._jumping.now_seconds
+
+
+class VirtualClock(BaseClock):
+    """Clock of one VM in virtual time; it can be shifted by a pause."""
+
+    def __init__(self, *, wall_skew_ms: int = 0) -> None:
+        """Creates a clock whose wall time is off by ``wall_skew_ms``."""
+        self._wall_skew_ms = wall_skew_ms
+
+    def monotonic_ms(self) -> int:
+        """Milliseconds since the start of the virtual event loop."""
+        return round(asyncio.get_running_loop().time() * _MS_PER_SECOND)
+
+    def wall_ms(self) -> int:
+        """Virtual wall clock."""
+        return _WALL_START_MS + self._wall_skew_ms + self.monotonic_ms()
+
+
+def run_in_virtual_time(
+    function: Callable[[], Awaitable[_ResultT]],
+) -> _ResultT:
+    """Runs an async function to its end without waiting in real time."""
+    return anyio.run(
+        function,
+        backend='asyncio',
+        backend_options={'loop_factory': _VirtualTimeLoop},
+    )
--- /dev/null
+++ b/teaseldale/metrics/__init__.py
@@ -0,0 +1,5 @@
+"""Counters and latency histograms of one VM."""
+
+from teaseldale.metrics._metrics import Metrics
+
+__all__ = ('Metrics',)
--- /dev/null
+++ b/teaseldale/metrics/_metrics.py
@@ -0,0 +1,79 @@
+"""Counters by reason and histograms by name, with their text form."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST_MS = 1
+_HIGHEST_MS = 3_600_000
+_SIGNIFICANT_DIGITS = 2
+_QUANTILES = (50, 95, 99)
+
+
+class Metrics:
+    """All counters and histograms; one instance for each VM."""
+
+    def __init__(self) -> None:
+        """Creates an empty set."""
+        self._counters: Counter[tuple[str, str]] = Counter()
+        self._gauges: dict[str, int] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def increment(self, name: str, reason: str = '', amount: int = 1) -> None:
+        """Adds to the counter ``name`` of a ``reason``."""
+        self._counters[name, reason] += amount
+
+    def count_of(self, name: str, reason: str = '') -> int:
+        """Returns a counter's value."""
+        return self._counters[name, reason]
+
+    def set_gauge(self, name: str, amount: int) -> None:
+        """Sets a value that goes up and down."""
+        self._gauges[name] = amount
+
+    def record_ms(self, name: str, duration_ms: int) -> None:
+        """Adds a duration to the histogram ``name``."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(
+                _LOWEST_MS,
+                _HIGHEST_MS,
+                _SIGNIFICANT_DIGITS,
+            )
+            self._histograms[name] = histogram
+        histogram.record_value(max(_LOWEST_MS, duration_ms))
+
+    def quantile_ms(self, name: str, percent: float) -> int:
+        """Returns a quantile of a histogram; 0 when nothing is recorded."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            return 0
+        return int(histogram.get_value_at_percentile(percent))
+
+    def render(self) -> str:
+        """Returns the text exposition that the metrics page serves."""
+        lines = [
+            f'teaseldale_{name}_total{_label("reason", reason)} {count}'
+            for (name, reason), count in sorted(self._counters.items())
+        ]
+        lines.extend(
+            f'teaseldale_{name} {amount}'
+            for name, amount in sorted(self._gauges.items())
+        )
+        for name in sorted(self._histograms):
+            lines.extend(self._render_quantiles(name))
+        lines.append('')
+        return '\n'.join(lines)
+
+    def _render_quantiles(self, name: str) -> list[str]:
+        return [
+            f'teaseldale_{name}_ms{_label("quantile", str(percent / 100))} '
+            f'{self.quantile_ms(name, percent)}'
+            for percent in _QUANTILES
+        ]
+
+
+def _label(name: str, label_value: str) -> str:
+    if not label_value:
+        return ''
+    return f'{{{name}="{label_value}"}}'
--- /dev/null
+++ b/teaseldale/notes/_configuration.py
@@ -0,0 +1,86 @@
+"""Immutable snapshot of the configuration in force."""
+
+import abc
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import TypeVar
+
+import attrs
+
+from teaseldale.notes._items import (
+    Budget,
+    ClientAccount,
+    ConfigurationItem,
+    ItemKind,
+    Route,
+    Upstream,
+    VersionMove,
+)
+
+_ItemT = TypeVar('_ItemT', bound=ConfigurationItem)
+ItemKey = tuple[ItemKind, str]
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Items by kind and name, and indexes for the request path."""
+
+    revision: int  # table revision of the newest item
+    budgets: Mapping[str, Budget]
+    accounts: Mapping[str, ClientAccount]
+    accounts_by_key_hash: Mapping[str, ClientAccount]
+    routes: Mapping[str, Route]
+    upstreams: Mapping[str, Upstream]
+    upstreams_by_route: Mapping[str, tuple[Upstream, ...]]
+    moves: Mapping[str, VersionMove]
+
+    @classmethod
+    def build(
+        cls,
+        revision: int,
+        items: Mapping[ItemKey, ConfigurationItem],
+    ) -> 'Configuration':
+        """Indexes ``items`` as the configuration of ``revision``."""
+        values = tuple(items.values())
+        accounts = _named(values, ClientAccount)
+        upstreams = _named(values, Upstream)
+        return cls(
+            revision=revision,
+            budgets=_named(values, Budget),
+            accounts=accounts,
+            accounts_by_key_hash=MappingProxyType(
+                {account.key_hash: account for account in accounts.values()}
+            ),
+            routes=_named(values, Route),
+            upstreams=upstreams,
+            upstreams_by_route=_by_route(upstreams),
+            moves=_named(values, VersionMove),
+        )
+
+
+class BaseConfigurationSource(abc.ABC):
+    """Gives the configuration in force on this VM."""
+
+    @abc.abstractmethod
+    def current(self) -> Configuration:
+        """Returns the newest snapshot; its revision never goes back."""
+
+
+def _named(
+    values: tuple[ConfigurationItem, ...],
+    kind: type[_ItemT],
+) -> Mapping[str, _ItemT]:
+    return MappingProxyType(
+        {item.name: item for item in values if isinstance(item, kind)}
+    )
+
+
+def _by_route(
+    upstreams: Mapping[str, Upstream],
+) -> Mapping[str, tuple[Upstream, ...]]:
+    grouped: dict[str, list[Upstream]] = {}
+    for upstream in upstreams.values():
+        grouped.setdefault(upstream.route, []).append(upstream)
+    return MappingProxyType(
+        {route: tuple(members) for route, members in grouped.items()}
+    )
--- /dev/null
+++ b/teaseldale/notes/_release_note.py
@@ -0,0 +1,84 @@
+"""Release notes as operators write them."""
+
+from collections.abc import Sequence
+
+import attrs
+import msgspec
+
+from teaseldale.notes._items import (
+    Budget,
+    ClientAccount,
+    ConfigurationItem,
+    ItemKind,
+    Route,
+    Upstream,
+    VersionMove,
+)
+
+
+@attrs.frozen(kw_only=True)
+class ItemChange:
+    """New content of an item; revision 0 means that it is added."""
+
+    kind: ItemKind
+    item: ConfigurationItem
+    written_against_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ItemWithdrawal:
+    """Removal of an item."""
+
+    kind: ItemKind
+    name: str
+    written_against_revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ItemLists:
+    """Items of one section of a note, by kind."""
+
+    budgets: tuple[Budget, ...] = ()
+    accounts: tuple[ClientAccount, ...] = ()
+    routes: tuple[Route, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
+    moves: tuple[VersionMove, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseNote:
+    """A set of additions, changes and withdrawals, accepted as a whole."""
+
+    name: str  # unique for ever
+    team: str  # who answers for it
+    written_against_revision: int = 0  # of the items changed or withdrawn
+    additions: ItemLists = ItemLists()
+    changes: ItemLists = ItemLists()
+    withdrawals: tuple[ItemWithdrawal, ...] = ()
+
+    def item_changes(self) -> tuple[ItemChange, ...]:
+        """Returns additions and changes as one list."""
+        return (
+            *_changes_of(self.additions, 0),
+            *_changes_of(self.changes, self.written_against_revision),
+        )
+
+
+def read_release_note(text: bytes) -> ReleaseNote:
+    """Decodes a note from TOML; raises ``ValueError`` naming the field."""
+    return msgspec.toml.decode(text, type=ReleaseNote)
+
+
+def _changes_of(lists: ItemLists, revision: int) -> list[ItemChange]:
+    groups: dict[ItemKind, Sequence[ConfigurationItem]] = {
+        ItemKind.BUDGET: lists.budgets,
+        ItemKind.ACCOUNT: lists.accounts,
+        ItemKind.ROUTE: lists.routes,
+        ItemKind.UPSTREAM: lists.upstreams,
+        ItemKind.MOVE: lists.moves,
+    }
+    return [
+        ItemChange(kind=kind, item=item, written_against_revision=revision)
+        for kind, members in groups.items()
+        for item in members
+    ]
--- /dev/null
+++ b/teaseldale/operations/__init__.py
@@ -0,0 +1,5 @@
+"""Operators' interface: health, metrics, notes and budgets."""
+
+from teaseldale.operations._operators import OperatorsInterface, OperatorsParts
+
+__all__ = ('OperatorsInterface', 'OperatorsParts')
--- /dev/null
+++ b/teaseldale/outcomes/_refusal.py
@@ -0,0 +1,67 @@
+"""Refusals given to callers and operators."""
+
+import enum
+from dataclasses import dataclass
+
+from teaseldale.outcomes._step import Step
+
+
+@enum.unique
+class RefusalCode(enum.StrEnum):
+    """Machine-readable reason of a refusal; each one has a counter."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    UNAUTHORIZED = 'unauthorized'
+    BUDGET_EXHAUSTED = 'budget_exhausted'
+    BUDGET_UNAVAILABLE = 'budget_unavailable'
+    UNKNOWN_ROUTE = 'unknown_route'
+    KEY_REUSED = 'key_reused'
+    IN_DOUBT = 'in_doubt'
+    REQUEST_RUNNING = 'request_running'
+    OVERLOADED = 'overloaded'
+    QUARANTINED = 'quarantined'
+    NO_UPSTREAM = 'no_upstream'
+    UPSTREAM_FAILED = 'upstream_failed'
+    STORE_UNAVAILABLE = 'store_unavailable'
+    DRAINING = 'draining'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    CONFLICT = 'conflict'
+
+
+_STATUS_BY_CODE = {  # noqa: WPS407
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.BODY_TOO_LARGE: 413,
+    RefusalCode.UNAUTHORIZED: 401,
+    RefusalCode.BUDGET_EXHAUSTED: 402,
+    RefusalCode.BUDGET_UNAVAILABLE: 503,
+    RefusalCode.UNKNOWN_ROUTE: 404,
+    RefusalCode.KEY_REUSED: 409,
+    RefusalCode.IN_DOUBT: 409,
+    RefusalCode.REQUEST_RUNNING: 409,
+    RefusalCode.OVERLOADED: 429,
+    RefusalCode.QUARANTINED: 409,
+    RefusalCode.NO_UPSTREAM: 503,
+    RefusalCode.UPSTREAM_FAILED: 503,
+    RefusalCode.STORE_UNAVAILABLE: 503,
+    RefusalCode.DRAINING: 503,
+    RefusalCode.DEADLINE_EXCEEDED: 504,
+    RefusalCode.CONFLICT: 409,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refusal:
+    """A final answer that the work was not done, or not surely done."""
+
+    code: RefusalCode  # reason, counted
+    message: str  # what the caller can do
+    not_run: bool  # true only if no upstream ran the request
+    step: Step  # where the refusal arose
+    peer: str = 'local'  # VM, upstream or platform that caused it
+    retry_after_ms: int | None = None  # when asking again may succeed
+
+    @property
+    def status(self) -> int:
+        """HTTP status that matches the code."""
+        return _STATUS_BY_CODE[self.code]
--- /dev/null
+++ b/teaseldale/platform/_http_membership.py
@@ -0,0 +1,36 @@
+"""Membership list over HTTP and JSON."""
+
+import msgspec
+
+from teaseldale.outcomes import Step
+from teaseldale.platform._http_client import PlatformHttpClient
+from teaseldale.platform._membership import BaseMembershipList, VmMember
+
+
+class HttpMembershipList(BaseMembershipList):
+    """Client of the platform's membership list."""
+
+    def __init__(self, *, base_url: str, timeout_ms: int) -> None:
+        """Creates a client; each call ends within ``timeout_ms``."""
+        self._client = PlatformHttpClient(
+            base_url=base_url,
+            timeout_ms=timeout_ms,
+        )
+
+    async def announce(self, member: VmMember) -> None:
+        """Adds or updates the entry of this VM."""
+        await self._client.call(
+            step=Step.MEMBERSHIP,
+            method='POST',
+            path='/members',
+            body=member,
+        )
+
+    async def members(self) -> tuple[VmMember, ...]:
+        """Returns the list as last published."""
+        body = await self._client.call(
+            step=Step.MEMBERSHIP,
+            method='GET',
+            path='/members',
+        )
+        return msgspec.json.decode(body, type=tuple[VmMember, ...])
--- /dev/null
+++ b/teaseldale/platform/_http_table.py
@@ -0,0 +1,80 @@
+"""Table service over HTTP and JSON."""
+
+from urllib.parse import urlencode
+
+import attrs
+import msgspec
+
+from teaseldale.outcomes import Step
+from teaseldale.platform._http_client import PlatformHttpClient
+from teaseldale.platform._table import (
+    BaseTableService,
+    Committed,
+    Conflicted,
+    Row,
+    Transaction,
+)
+
+
+@attrs.frozen(kw_only=True)
+class CommitAnswer:
+    """Answer of the table service to a transaction."""
+
+    revision: int | None  # set if committed
+    conflicts: tuple[Row, ...]  # rows that differed otherwise
+
+
+class HttpTableService(BaseTableService):
+    """Client of the platform's table service."""
+
+    def __init__(self, *, base_url: str, timeout_ms: int) -> None:
+        """Creates a client; each call ends within ``timeout_ms``."""
+        self._client = PlatformHttpClient(
+            base_url=base_url,
+            timeout_ms=timeout_ms,
+        )
+
+    async def commit(self, transaction: Transaction) -> Committed | Conflicted:
+        """Sends the transaction once."""
+        body = await self._client.call(
+            step=Step.TABLE_COMMIT,
+            method='POST',
+            path='/table/transactions',
+            body=transaction,
+        )
+        answer = msgspec.json.decode(body, type=CommitAnswer)
+        if answer.revision is None:
+            return Conflicted(rows=answer.conflicts)
+        return Committed(revision=answer.revision)
+
+    async def read(self, *, table: str, key: str) -> Row | None:
+        """Reads one row."""
+        query = urlencode({'table': table, 'key': key})
+        body = await self._client.call(
+            step=Step.TABLE_READ,
+            method='GET',
+            path=f'/table/row?{query}',
+        )
+        return msgspec.json.decode(body, type=Row | None)
+
+    async def scan(
+        self,
+        *,
+        table: str,
+        prefix: str = '',
+        after_revision: int = 0,
+    ) -> tuple[Row, ...]:
+        """Reads rows changed after a revision."""
+        query = urlencode(
+            {
+                'table': table,
+                'prefix': prefix,
+                'after_revision': after_revision,
+            }
+        )
+        body = await self._client.call(
+            step=Step.TABLE_READ,
+            method='GET',
+            path=f'/table/rows?{query}',
+        )
+        return msgspec.json.decode(body, type=tuple[Row, ...])
--- /dev/null
+++ b/teaseldale/platform/_in_memory_table.py
@@ -0,0 +1,82 @@
+"""State of a table service held in memory, for stand-ins and fakes."""
+
+from teaseldale.platform._table import (
+    Committed,
+    Conflicted,
+    Row,
+    RowCheck,
+    Transaction,
+)
+
+
+class InMemoryTable:
+    """Serializable transactions over rows in a dictionary."""
+
+    def __init__(self) -> None:
+        """Creates a table service without rows."""
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._outcomes: dict[str, Committed | Conflicted] = {}
+        self.revision = 0
+
+    def commit(self, transaction: Transaction) -> Committed | Conflicted:
+        """Applies the transaction, or repeats its first outcome."""
+        known = self._outcomes.get(transaction.transaction_id)
+        if known is not None:
+            return known
+        outcome = self._apply(transaction)
+        self._outcomes[transaction.transaction_id] = outcome
+        return outcome
+
+    def read(self, *, table: str, key: str) -> Row | None:
+        """Returns the row, or None when it is absent or deleted."""
+        row = self._rows.get((table, key))
+        if row is None or row.value is None:
+            return None
+        return row
+
+    def scan(
+        self,
+        *,
+        table: str,
+        prefix: str,
+        after_revision: int,
+    ) -> tuple[Row, ...]:
+        """Returns matching rows in order of revision."""
+        found = [
+            row
+            for row in self._rows.values()
+            if row.table == table
+            and row.key.startswith(prefix)
+            and row.revision > after_revision
+            and (row.value is not None or after_revision > 0)
+        ]
+        found.sort(key=_by_revision)
+        return tuple(found)
+
+    def _apply(self, transaction: Transaction) -> Committed | Conflicted:
+        differing = tuple(
+            self._current(check)
+            for check in transaction.checks
+            if self._current(check).revision != check.revision
+        )
+        if differing:
+            return Conflicted(rows=differing)
+        self.revision += 1
+        for write in transaction.writes:
+            self._rows[write.table, write.key] = Row(
+                table=write.table,
+                key=write.key,
+                revision=self.revision,
+                value=write.value,
+            )
+        return Committed(revision=self.revision)
+
+    def _current(self, check: RowCheck) -> Row:
+        row = self._rows.get((check.table, check.key))
+        if row is None or row.value is None:
+            return Row(table=check.table, key=check.key, revision=0, value=None)
+        return row
+
+
+def _by_revision(row: Row) -> tuple[int, str]:
+    return row.revision, row.key
--- /dev/null
+++ b/teaseldale/requests/_identity.py
@@ -0,0 +1,22 @@
+"""Identity of a request across the caller's retries."""
+
+import attrs
+import xxhash
+
+
+@attrs.frozen(kw_only=True)
+class RequestIdentity:
+    """A client account and the idempotency key of one of its requests."""
+
+    client_account: str
+    key: str  # from the caller, or made on arrival
+
+    @property
+    def text(self) -> str:
+        """Unique text, used in table keys and towards upstreams."""
+        return f'{self.client_account}/{self.key}'
+
+    @property
+    def hash64(self) -> int:
+        """Stable 64-bit hash, the same on every VM."""
+        return xxhash.xxh3_64_intdigest(self.text.encode())
--- /dev/null
+++ b/teaseldale/requests/_table_registry.py
@@ -0,0 +1,172 @@
+"""Registry with one table row for each request: the naive version."""
+
+import attrs
+import msgspec
+
+from teaseldale.answers import AnswerLog, StoredAnswer
+from teaseldale.outcomes import PlatformError, Refusal, RefusalCode, Step
+from teaseldale.platform import (
+    BaseTableService,
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+from teaseldale.requests._identity import RequestIdentity
+from teaseldale.requests._registry import (
+    AttachedAnswer,
+    BaseRequestRegistry,
+    OpenedRequest,
+)
+
+REQUESTS_TABLE = 'requests'
+_RETRY_AFTER_MS = 1000
+
+
+@attrs.frozen(kw_only=True)
+class _RequestRow:
+    digest: str  # hash of the request body
+    stored: StoredAnswer | None = None  # None while running
+
+
+class TableRequestRegistry(BaseRequestRegistry):
+    """One transaction before and one after each request."""
+
+    def __init__(self, *, table: BaseTableService) -> None:
+        """Creates a registry over ``table``."""
+        self._table = table
+        self._running: dict[RequestIdentity, OpenedRequest] = {}
+        self._revisions: dict[RequestIdentity, int] = {}
+
+    async def open(
+        self,
+        *,
+        request: RequestIdentity,
+        digest: str,
+        repeatable: bool,
+    ) -> OpenedRequest | AttachedAnswer | Refusal:
+        """Inserts the request's row, or finds the earlier one."""
+        running = self._running.get(request)
+        if running is not None:
+            return _attached(running, digest)
+        try:
+            outcome = await self._write(request, _RequestRow(digest=digest), 0)
+        except PlatformError as error:
+            return _store_unavailable(error)
+        if not isinstance(outcome, int):
+            return _replayed(outcome, digest)
+        opened = OpenedRequest(
+            request=request,
+            digest=digest,
+            answer=AnswerLog(),
+            repeatable=repeatable,
+        )
+        self._running[request] = opened
+        self._revisions[request] = outcome
+        return opened
+
+    async def record_dispatch(
+        self,
+        opened: OpenedRequest,
+        *,
+        upstream: str,
+        reserved_tokens: int,
+    ) -> Refusal | None:
+        """Does nothing: the row was inserted when the request was opened."""
+        return None
+
+    async def finish(
+        self,
+        opened: OpenedRequest,
+        stored: StoredAnswer,
+    ) -> None:
+        """Stores the outcome in the request's row."""
+        row = _RequestRow(digest=opened.digest, stored=stored)
+        await self._end(opened, row)
+
+    async def abandon(self, opened: OpenedRequest, *, not_run: bool) -> None:
+        """Deletes the row of a request that did not run."""
+        if not_run:
+            await self._end(opened, None)
+        else:
+            self._running.pop(opened.request, None)
+
+    async def _end(
+        self,
+        opened: OpenedRequest,
+        row: _RequestRow | None,
+    ) -> None:
+        revision = self._revisions.pop(opened.request)
+        try:
+            await self._write(opened.request, row, revision)
+        finally:
+            self._running.pop(opened.request, None)
+
+    async def _write(
+        self,
+        request: RequestIdentity,
+        row: _RequestRow | None,
+        revision: int,
+    ) -> int | Row:
+        encoded = None if row is None else msgspec.msgpack.encode(row)
+        check = RowCheck(
+            table=REQUESTS_TABLE,
+            key=request.text,
+            revision=revision,
+        )
+        write = RowWrite(
+            table=REQUESTS_TABLE,
+            key=request.text,
+            value=encoded,
+        )
+        outcome = await self._table.commit(
+            make_transaction(checks=(check,), writes=(write,)),
+        )
+        if isinstance(outcome, Committed):
+            return outcome.revision
+        return outcome.rows[0]
+
+
+def _attached(
+    running: OpenedRequest,
+    digest: str,
+) -> AttachedAnswer | Refusal:
+    if running.digest != digest:
+        return _key_reused()
+    return AttachedAnswer(answer=running.answer)
+
+
+def _replayed(found: Row, digest: str) -> AttachedAnswer | Refusal:
+    row = msgspec.msgpack.decode(found.value or b'', type=_RequestRow)
+    if row.digest != digest:
+        return _key_reused()
+    if row.stored is None:
+        return Refusal(
+            code=RefusalCode.REQUEST_RUNNING,
+            message='The request runs at another VM; ask again later.',
+            not_run=False,
+            step=Step.REGISTER,
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+    return AttachedAnswer(answer=AnswerLog.replayed(row.stored))
+
+
+def _key_reused() -> Refusal:
+    return Refusal(
+        code=RefusalCode.KEY_REUSED,
+        message='The key was used with another body; choose a new key.',
+        not_run=True,
+        step=Step.REGISTER,
+    )
+
+
+def _store_unavailable(error: PlatformError) -> Refusal:
+    return Refusal(
+        code=RefusalCode.STORE_UNAVAILABLE,
+        message='The table service does not answer; ask again later.',
+        not_run=True,
+        step=error.step,
+        peer=error.peer,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/teaseldale/settings/__init__.py
@@ -0,0 +1,20 @@
+"""Settings of one VM, read from TOML and checked as a whole."""
+
+from teaseldale.settings._load import SettingsError, load_settings
+from teaseldale.settings._settings import (
+    LimitSettings,
+    LogSettings,
+    PlatformSettings,
+    Settings,
+    VmSettings,
+)
+
+__all__ = (
+    'LimitSettings',
+    'LogSettings',
+    'PlatformSettings',
+    'Settings',
+    'SettingsError',
+    'VmSettings',
+    'load_settings',
+)
--- /dev/null
+++ b/teaseldale/standins/_platform.py
@@ -0,0 +1,153 @@
+"""Stand-in of the platform: table service and membership list.
+
+Faults are set by ``POST /faults`` with the fields of ``PlatformFaults``.
+"""
+
+import time
+from collections import deque
+
+import anyio
+import attrs
+import msgspec
+
+from teaseldale.platform import (
+    Committed,
+    InMemoryTable,
+    Row,
+    Transaction,
+    VmMember,
+)
+from teaseldale.web import Exchange
+
+_BODY_LIMIT_BYTES = 16_777_216
+_STATUS_OK = 200
+_STATUS_TOO_MANY = 429
+_STATUS_NOT_FOUND = 404
+_MS_PER_SECOND = 1000
+_NO_ANSWER_SECONDS = 30
+_HISTORY_LENGTH = 1000
+
+
+@attrs.frozen(kw_only=True)
+class PlatformFaults:
+    """Faults switched on now."""
+
+    down: bool = False  # no call is answered
+    lose_answers: bool = False  # commits take effect without an answer
+    delay_ms: int = 0  # added to every call
+    writes_per_second: int = 0  # 0 means no limit
+    membership_lag_ms: int = 0  # age of the list that is given out
+
+
+@attrs.frozen(kw_only=True)
+class _CommitAnswer:
+    revision: int | None
+    conflicts: tuple[Row, ...]
+
+
+@attrs.frozen(kw_only=True)
+class _PublishedList:
+    published_seconds: float  # monotonic
+    members: tuple[VmMember, ...]
+
+
+class PlatformStandin:
+    """Answers exchanges of the platform's clients."""
+
+    def __init__(self) -> None:
+        """Creates a platform without rows and members."""
+        self._table = InMemoryTable()
+        self._members: dict[str, VmMember] = {}
+        self._history: deque[_PublishedList] = deque(maxlen=_HISTORY_LENGTH)
+        self._faults = PlatformFaults()
+        self._second = 0
+        self._writes_in_second = 0
+        self._paths = {
+            ('POST', '/table/transactions'): self._commit,
+            ('GET', '/table/row'): self._read,
+            ('GET', '/table/rows'): self._scan,
+            ('POST', '/members'): self._announce,
+            ('GET', '/members'): self._list_members,
+        }
+
+    async def respond(self, exchange: Exchange) -> None:
+        """Answers one exchange under the faults switched on."""
+        if exchange.path == '/faults':
+            await self._set_faults(exchange)
+            return
+        if self._faults.down:
+            await anyio.sleep(_NO_ANSWER_SECONDS)
+        if self._faults.delay_ms:
+            await anyio.sleep(self._faults.delay_ms / _MS_PER_SECOND)
+        handler = self._paths.get((exchange.method, exchange.path))
+        if handler is None:
+            await exchange.answer_json(_STATUS_NOT_FOUND, None)
+            return
+        await handler(exchange)
+
+    async def _set_faults(self, exchange: Exchange) -> None:
+        if exchange.method == 'POST':
+            body = await exchange.body(_BODY_LIMIT_BYTES)
+            self._faults = msgspec.json.decode(body, type=PlatformFaults)
+        await exchange.answer_json(_STATUS_OK, self._faults)
+
+    async def _commit(self, exchange: Exchange) -> None:
+        body = await exchange.body(_BODY_LIMIT_BYTES)
+        if not self._admit_write():
+            await exchange.answer_json(_STATUS_TOO_MANY, None)
+            return
+        outcome = self._table.commit(
+            msgspec.json.decode(body, type=Transaction)
+        )
+        if self._faults.lose_answers:
+            await anyio.sleep(_NO_ANSWER_SECONDS)
+        if isinstance(outcome, Committed):
+            answer = _CommitAnswer(revision=outcome.revision, conflicts=())
+        else:
+            answer = _CommitAnswer(revision=None, conflicts=outcome.rows)
+        await exchange.answer_json(_STATUS_OK, answer)
+
+    async def _read(self, exchange: Exchange) -> None:
+        row = self._table.read(
+            table=exchange.query('table'),
+            key=exchange.query('key'),
+        )
+        await exchange.answer_json(_STATUS_OK, row)
+
+    async def _scan(self, exchange: Exchange) -> None:
+        rows = self._table.scan(
+            table=exchange.query('table'),
+            prefix=exchange.query('prefix'),
+            after_revision=int(exchange.query('after_revision', '0')),
+        )
+        await exchange.answer_json(_STATUS_OK, rows)
+
+    async def _announce(self, exchange: Exchange) -> None:
+        body = await exchange.body(_BODY_LIMIT_BYTES)
+        member = msgspec.json.decode(body, type=VmMember)
+        self._members[member.name] = member
+        self._history.append(
+            _PublishedList(
+                published_seconds=time.monotonic(),
+                members=tuple(self._members.values()),
+            ),
+        )
+        await exchange.answer_json(_STATUS_OK, None)
+
+    async def _list_members(self, exchange: Exchange) -> None:
+        lag_seconds = self._faults.membership_lag_ms / _MS_PER_SECOND
+        visible_until = time.monotonic() - lag_seconds
+        members: tuple[VmMember, ...] = ()
+        for published in self._history:
+            if published.published_seconds <= visible_until:
+                members = published.members
+        await exchange.answer_json(_STATUS_OK, members)
+
+    def _admit_write(self) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._writes_in_second = 0
+        self._writes_in_second += 1
+        limit = self._faults.writes_per_second
+        return limit == 0 or self._writes_in_second <= limit
--- /dev/null
+++ b/teaseldale/upstreams/_http_engine.py
@@ -0,0 +1,193 @@
+"""Engine client: chat completions over server-sent events."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import attrs
+import httpcore
+import msgspec
+
+from teaseldale.answers import AnswerPart
+from teaseldale.notes import Upstream
+from teaseldale.outcomes import Step
+from teaseldale.upstreams._clients import (
+    BaseEngineClient,
+    EngineCall,
+    EngineEvents,
+    EngineFinished,
+    UpstreamError,
+)
+from teaseldale.upstreams._network_backend import StreamNetworkBackend
+
+_MS_PER_SECOND = 1000
+_CONNECT_TIMEOUT_MS = 1000
+_CANCEL_TIMEOUT_MS = 1000
+_MAX_CONNECTIONS = 4096
+_STATUS_OK = 200
+_EVENT_END = b'\n\n'
+_DATA_PREFIX = b'data: '
+_DONE = b'[DONE]'
+
+
+@attrs.frozen(kw_only=True)
+class _Delta:
+    content: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class _Choice:
+    delta: _Delta = _Delta()
+    finish_reason: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class _Usage:
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class _Event:
+    id: str  # request id that the engine answers
+    offset: int = 0  # tokens before this event
+    token_count: int = 1  # tokens in this event
+    choices: tuple[_Choice, ...] = ()
+    usage: _Usage | None = None
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+class HttpEngineClient(BaseEngineClient):
+    """Engine client over pooled httpcore connections."""
+
+    def __init__(self) -> None:
+        """Creates a client without open connections."""
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            network_backend=StreamNetworkBackend(),
+        )
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        upstream: Upstream,
+        call: EngineCall,
+    ) -> AsyncIterator[EngineEvents]:
+        """Opens a stream; a refusal before running is told as such."""
+        try:
+            async with self._pool.stream(
+                'POST',
+                f'{upstream.url}/v1/chat/completions',
+                headers=_headers(call),
+                content=call.body,
+                extensions={'timeout': _timeouts(call.progress_timeout_ms)},
+            ) as response:
+                if response.status != _STATUS_OK:
+                    raise _refused(upstream, response.status)
+                yield _events(upstream, call, response)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise _failed(upstream, error, may_have_run=False) from error
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as error:
+            raise _failed(upstream, error, may_have_run=True) from error
+
+    async def cancel(self, upstream: Upstream, request_id: str) -> None:
+        """Asks the engine to stop a run."""
+        try:
+            await self._pool.request(
+                'DELETE',
+                f'{upstream.url}/v1/requests/{request_id}',
+                extensions={'timeout': _timeouts(_CANCEL_TIMEOUT_MS)},
+            )
+        except (httpcore.TimeoutException, httpcore.NetworkError):
+            return
+
+
+async def _events(
+    upstream: Upstream,
+    call: EngineCall,
+    response: httpcore.Response,
+) -> EngineEvents:
+    buffer = b''
+    async for chunk in response.aiter_stream():
+        *encoded_events, buffer = (buffer + chunk).split(_EVENT_END)
+        for encoded in encoded_events:
+            payload = encoded.removeprefix(_DATA_PREFIX)
+            if payload == _DONE:
+                return
+            yield _typed(upstream, call, _decoder.decode(payload))
+    raise UpstreamError(
+        step=Step.STREAM,
+        peer=upstream.name,
+        reason='the stream ended before its last event',
+        may_have_run=True,
+    )
+
+
+def _typed(
+    upstream: Upstream,
+    call: EngineCall,
+    event: _Event,
+) -> AnswerPart | EngineFinished:
+    if event.id != call.request_id:
+        raise UpstreamError(
+            step=Step.STREAM,
+            peer=upstream.name,
+            reason=f'answer of another request: {event.id}',
+            may_have_run=True,
+        )
+    if event.usage is not None:
+        return EngineFinished(
+            prompt_tokens=event.usage.prompt_tokens,
+            output_tokens=event.usage.completion_tokens,
+            finish_reason=event.choices[0].finish_reason or 'stop',
+        )
+    return AnswerPart(
+        offset=event.offset,
+        token_count=event.token_count,
+        text=event.choices[0].delta.content or '',
+    )
+
+
+def _headers(call: EngineCall) -> dict[bytes | str, bytes | str]:
+    return {
+        'content-type': 'application/json',
+        'x-request-id': call.request_id,
+        'x-resume-offset': str(call.offset),
+    }
+
+
+def _timeouts(read_timeout_ms: int) -> dict[str, float]:
+    return {
+        'connect': _CONNECT_TIMEOUT_MS / _MS_PER_SECOND,
+        'read': read_timeout_ms / _MS_PER_SECOND,
+        'write': read_timeout_ms / _MS_PER_SECOND,
+        'pool': _CONNECT_TIMEOUT_MS / _MS_PER_SECOND,
+    }
+
+
+def _refused(upstream: Upstream, status: int) -> UpstreamError:
+    return UpstreamError(
+        step=Step.DISPATCH,
+        peer=upstream.name,
+        reason=f'refused with status {status}',
+        may_have_run=False,
+    )
+
+
+def _failed(
+    upstream: Upstream,
+    error: Exception,
+    *,
+    may_have_run: bool,
+) -> UpstreamError:
+    return UpstreamError(
+        step=Step.STREAM if may_have_run else Step.DISPATCH,
+        peer=upstream.name,
+        reason=type(error).__name__,
+        may_have_run=may_have_run,
+    )
--- /dev/null
+++ b/teaseldale/upstreams/_http_service.py
@@ -0,0 +1,107 @@
+"""Client of plain services over HTTP."""
+
+import httpcore
+
+from teaseldale.notes import Upstream
+from teaseldale.outcomes import Step
+from teaseldale.upstreams._clients import (
+    BaseServiceClient,
+    ServiceAnswer,
+    ServiceCall,
+    UpstreamError,
+)
+from teaseldale.upstreams._network_backend import StreamNetworkBackend
+
+_MS_PER_SECOND = 1000
+_CONNECT_TIMEOUT_MS = 1000
+_MAX_CONNECTIONS = 512
+_NOT_FORWARDED = frozenset(
+    (
+        b'authorization',
+        b'connection',
+        b'content-length',
+        b'host',
+        b'idempotency-key',
+        b'keep-alive',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+
+class HttpServiceClient(BaseServiceClient):
+    """Sends each call once; connections that fail are not reused."""
+
+    def __init__(self) -> None:
+        """Creates a client without open connections."""
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            network_backend=StreamNetworkBackend(),
+        )
+
+    async def call(
+        self, upstream: Upstream, call: ServiceCall
+    ) -> ServiceAnswer:
+        """Sends the call and reads the whole answer."""
+        try:
+            response = await self._pool.request(
+                call.method,
+                upstream.url + call.path,
+                headers=_headers(call),
+                content=call.body,
+                extensions={'timeout': _timeouts(call.timeout_ms)},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise _failed(upstream, error, may_have_run=False) from error
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as error:
+            raise _failed(upstream, error, may_have_run=True) from error
+        return ServiceAnswer(
+            status=response.status,
+            content_type=_content_type(response),
+            body=response.content,
+        )
+
+
+def _headers(call: ServiceCall) -> list[tuple[bytes, bytes]]:
+    forwarded = [
+        (name, content)
+        for name, content in call.headers
+        if name not in _NOT_FORWARDED
+    ]
+    forwarded.append((b'idempotency-key', call.request_id.encode()))
+    forwarded.append((b'content-length', str(len(call.body)).encode()))
+    return forwarded
+
+
+def _content_type(response: httpcore.Response) -> str:
+    for name, content in response.headers:
+        if name.lower() == b'content-type':
+            return content.decode('latin-1')
+    return 'application/octet-stream'
+
+
+def _timeouts(timeout_ms: int) -> dict[str, float]:
+    return {
+        'connect': _CONNECT_TIMEOUT_MS / _MS_PER_SECOND,
+        'read': timeout_ms / _MS_PER_SECOND,
+        'write': timeout_ms / _MS_PER_SECOND,
+        'pool': _CONNECT_TIMEOUT_MS / _MS_PER_SECOND,
+    }
+
+
+def _failed(
+    upstream: Upstream,
+    error: Exception,
+    *,
+    may_have_run: bool,
+) -> UpstreamError:
+    return UpstreamError(
+        step=Step.DISPATCH,
+        peer=upstream.name,
+        reason=type(error).__name__,
+        may_have_run=may_have_run,
+    )
--- /dev/null
+++ b/teaseldale/web/_exchange.py
@@ -0,0 +1,129 @@
+"""One HTTP request and its answer, over the ASGI messages of uvicorn."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+_JSON_HEADERS = ((b'content-type', b'application/json'),)
+
+
+class BodyTooLargeError(ValueError):
+    """The request's body is longer than the limit."""
+
+
+class Exchange:
+    """Reads one request and writes its answer."""
+
+    def __init__(self, *, scope: Scope, receive: Receive, send: Send) -> None:
+        """Wraps the three ASGI arguments."""
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self.started = False  # whether the answer's status has been sent
+
+    @property
+    def method(self) -> str:
+        """HTTP method in capitals."""
+        return str(self._scope['method'])
+
+    @property
+    def path(self) -> str:
+        """Decoded path without the query."""
+        return str(self._scope['path'])
+
+    @property
+    def target(self) -> bytes:
+        """Raw path with the query, as sent."""
+        raw_path = self._scope['raw_path']
+        query = self._scope['query_string']
+        return b'?'.join((raw_path, query)) if query else bytes(raw_path)
+
+    def header(self, name: bytes) -> str | None:
+        """Returns the first header of a lower-case ``name``."""
+        for known, content in self._scope['headers']:
+            if known == name:
+                return bytes(content).decode('latin-1')
+        return None
+
+    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        """Returns all headers with lower-case names."""
+        return tuple(self._scope['headers'])
+
+    def query(self, name: str, default: str = '') -> str:
+        """Returns the first query parameter called ``name``."""
+        query = parse_qs(str(self._scope['query_string'], 'latin-1'))
+        return query.get(name, [default])[0]
+
+    async def body(self, limit_bytes: int) -> bytes:
+        """Reads the whole body or raises ``BodyTooLargeError``."""
+        parts = bytearray()
+        more = True
+        while more:
+            message = await self._receive()
+            parts += message.get('body', b'')
+            if len(parts) > limit_bytes:
+                raise BodyTooLargeError
+            more = bool(message.get('more_body', False))
+        return bytes(parts)
+
+    async def wait_for_disconnect(self) -> None:
+        """Returns when the caller has closed the connection."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return
+
+    async def start(
+        self,
+        status: int,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> None:
+        """Sends the status and headers."""
+        self.started = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+
+    async def write(self, chunk: bytes, *, last: bool = False) -> None:
+        """Sends a part of the body; waits while the caller reads slowly."""
+        await self._send(
+            {
+                'type': 'http.response.body',
+                'body': chunk,
+                'more_body': not last,
+            }
+        )
+
+    async def answer_json(
+        self,
+        status: int,
+        body: object,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
+        """Sends a whole JSON answer."""
+        await self.answer(
+            status,
+            msgspec.json.encode(body),
+            _JSON_HEADERS + headers,
+        )
+
+    async def answer(
+        self,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+    ) -> None:
+        """Sends a whole answer."""
+        length = str(len(body)).encode()
+        await self.start(status, (*headers, (b'content-length', length)))
+        await self.write(body, last=True)
