--- a/teaseldale/peers/__init__.py
+++ b/teaseldale/peers/__init__.py
@@ -1,12 +1,16 @@
 """Links between VMs: typed messages, request and reply, heartbeats."""
 
+from teaseldale.peers._cells import CELL_LIMIT_VMS, CellIdentity, CellMap
 from teaseldale.peers._codec import MessageCodec, UnknownMessageError
 from teaseldale.peers._identity import VmIdentity
 from teaseldale.peers._network import BasePeerNetwork, Handler
 from teaseldale.peers._pynng_network import PynngPeerNetwork
 
 __all__ = (
+    'CELL_LIMIT_VMS',
     'BasePeerNetwork',
+    'CellIdentity',
+    'CellMap',
     'Handler',
     'MessageCodec',
     'PynngPeerNetwork',
