Let each service register its endpoints with the operators' interface

Cause: the operators' interface knew every service that it showed, so that notes and moves could not add endpoints without changing it. Change: an endpoint table by method and path, with one {name} in the path; responders return a document or a refusal.

--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -7,6 +7,7 @@
 
 from teaseldale.budgets import TableLedger, TransactionalSpending
 from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
 from teaseldale.kernel import Kernel
 from teaseldale.metrics import Metrics
@@ -34,14 +35,18 @@
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
-            configuration=configuration,
-            ledger=TableLedger(table=table),
-            peers=peers,
+            is_ready=lambda: configuration.current().revision > 0,
             metrics=metrics,
             shutdown=shutdown,
             operators_key=_read_secret(settings.vm.operators_key_file),
         ),
     )
+    add_endpoints(
+        operators,
+        configuration=configuration,
+        ledger=TableLedger(table=table),
+        peers=peers,
+    )
     callers = CallersInterface(
         address=settings.vm.callers_address,
         parts=RequestParts(
--- /dev/null
+++ b/teaseldale/operations/_budget_endpoints.py
@@ -0,0 +1,26 @@
+"""Endpoints of budgets."""
+
+from teaseldale.budgets import TableLedger
+from teaseldale.operations._refusals import bad_request, not_found
+from teaseldale.outcomes import Step
+from teaseldale.web import EndpointCall
+
+
+class BudgetEndpoints:
+    """Shows, creates and tops up budgets."""
+
+    def __init__(self, *, ledger: TableLedger) -> None:
+        """Uses the fleet's ledger."""
+        self._ledger = ledger
+
+    async def show(self, call: EndpointCall) -> object:
+        """Returns the totals of the budget named in the query."""
+        state = await self._ledger.state(call.query('name'))
+        return not_found() if state is None else state
+
+    async def top_up(self, call: EndpointCall) -> object:
+        """Credits the tokens named in the query."""
+        tokens = call.query('tokens')
+        if not tokens.isdecimal():
+            return bad_request('tokens must be a whole number', Step.RESERVE)
+        return await self._ledger.top_up(call.query('name'), int(tokens))
--- a/teaseldale/web/__init__.py
+++ b/teaseldale/web/__init__.py
@@ -1,6 +1,20 @@
 """HTTP serving shared by callers', operators' and stand-ins' interfaces."""
 
+from teaseldale.web._endpoints import (
+    EndpointCall,
+    EndpointTable,
+    FoundEndpoint,
+    Responder,
+)
 from teaseldale.web._exchange import BodyTooLargeError, Exchange
 from teaseldale.web._server import EmbeddedServer
 
-__all__ = ('BodyTooLargeError', 'EmbeddedServer', 'Exchange')
+__all__ = (
+    'BodyTooLargeError',
+    'EmbeddedServer',
+    'EndpointCall',
+    'EndpointTable',
+    'Exchange',
+    'FoundEndpoint',
+    'Responder',
+)
