Give the stand-in engine a cache, priorities, cancel and silent connections

Cause: routing needs cache events with lag and gaps, load reports, priorities and cancel to be tested against; a VM that died stayed on the membership list for ever; a run went on at the engine after its client had gone. Members drop out of the list 15 s after their last announcement.

--- a/teaseldale/command/_standins.py
+++ b/teaseldale/command/_standins.py
@@ -6,8 +6,13 @@
 import anyio
 
 from teaseldale.command._event_loop import run_until_signal
-from teaseldale.standins import EngineStandin, PlatformStandin, ServiceStandin
-from teaseldale.standins._engine import EngineFaults
+from teaseldale.standins import (
+    EngineFaults,
+    EngineSize,
+    EngineStandin,
+    PlatformStandin,
+    ServiceStandin,
+)
 from teaseldale.web import EmbeddedServer, Exchange
 
 
@@ -25,16 +30,24 @@
         name: str = 'engine',
         slot_count: int = 16,
         token_interval_ms: float = 20,
+        tokens_per_event: int = 1,
         first_token_ms: int = 50,
+        batch_size: int = 0,
+        cache_blocks: int = 4096,
         checks_fencing: bool = False,
     ) -> None:
         """Serves a model engine that streams words at a set pace."""
         standin = EngineStandin(
             name=name,
-            slot_count=slot_count,
+            size=EngineSize(
+                slot_count=slot_count,
+                batch_size=batch_size,
+                cache_blocks=cache_blocks,
+            ),
             checks_fencing=checks_fencing,
             faults=EngineFaults(
                 token_interval_ms=token_interval_ms,
+                tokens_per_event=tokens_per_event,
                 first_token_ms=first_token_ms,
             ),
         )
--- /dev/null
+++ b/teaseldale/standins/_engine_run.py
@@ -0,0 +1,71 @@
+"""One run of the engine stand-in and the events that it streams."""
+
+import attrs
+import msgspec
+import xxhash
+
+_WORDS = ('sack', 'snow', 'jute', 'roof', 'hook', 'bale', 'crew', 'loom')
+
+
+@attrs.define(kw_only=True, eq=False)
+class EngineRun:
+    """A prompt that is being answered."""
+
+    request_id: str
+    offset: int  # tokens that the client has already
+    prompt: str
+    priority: int  # 0 is the highest
+    output_tokens: int
+    cancelled: bool = False
+    silenced: bool = False  # nothing more reaches the client
+
+    def words(self, offset: int, token_count: int) -> str:
+        """Returns the tokens from ``offset``, the same on every engine."""
+        return ''.join(
+            self._word(offset + index) for index in range(token_count)
+        )
+
+    def _word(self, offset: int) -> str:
+        seed = f'{self.request_id}{self.prompt}{offset}'
+        index = xxhash.xxh3_64_intdigest(seed.encode()) % len(_WORDS)
+        return f'{_WORDS[index]} '
+
+
+def token_event(
+    run: EngineRun,
+    offset: int,
+    token_count: int,
+    *,
+    wrong_answer: bool,
+) -> bytes:
+    """Encodes ``token_count`` tokens from ``offset``."""
+    request_id = f'{run.request_id}-other' if wrong_answer else run.request_id
+    delta = {'content': run.words(offset, token_count)}
+    return _sse(
+        {
+            'id': request_id,
+            'offset': offset,
+            'token_count': token_count,
+            'choices': [{'delta': delta}],
+        }
+    )
+
+
+def last_events(run: EngineRun) -> bytes:
+    """Encodes the finish reason, the usage and the end of the stream."""
+    usage = {
+        'prompt_tokens': len(run.prompt.split()),
+        'completion_tokens': run.output_tokens,
+    }
+    last = _sse(
+        {
+            'id': run.request_id,
+            'choices': [{'delta': {}, 'finish_reason': 'stop'}],
+            'usage': usage,
+        }
+    )
+    return b''.join((last, b'data: [DONE]\n\n'))
+
+
+def _sse(document: dict[str, object]) -> bytes:
+    return b''.join((b'data: ', msgspec.json.encode(document), b'\n\n'))
--- /dev/null
+++ b/teaseldale/standins/_membership.py
@@ -0,0 +1,49 @@
+"""Membership list of the platform stand-in, published with a lag."""
+
+from collections import deque
+
+import attrs
+
+from teaseldale.platform import VmMember
+
+_HISTORY_LENGTH = 8192
+
+
+@attrs.frozen(kw_only=True)
+class _Announcement:
+    at_ms: int  # time of the announcement
+    member: VmMember
+
+
+class LaggingMembership:
+    """Announcements of VMs; a silent VM drops out after a time-out."""
+
+    def __init__(self) -> None:
+        """Creates an empty list."""
+        self._announcements: deque[_Announcement] = deque(
+            maxlen=_HISTORY_LENGTH,
+        )
+
+    def announce(self, member: VmMember, *, now_ms: int) -> None:
+        """Adds or updates a VM's entry."""
+        self._announcements.append(_Announcement(at_ms=now_ms, member=member))
+
+    def listed(
+        self,
+        *,
+        now_ms: int,
+        lag_ms: int,
+        timeout_ms: int,
+    ) -> tuple[VmMember, ...]:
+        """Returns the list as it was ``lag_ms`` ago."""
+        visible_until_ms = now_ms - lag_ms
+        newest = {
+            known.member.name: known
+            for known in self._announcements
+            if known.at_ms <= visible_until_ms
+        }
+        return tuple(
+            last.member
+            for last in newest.values()
+            if last.at_ms + timeout_ms > visible_until_ms
+        )
--- a/teaseldale/standins/_platform.py
+++ b/teaseldale/standins/_platform.py
@@ -4,7 +4,6 @@
 """
 
 import time
-from collections import deque
 
 import anyio
 import attrs
@@ -17,6 +16,7 @@
     Transaction,
     VmMember,
 )
+from teaseldale.standins._membership import LaggingMembership
 from teaseldale.web import Exchange
 
 _BODY_LIMIT_BYTES = 16_777_216
@@ -25,7 +25,6 @@
 _STATUS_NOT_FOUND = 404
 _MS_PER_SECOND = 1000
 _NO_ANSWER_SECONDS = 30
-_HISTORY_LENGTH = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -37,6 +36,7 @@
     delay_ms: int = 0  # added to every call
     writes_per_second: int = 0  # 0 means no limit
     membership_lag_ms: int = 0  # age of the list that is given out
+    member_timeout_ms: int = 15_000  # silence after which a VM drops out
 
 
 @attrs.frozen(kw_only=True)
@@ -45,20 +45,13 @@
     conflicts: tuple[Row, ...]
 
 
-@attrs.frozen(kw_only=True)
-class _PublishedList:
-    published_seconds: float  # monotonic
-    members: tuple[VmMember, ...]
-
-
 class PlatformStandin:
     """Answers exchanges of the platform's clients."""
 
     def __init__(self) -> None:
         """Creates a platform without rows and members."""
         self._table = InMemoryTable()
-        self._members: dict[str, VmMember] = {}
-        self._history: deque[_PublishedList] = deque(maxlen=_HISTORY_LENGTH)
+        self._membership = LaggingMembership()
         self._faults = PlatformFaults()
         self._second = 0
         self._writes_in_second = 0
@@ -125,22 +118,15 @@
     async def _announce(self, exchange: Exchange) -> None:
         body = await exchange.body(_BODY_LIMIT_BYTES)
         member = msgspec.json.decode(body, type=VmMember)
-        self._members[member.name] = member
-        self._history.append(
-            _PublishedList(
-                published_seconds=time.monotonic(),
-                members=tuple(self._members.values()),
-            ),
-        )
+        self._membership.announce(member, now_ms=_now_ms())
         await exchange.answer_json(_STATUS_OK, None)
 
     async def _list_members(self, exchange: Exchange) -> None:
-        lag_seconds = self._faults.membership_lag_ms / _MS_PER_SECOND
-        visible_until = time.monotonic() - lag_seconds
-        members: tuple[VmMember, ...] = ()
-        for published in self._history:
-            if published.published_seconds <= visible_until:
-                members = published.members
+        members = self._membership.listed(
+            now_ms=_now_ms(),
+            lag_ms=self._faults.membership_lag_ms,
+            timeout_ms=self._faults.member_timeout_ms,
+        )
         await exchange.answer_json(_STATUS_OK, members)
 
     def _admit_write(self) -> bool:
@@ -151,3 +137,7 @@
         self._writes_in_second += 1
         limit = self._faults.writes_per_second
         return limit == 0 or self._writes_in_second <= limit
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * _MS_PER_SECOND)
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -37,6 +37,11 @@
         """Decoded path without the query."""
         return str(self._scope['path'])
 
+    @property
+    def client(self) -> object:
+        """IP number and port of the other end of the connection."""
+        return self._scope['client']
+
     @property
     def target(self) -> bytes:
         """Raw path with the query, as sent."""
