Refuse wrong input of every kind clearly, count it and bill nothing

Cause: malformed heads were answered in plain text and not counted; a body that broke off was taken for a whole one, so that half an order could reach a service; a run that raised an error ended the whole VM; only the first wrong field of a settings section was named; a stream that failed after its first byte ended like a whole one; an engine's status 500 was told as 'not run'.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -61,6 +61,7 @@
         slot_count: int = 64,
         token_interval_ms: float = 5,
         first_token_ms: int = 10,
+        balancer_grace_ms: int = 50,
         program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
     ) -> None:
         """Chooses free ports; nothing runs before ``start``."""
@@ -72,6 +73,7 @@
         self.service = _address()
         self.engines = [_address() for _ in range(engine_count)]
         self.slot_count = slot_count
+        self.balancer_grace_ms = balancer_grace_ms
         self._token_interval_ms = token_interval_ms
         self._first_token_ms = first_token_ms
         self.vms = [
@@ -159,6 +161,9 @@
 table_url = "http://{self.platform}"
 membership_url = "http://{self.platform}"
 
+[limits]
+balancer_grace_ms = {self.balancer_grace_ms}
+
 [logs]
 format = "key_value"
 """
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,6 +1,5 @@
 """Assembly of one VM's services."""
 
-import pathlib
 import uuid
 
 import anyio
@@ -18,7 +17,7 @@
 from teaseldale.platform import HttpMembershipList, HttpTableService
 from teaseldale.requests import TableRequestRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
-from teaseldale.settings import Settings
+from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
 
 
@@ -38,7 +37,10 @@
             is_ready=lambda: configuration.current().revision > 0,
             metrics=metrics,
             shutdown=shutdown,
-            operators_key=_read_secret(settings.vm.operators_key_file),
+            operators_key=read_secret(
+                settings.vm.operators_key_file,
+                field='vm.operators_key_file',
+            ),
         ),
     )
     add_endpoints(
@@ -85,7 +87,3 @@
         ),
         clock=clock,
     )
-
-
-def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text('utf-8').strip()
--- /dev/null
+++ b/teaseldale/entry/_arrival.py
@@ -0,0 +1,95 @@
+"""What the head of a caller's request says beside its body."""
+
+import uuid
+
+import attrs
+import xxhash
+
+from teaseldale.notes import ClientAccount, Route
+from teaseldale.requests import RequestIdentity
+from teaseldale.web import Exchange
+
+KEY_HEADER = b'idempotency-key'
+_PRIORITY_HEADER = b'x-teaseldale-priority'
+_DEADLINE_HEADER = b'x-teaseldale-deadline-ms'
+_LOWEST_PRIORITY = 9
+_LONGEST_DEADLINE_MS = 3_600_000
+_LONGEST_KEY = 200  # characters
+_UNDECODABLE = '\N{REPLACEMENT CHARACTER}'
+
+
+class WrongHeaderError(ValueError):
+    """A header of the request is wrong; the text names it."""
+
+
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """Identity and wishes of one request."""
+
+    request: RequestIdentity
+    key_is_given: bool  # by the caller, so that it may have run before
+    priority: int  # 0 is the highest
+    deadline_ms: int | None  # duration; None when the caller names none
+
+    def duration_ms(self, route: Route) -> int:
+        """Returns how long the caller waits for the answer."""
+        return self.deadline_ms or route.deadline_ms
+
+
+def read_arrival(exchange: Exchange, account: ClientAccount) -> Arrival:
+    """Reads the headers or raises ``WrongHeaderError``."""
+    key = exchange.header(KEY_HEADER)
+    if key is not None:
+        _check_key(key)
+    deadline_ms = _number(exchange, _DEADLINE_HEADER, _LONGEST_DEADLINE_MS)
+    if deadline_ms == 0:
+        raise WrongHeaderError('x-teaseldale-deadline-ms must be above 0')
+    priority = _number(exchange, _PRIORITY_HEADER, _LOWEST_PRIORITY)
+    return Arrival(
+        request=RequestIdentity(
+            client_account=account.name,
+            key=key or uuid.uuid4().hex,
+        ),
+        key_is_given=key is not None,
+        priority=max(account.priority, priority or 0),
+        deadline_ms=deadline_ms,
+    )
+
+
+def check_path(path: str) -> None:
+    """Raises ``WrongHeaderError`` for a path that can be read in two ways."""
+    if _UNDECODABLE in path:
+        raise WrongHeaderError('the path is not UTF-8')
+    parts = path.split('/')
+    if '.' in parts or '..' in parts:
+        raise WrongHeaderError('the path has "." or ".." as a part')
+
+
+def digest_of(exchange: Exchange, content: bytes) -> str:
+    """Returns the hash by which a key used for other content is found."""
+    hashed = xxhash.xxh3_128(exchange.method.encode())
+    hashed.update(exchange.target)
+    hashed.update(content)
+    return hashed.hexdigest()
+
+
+def _check_key(key: str) -> None:
+    if not (key.isascii() and key.isprintable() and ' ' not in key):
+        raise WrongHeaderError(
+            'idempotency-key must be printable ASCII without spaces',
+        )
+    if not 1 <= len(key) <= _LONGEST_KEY:
+        raise WrongHeaderError(
+            f'idempotency-key must have 1 to {_LONGEST_KEY} characters',
+        )
+
+
+def _number(exchange: Exchange, name: bytes, largest: int) -> int | None:
+    text = exchange.header(name)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal()) or int(text) > largest:
+        raise WrongHeaderError(
+            f'{name.decode()} must be a whole number up to {largest}',
+        )
+    return int(text)
--- a/teaseldale/entry/_chat.py
+++ b/teaseldale/entry/_chat.py
@@ -1,12 +1,30 @@
 """Chat-completions messages as callers send and receive them."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import attrs
 import msgspec
 
 from teaseldale.answers import AnswerPart
 
+_NOT_FORWARDED = (
+    'audio',
+    'function_call',
+    'functions',
+    'logprobs',
+    'modalities',
+    'tool_choice',
+    'tools',
+    'top_logprobs',
+)
+_AtLeastOne = Annotated[int, msgspec.Meta(ge=1)]
+
+_ExactlyOne = Annotated[int, msgspec.Meta(ge=1, le=1)]
+
+
+class WrongChatError(ValueError):
+    """The body is not a chat completion that can be served."""
+
 
 @attrs.frozen(kw_only=True)
 class StreamOptions:
@@ -28,10 +46,11 @@
     """Fields of the request that the fleet reads; others pass through."""
 
     model: str
-    messages: list[ChatMessage]
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    n: _ExactlyOne | None = None  # noqa: WPS111
+    max_tokens: _AtLeastOne | None = None
+    max_completion_tokens: _AtLeastOne | None = None
     stream_options: StreamOptions | None = None
 
     def output_tokens(self, limit_tokens: int) -> int:
@@ -39,6 +58,31 @@
         wanted = self.max_completion_tokens or self.max_tokens
         return min(wanted or limit_tokens, limit_tokens)
 
+    @property
+    def prompt(self) -> str:
+        """Text of all messages."""
+        return '\n'.join(str(message.content) for message in self.messages)
+
+
+@attrs.frozen(kw_only=True)
+class DecodedChat:
+    """A body as read and as it goes to an engine."""
+
+    request: ChatRequest
+    document: dict[str, Any]  # the engine's body without its priority
+
+    def engine_body(self, priority: int) -> bytes:
+        """Encodes the engine's body."""
+        return msgspec.json.encode({**self.document, 'priority': priority})
+
+    def canonical_body(self) -> bytes:
+        """Encodes what makes two requests the same.
+
+        Order of fields, white space and whether the answer is streamed do
+        not count.
+        """
+        return msgspec.json.encode(self.document, order='sorted')
+
 
 @attrs.frozen(kw_only=True)
 class AnswerHead:
@@ -49,15 +93,24 @@
     created_seconds: int
 
 
-def engine_body(body: bytes, output_tokens: int) -> bytes:
-    """Returns the caller's body with streaming and the limit set."""
-    document = msgspec.json.decode(body)
+def decode_chat(body: bytes, output_limit_tokens: int) -> DecodedChat:
+    """Reads a body or raises ``WrongChatError``, which tells what is wrong."""
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as wrong:
+        raise WrongChatError(str(wrong)) from wrong
+    try:
+        request = msgspec.convert(document, ChatRequest)
+    except msgspec.ValidationError as error:
+        raise WrongChatError(str(error)) from error
+    for name in _NOT_FORWARDED:
+        if document.pop(name, None):
+            raise WrongChatError(f'the field `{name}` is not supported')
     document.pop('max_completion_tokens', None)
-    document['max_tokens'] = output_tokens
+    document['max_tokens'] = request.output_tokens(output_limit_tokens)
     document['stream'] = True
     document['stream_options'] = {'include_usage': True}
-    encoded: bytes = msgspec.json.encode(document)
-    return encoded
+    return DecodedChat(request=request, document=document)
 
 
 def stream_event(head: AnswerHead, parts: list[AnswerPart]) -> bytes:
--- a/teaseldale/entry/_completion.py
+++ b/teaseldale/entry/_completion.py
@@ -17,7 +17,12 @@
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.requests import OpenedRequest
 from teaseldale.routing import Placement, RoutingRequest
-from teaseldale.upstreams import EngineCall, EngineFinished, UpstreamError
+from teaseldale.upstreams import (
+    EngineCall,
+    EngineFinished,
+    UpstreamError,
+    UpstreamRejectedError,
+)
 
 _ATTEMPTS = 3
 _PROGRESS_TIMEOUT_MS = 10_000
@@ -78,6 +83,8 @@
             if not isinstance(outcome, Refusal):
                 return _whole(job, outcome)
             last = _keep_run(last, outcome)
+            if outcome.code is RefusalCode.BAD_REQUEST:
+                break
             excluded |= {placed.upstream.name}
             self._parts.metrics.increment('retries', outcome.code)
         return WorkOutcome(answer=last or _no_attempt())
@@ -186,6 +193,14 @@
 
 
 def _upstream_failed(error: UpstreamError) -> Refusal:
+    if isinstance(error, UpstreamRejectedError):
+        return Refusal(
+            code=RefusalCode.BAD_REQUEST,
+            message='The engine cannot run this prompt; shorten or mend it.',
+            not_run=True,
+            step=error.step,
+            peer=error.peer,
+        )
     return Refusal(
         code=RefusalCode.UPSTREAM_FAILED,
         message='The upstream failed; send the request again with its key.',
--- /dev/null
+++ b/teaseldale/entry/_handlers.py
@@ -0,0 +1,230 @@
+"""From a request that has arrived whole to its run and its answer."""
+
+import abc
+import time
+
+import attrs
+
+from teaseldale.entry._answers import AnswerWriter
+from teaseldale.entry._arrival import Arrival, digest_of
+from teaseldale.entry._background import BackgroundRuns
+from teaseldale.entry._chat import AnswerHead, DecodedChat, decode_chat
+from teaseldale.entry._completion import CompletionJob, CompletionRunner
+from teaseldale.entry._parts import RequestParts
+from teaseldale.entry._refusals import draining, unknown_route
+from teaseldale.entry._service_call import ServiceJob, ServiceRunner
+from teaseldale.notes import ClientAccount, Route, RouteKind
+from teaseldale.outcomes import Refusal
+from teaseldale.requests import AttachedAnswer, OpenedRequest
+from teaseldale.settings import LimitSettings
+from teaseldale.upstreams import ServiceCall
+from teaseldale.web import Exchange
+
+_SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
+_SEPARATOR = b'/'
+
+
+@attrs.define(kw_only=True)
+class HandlerTools:
+    """What handlers share."""
+
+    parts: RequestParts
+    limits: LimitSettings
+    runs: BackgroundRuns
+    writer: AnswerWriter
+    is_draining: bool = False  # whether new requests are refused
+
+
+class BaseHandler(abc.ABC):
+    """Serves one kind of route."""
+
+    def __init__(self, *, tools: HandlerTools) -> None:
+        """Uses the given tools."""
+        self._tools = tools
+        self._parts = tools.parts
+
+    @abc.abstractmethod
+    async def handle(
+        self,
+        exchange: Exchange,
+        account: ClientAccount,
+        arrival: Arrival,
+        body: bytes,
+    ) -> Refusal | None:
+        """Answers, or returns the refusal that the caller is to get.
+
+        Raises ``WrongChatError`` for a body that cannot be read.
+        """
+
+    async def _open(
+        self,
+        arrival: Arrival,
+        digest: str,
+        *,
+        repeatable: bool,
+    ) -> OpenedRequest | AttachedAnswer | Refusal:
+        """Registers the request.
+
+        During a drain, a request that has run is answered; any other is
+        refused, which is known only when the registry has looked.
+        """
+        if self._tools.is_draining and not arrival.key_is_given:
+            return draining()
+        opened = await self._parts.registry.open(
+            request=arrival.request,
+            digest=digest,
+            repeatable=repeatable,
+        )
+        if self._tools.is_draining and isinstance(opened, OpenedRequest):
+            refusal = draining()
+            await self._parts.registry.abandon(opened, not_run=True)
+            opened.answer.fail(refusal)
+            return refusal
+        return opened
+
+    def _route(self, name: str, kind: RouteKind) -> Route | None:
+        route = self._parts.configuration.current().routes.get(name)
+        return route if route is not None and route.kind is kind else None
+
+    def _deadline_ms(self, arrival: Arrival, route: Route) -> int:
+        now_ms = self._parts.clock.monotonic_ms()
+        return now_ms + arrival.duration_ms(route)
+
+
+class CompletionHandler(BaseHandler):
+    """Serves chat completions."""
+
+    def __init__(self, *, tools: HandlerTools) -> None:
+        """Uses the given tools."""
+        super().__init__(tools=tools)
+        self._runner = CompletionRunner(parts=tools.parts)
+
+    async def handle(
+        self,
+        exchange: Exchange,
+        account: ClientAccount,
+        arrival: Arrival,
+        body: bytes,
+    ) -> Refusal | None:
+        """Starts the run, or follows the one under way, and answers."""
+        chat = decode_chat(body, self._tools.limits.output_limit_tokens)
+        route = self._route(chat.request.model, RouteKind.COMPLETION)
+        if route is None:
+            return unknown_route(chat.request.model)
+        opened = await self._open(
+            arrival,
+            digest_of(exchange, chat.canonical_body()),
+            repeatable=True,
+        )
+        if isinstance(opened, Refusal):
+            return opened
+        if isinstance(opened, OpenedRequest):
+            job = self._job(opened, account, arrival, route, chat)
+            self._tools.runs.start(self._runner.run, job, opened.answer)
+        head = AnswerHead(
+            answer_id=arrival.request.key,
+            model=chat.request.model,
+            created_seconds=int(time.time()),
+        )
+        duration_ms = arrival.duration_ms(route)
+        if not chat.request.stream:
+            return await self._tools.writer.complete(
+                exchange,
+                opened.answer,
+                head,
+                duration_ms,
+            )
+        return await self._tools.writer.stream(
+            exchange,
+            opened.answer,
+            chat.request,
+            head,
+            duration_ms,
+        )
+
+    def _job(
+        self,
+        opened: OpenedRequest,
+        account: ClientAccount,
+        arrival: Arrival,
+        route: Route,
+        chat: DecodedChat,
+    ) -> CompletionJob:
+        engine_body = chat.engine_body(arrival.priority)
+        return CompletionJob(
+            opened=opened,
+            account=account,
+            route=route,
+            engine_body=engine_body,
+            prompt=chat.request.prompt,
+            prompt_bound_tokens=len(engine_body),
+            output_limit_tokens=chat.request.output_tokens(
+                self._tools.limits.output_limit_tokens,
+            ),
+            priority=arrival.priority,
+            deadline_ms=self._deadline_ms(arrival, route),
+        )
+
+
+class ServiceHandler(BaseHandler):
+    """Serves calls of plain services."""
+
+    def __init__(self, *, tools: HandlerTools) -> None:
+        """Uses the given tools."""
+        super().__init__(tools=tools)
+        self._runner = ServiceRunner(parts=tools.parts)
+
+    async def handle(
+        self,
+        exchange: Exchange,
+        account: ClientAccount,
+        arrival: Arrival,
+        body: bytes,
+    ) -> Refusal | None:
+        """Starts the call, or follows the one under way, and answers."""
+        route_name = exchange.path.split('/')[2]
+        route = self._route(route_name, RouteKind.SERVICE)
+        if route is None:
+            return unknown_route(route_name)
+        opened = await self._open(
+            arrival,
+            digest_of(exchange, body),
+            repeatable=route.idempotent or exchange.method in _SAFE_METHODS,
+        )
+        if isinstance(opened, Refusal):
+            return opened
+        duration_ms = arrival.duration_ms(route)
+        if isinstance(opened, OpenedRequest):
+            job = ServiceJob(
+                opened=opened,
+                account=account,
+                route=route,
+                call=_service_call(exchange, arrival, duration_ms, body),
+                priority=arrival.priority,
+                deadline_ms=self._deadline_ms(arrival, route),
+            )
+            self._tools.runs.start(self._runner.run, job, opened.answer)
+        return await self._tools.writer.pass_on(
+            exchange,
+            opened.answer,
+            arrival.request.key,
+            duration_ms,
+        )
+
+
+def _service_call(
+    exchange: Exchange,
+    arrival: Arrival,
+    duration_ms: int,
+    body: bytes,
+) -> ServiceCall:
+    rest = exchange.target.split(_SEPARATOR, 3)[3:]
+    path = _SEPARATOR.join((b'', *rest)) or _SEPARATOR
+    return ServiceCall(
+        request_id=arrival.request.text,
+        method=exchange.method,
+        path=path.decode('latin-1'),
+        headers=exchange.headers(),
+        body=body,
+        timeout_ms=duration_ms,
+    )
--- a/teaseldale/entry/_lifecycle.py
+++ b/teaseldale/entry/_lifecycle.py
@@ -7,6 +7,7 @@
 from teaseldale.answers import StoredAnswer
 from teaseldale.budgets import Reservation
 from teaseldale.entry._parts import RequestParts
+from teaseldale.entry._refusals import run_failed
 from teaseldale.notes import ClientAccount, Route
 from teaseldale.outcomes import PlatformError, Refusal
 from teaseldale.requests import OpenedRequest
@@ -47,13 +48,27 @@
         if isinstance(reserved, Refusal):
             await self._give_up(opened, reserved)
             return
-        outcome = await work(reserved)
+        outcome = await self._guarded(opened, reserved, work)
         await self._settle(reserved, outcome)
         if isinstance(outcome.answer, Refusal):
             await self._give_up(opened, outcome.answer)
         else:
             await self._finish(opened, outcome.answer)
 
+    async def _guarded(
+        self,
+        opened: OpenedRequest,
+        reserved: Reservation,
+        work: Work,
+    ) -> WorkOutcome:
+        try:
+            return await work(reserved)
+        except Exception:
+            refusal = run_failed()
+            await self._settle(reserved, WorkOutcome(answer=refusal))
+            await self._give_up(opened, refusal)
+            raise
+
     async def _settle(
         self,
         reserved: Reservation,
--- a/teaseldale/entry/_service_call.py
+++ b/teaseldale/entry/_service_call.py
@@ -13,11 +13,12 @@
 )
 from teaseldale.entry._parts import RequestParts
 from teaseldale.notes import ClientAccount, Route, Upstream
-from teaseldale.outcomes import Refusal, RefusalCode
+from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.requests import OpenedRequest
-from teaseldale.routing import RoutingRequest
+from teaseldale.routing import Placement, RoutingRequest
 from teaseldale.upstreams import ServiceAnswer, ServiceCall, UpstreamError
 
+_ATTEMPTS = 3
 _RETRY_AFTER_MS = 500
 
 
@@ -55,24 +56,49 @@
         job: ServiceJob,
         reserved: Reservation,
     ) -> WorkOutcome:
-        placed = await self._parts.router.place(_routing_request(job))
-        if isinstance(placed, Refusal):
-            return WorkOutcome(answer=placed)
-        refused = await self._parts.registry.record_dispatch(
-            job.opened,
-            upstream=placed.upstream.name,
-            reserved_tokens=reserved.tokens,
-        )
-        outcome = refused or await self._call(job, placed.upstream)
-        failed = isinstance(outcome, Refusal)
-        self._parts.router.release(placed, failed=failed)
+        excluded: frozenset[str] = frozenset()
+        outcome: StoredAnswer | Refusal = _no_attempt()
+        for _ in range(_ATTEMPTS):
+            placed = await self._parts.router.place(
+                _routing_request(job, excluded),
+            )
+            if isinstance(placed, Refusal):
+                return _priced(_worse(outcome, placed), reserved.tokens)
+            outcome = await self._call_at(job, reserved, placed)
+            if not _may_repeat(job, outcome):
+                break
+            excluded |= {placed.upstream.name}
         return _priced(outcome, reserved.tokens)
 
-    async def _call(
+    async def _call_at(
+        self,
+        job: ServiceJob,
+        reserved: Reservation,
+        placed: Placement,
+    ) -> StoredAnswer | Refusal:
+        failed = True
+        try:
+            outcome = await self._recorded_call(job, reserved, placed.upstream)
+            failed = isinstance(outcome, Refusal)
+        finally:
+            self._parts.router.release(placed, failed=failed)
+        if isinstance(outcome, Refusal):
+            self._parts.metrics.increment('retries', outcome.code)
+        return outcome
+
+    async def _recorded_call(
         self,
         job: ServiceJob,
+        reserved: Reservation,
         upstream: Upstream,
     ) -> StoredAnswer | Refusal:
+        refused = await self._parts.registry.record_dispatch(
+            job.opened,
+            upstream=upstream.name,
+            reserved_tokens=reserved.tokens,
+        )
+        if refused is not None:
+            return refused
         try:
             answer = await self._parts.services.call(upstream, job.call)
         except UpstreamError as error:
@@ -80,18 +106,49 @@
         return _stored(answer, job.route.tokens_per_call)
 
 
+def _may_repeat(job: ServiceJob, outcome: StoredAnswer | Refusal) -> bool:
+    if not isinstance(outcome, Refusal):
+        return False
+    if outcome.code is not RefusalCode.UPSTREAM_FAILED:
+        return False
+    return outcome.not_run or job.opened.repeatable
+
+
+def _worse(
+    earlier: StoredAnswer | Refusal,
+    later: Refusal,
+) -> StoredAnswer | Refusal:
+    if isinstance(earlier, Refusal) and earlier.not_run:
+        return later
+    return earlier
+
+
+def _no_attempt() -> Refusal:
+    return Refusal(
+        code=RefusalCode.NO_UPSTREAM,
+        message='No upstream was tried; ask again later.',
+        not_run=True,
+        step=Step.CHOOSE_UPSTREAM,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def _priced(outcome: StoredAnswer | Refusal, tokens: int) -> WorkOutcome:
     not_run = isinstance(outcome, Refusal) and outcome.not_run
     return WorkOutcome(answer=outcome, used_tokens=0 if not_run else tokens)
 
 
-def _routing_request(job: ServiceJob) -> RoutingRequest:
+def _routing_request(
+    job: ServiceJob,
+    excluded: frozenset[str],
+) -> RoutingRequest:
     return RoutingRequest(
         route=job.route.name,
         version=job.route.version,
         prompt='',
         priority=job.priority,
         deadline_ms=job.deadline_ms,
+        excluded=excluded,
     )
 
 
--- a/teaseldale/operations/_operators.py
+++ b/teaseldale/operations/_operators.py
@@ -28,6 +28,7 @@
     Responder,
 )
 
+_REFUSALS_COUNTER = 'operators_refusals'
 _STATUS_OK = 200
 _STATUS_UNAVAILABLE = 503
 _BODY_LIMIT_BYTES = 16_777_216
@@ -51,7 +52,12 @@
     def __init__(self, *, address: str, parts: OperatorsParts) -> None:
         """Creates the interface; it listens once started."""
         self._parts = parts
-        self._server = EmbeddedServer(address=address, respond=self._respond)
+        self._server = EmbeddedServer(
+            address=address,
+            respond=self._respond,
+            metrics=parts.metrics,
+            refusals_counter=_REFUSALS_COUNTER,
+        )
         self._endpoints = EndpointTable()
         self.add_endpoint('GET', '/healthz', self._healthz)
         self.add_endpoint('GET', '/readyz', self._readyz)
@@ -87,8 +93,8 @@
     async def _respond(self, exchange: Exchange) -> None:
         outcome = await self._outcome(exchange)
         if isinstance(outcome, Refusal):
-            self._parts.metrics.increment('operators_refusals', outcome.code)
-            await exchange.answer_json(outcome.status, {'error': outcome})
+            self._parts.metrics.increment(_REFUSALS_COUNTER, outcome.code)
+            await exchange.refuse(outcome)
         elif not exchange.started:
             await exchange.answer_json(_STATUS_OK, outcome)
 
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -27,6 +27,7 @@
     DRAINING = 'draining'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     CONFLICT = 'conflict'
+    INTERNAL_ERROR = 'internal_error'
 
 
 _STATUS_BY_CODE = {  # noqa: WPS407
@@ -47,6 +48,7 @@
     RefusalCode.DRAINING: 503,
     RefusalCode.DEADLINE_EXCEEDED: 504,
     RefusalCode.CONFLICT: 409,
+    RefusalCode.INTERNAL_ERROR: 500,
 }
 
 
--- a/teaseldale/settings/__init__.py
+++ b/teaseldale/settings/__init__.py
@@ -1,6 +1,10 @@
 """Settings of one VM, read from TOML and checked as a whole."""
 
-from teaseldale.settings._load import SettingsError, load_settings
+from teaseldale.settings._load import (
+    SettingsError,
+    load_settings,
+    read_secret,
+)
 from teaseldale.settings._settings import (
     LimitSettings,
     LogSettings,
@@ -17,4 +21,5 @@
     'SettingsError',
     'VmSettings',
     'load_settings',
+    'read_secret',
 )
--- a/teaseldale/settings/_load.py
+++ b/teaseldale/settings/_load.py
@@ -3,8 +3,9 @@
 import pathlib
 import tomllib
 
-import cattrs
+import msgspec
 
+from teaseldale.settings._mistakes import mistakes_in
 from teaseldale.settings._settings import Settings
 
 
@@ -18,26 +19,23 @@
         document = tomllib.loads(pathlib.Path(path).read_text('utf-8'))
     except (OSError, ValueError) as error:
         raise SettingsError(f'{path}: {error}') from error
-    converter = cattrs.Converter(
-        detailed_validation=True,
-        forbid_extra_keys=True,
-    )
-    converter.register_structure_hook(int, _whole_number)
-    converter.register_structure_hook(str, _text)
+    mistakes = mistakes_in(document, Settings)
+    if mistakes:
+        raise SettingsError(
+            '\n'.join(f'{path}: {mistake}' for mistake in mistakes),
+        )
     try:
-        return converter.structure(document, Settings)
-    except cattrs.ClassValidationError as mistakes:
-        lines = [f'{path}: {line}' for line in cattrs.transform_error(mistakes)]
-        raise SettingsError('\n'.join(lines)) from mistakes
-
-
-def _whole_number(found: object, _kind: object) -> int:
-    if not isinstance(found, int) or isinstance(found, bool):
-        raise ValueError(f'{found!r} is not a whole number')
-    return found
+        return msgspec.convert(document, Settings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f'{path}: {error}') from error
 
 
-def _text(found: object, _kind: object) -> str:
-    if not isinstance(found, str):
-        raise ValueError(f'{found!r} is not a text')
-    return found
+def read_secret(path: str, *, field: str) -> str:
+    """Reads a secret; the error names the ``field`` with its path."""
+    try:
+        secret = pathlib.Path(path).read_text('utf-8').strip()
+    except (OSError, ValueError) as error:
+        raise SettingsError(f'{field}: {error}') from error
+    if not secret:
+        raise SettingsError(f'{field}: {path} is empty; put a secret there')
+    return secret
--- /dev/null
+++ b/teaseldale/settings/_mistakes.py
@@ -0,0 +1,92 @@
+"""Checking of a settings document against its classes, field by field."""
+
+import enum
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+_TYPE_NAMES: Mapping[type, str] = {  # noqa: WPS407
+    int: 'a whole number',
+    str: 'a text',
+    bool: 'true or false',
+}
+
+
+def mistakes_in(
+    document: Mapping[str, Any],
+    kind: type[attrs.AttrsInstance],
+    path: str = '',
+) -> list[str]:
+    """Returns one line for each mistake: field and what is allowed."""
+    fields = attrs.fields_dict(kind)
+    known = ', '.join(fields)
+    mistakes = [
+        f'{path}{name}: unknown; known here are {known}'
+        for name in document
+        if name not in fields
+    ]
+    for name, field in fields.items():
+        mistakes.extend(_mistakes_of_field(document, field, f'{path}{name}'))
+    return mistakes
+
+
+def _mistakes_of_field(
+    document: Mapping[str, Any],
+    field: 'attrs.Attribute[Any]',
+    path: str,
+) -> list[str]:
+    kind = field.type
+    if field.name not in document:
+        required = field.default is attrs.NOTHING
+        return [f'{path}: missing; {_allowed(kind)}'] if required else []
+    found = document[field.name]
+    if attrs.has(kind or int):
+        if isinstance(found, Mapping):
+            return mistakes_in(found, _attrs_class(kind), f'{path}.')
+        return [f'{path}: {found!r} is not a table']
+    if not _has_type(found, kind):
+        return [f'{path}: {found!r} is wrong; {_allowed(kind)}']
+    return _out_of_range(found, field, path)
+
+
+def _out_of_range(
+    found: object,
+    field: 'attrs.Attribute[Any]',
+    path: str,
+) -> list[str]:
+    if field.validator is None:
+        return []
+    try:
+        field.validator(None, field, found)
+    except ValueError as error:
+        return [f'{path}: {error.args[0]}']
+    return []
+
+
+def _has_type(found: object, kind: type[Any] | None) -> bool:
+    if not isinstance(kind, type):
+        return True
+    if issubclass(kind, enum.Enum):
+        return found in {member.value for member in kind}
+    if isinstance(found, bool):
+        return kind is bool
+    return isinstance(found, kind)
+
+
+def _allowed(kind: type[Any] | None) -> str:
+    if not isinstance(kind, type):
+        return f'give {kind}'
+    if issubclass(kind, enum.Enum):
+        allowed = ', '.join(repr(member.value) for member in kind)
+        return f'allowed are {allowed}'
+    if attrs.has(kind):
+        known = ', '.join(attrs.fields_dict(kind))
+        return f'give a table with {known}'
+    return f'give {_TYPE_NAMES.get(kind, kind.__name__)}'
+
+
+def _attrs_class(kind: type[Any] | None) -> type[attrs.AttrsInstance]:
+    if kind is None or not attrs.has(kind):
+        raise TypeError(f'{kind} is not an attrs class')
+    return kind
--- /dev/null
+++ b/teaseldale/settings/_validators.py
@@ -0,0 +1,57 @@
+"""Validators of settings; their errors tell what is allowed."""
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+_LARGEST_PORT = 65_535
+_LONGEST_NAME = 64
+
+
+def is_address(_instance: object, _field: object, address: str) -> None:
+    """Accepts an IP number and a port."""
+    host, separator, port = address.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        separator = ''
+    if not separator or not port.isdecimal() or int(port) > _LARGEST_PORT:
+        raise ValueError(
+            f'{address!r} is not an IP number and a port, such as '
+            '"10.0.0.1:7201"',
+        )
+
+
+def is_url(_instance: object, _field: object, url: str) -> None:
+    """Accepts an HTTP URL without a slash at its end."""
+    if not url.startswith('http://') or url.endswith('/'):
+        raise ValueError(
+            f'{url!r} is not a URL such as "http://10.0.0.1:7000" without a '
+            'slash at its end',
+        )
+
+
+def is_name(_instance: object, _field: object, name: str) -> None:
+    """Accepts a name that can stand in keys and paths."""
+    known = name and all(mark.isalnum() or mark in '-_' for mark in name)
+    if not known or len(name) > _LONGEST_NAME:
+        raise ValueError(
+            f'{name!r} must be 1 to {_LONGEST_NAME} letters, digits, - and _',
+        )
+
+
+def is_between(
+    least: int,
+    most: int,
+) -> Callable[[Any, Any, int], None]:
+    """Accepts whole numbers from ``least`` to ``most``."""
+
+    def check(  # noqa: WPS430
+        _instance: object,
+        _field: object,
+        number: int,
+    ) -> None:
+        if not least <= number <= most:
+            raise ValueError(f'{number} is not within {least} to {most}')
+
+    return check
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -9,7 +9,10 @@
     ServiceCall,
     UpstreamError,
 )
-from teaseldale.upstreams._http_engine import HttpEngineClient
+from teaseldale.upstreams._http_engine import (
+    HttpEngineClient,
+    UpstreamRejectedError,
+)
 from teaseldale.upstreams._http_service import HttpServiceClient
 from teaseldale.upstreams._network_backend import StreamNetworkBackend
 
@@ -24,4 +27,5 @@
     'ServiceCall',
     'StreamNetworkBackend',
     'UpstreamError',
+    'UpstreamRejectedError',
 )
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from urllib.parse import quote
 
 import attrs
 import httpcore
@@ -24,6 +25,9 @@
 _CANCEL_TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 4096
 _STATUS_OK = 200
+_STATUS_SERVER_ERROR = 500
+_STATUS_BUSY = 503
+_REJECTIONS = frozenset((400, 413, 422))
 _EVENT_END = b'\n\n'
 _DATA_PREFIX = b'data: '
 _DONE = b'[DONE]'
@@ -58,6 +62,10 @@
 _decoder = msgspec.json.Decoder(_Event)
 
 
+class UpstreamRejectedError(UpstreamError):
+    """The engine cannot run this prompt, and no other engine could."""
+
+
 class HttpEngineClient(BaseEngineClient):
     """Engine client over pooled httpcore connections."""
 
@@ -86,7 +94,11 @@
                 if response.status != _STATUS_OK:
                     raise _refused(upstream, response.status)
                 yield _events(upstream, call, response)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
             raise _failed(upstream, error, may_have_run=False) from error
         except (
             httpcore.TimeoutException,
@@ -100,10 +112,14 @@
         try:
             await self._pool.request(
                 'DELETE',
-                f'{upstream.url}/v1/requests/{request_id}',
+                f'{upstream.url}/v1/requests/{quote(request_id)}',
                 extensions={'timeout': _timeouts(_CANCEL_TIMEOUT_MS)},
             )
-        except (httpcore.TimeoutException, httpcore.NetworkError):
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ):
             return
 
 
@@ -119,7 +135,7 @@
             payload = encoded.removeprefix(_DATA_PREFIX)
             if payload == _DONE:
                 return
-            yield _typed(upstream, call, _decoder.decode(payload))
+            yield _typed(upstream, call, _decoded(upstream, payload))
     raise UpstreamError(
         step=Step.STREAM,
         peer=upstream.name,
@@ -128,6 +144,18 @@
     )
 
 
+def _decoded(upstream: Upstream, payload: bytes) -> _Event:
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise UpstreamError(
+            step=Step.STREAM,
+            peer=upstream.name,
+            reason=f'event that cannot be read: {error}',
+            may_have_run=True,
+        ) from error
+
+
 def _typed(
     upstream: Upstream,
     call: EngineCall,
@@ -171,11 +199,20 @@
 
 
 def _refused(upstream: Upstream, status: int) -> UpstreamError:
+    reason = f'refused with status {status}'
+    if status in _REJECTIONS:
+        return UpstreamRejectedError(
+            step=Step.DISPATCH,
+            peer=upstream.name,
+            reason=reason,
+            may_have_run=False,
+        )
+    before_running = status < _STATUS_SERVER_ERROR or status == _STATUS_BUSY
     return UpstreamError(
         step=Step.DISPATCH,
         peer=upstream.name,
-        reason=f'refused with status {status}',
-        may_have_run=False,
+        reason=reason,
+        may_have_run=not before_running,
     )
 
 
--- a/teaseldale/upstreams/_http_service.py
+++ b/teaseldale/upstreams/_http_service.py
@@ -15,14 +15,26 @@
 _MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 512
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.LocalProtocolError,
+    httpcore.PoolTimeout,
+)
 _NOT_FORWARDED = frozenset(
     (
+        b'accept-encoding',
         b'authorization',
         b'connection',
         b'content-length',
+        b'expect',
         b'host',
         b'idempotency-key',
         b'keep-alive',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
         b'transfer-encoding',
         b'upgrade',
     )
@@ -51,7 +63,7 @@
                 content=call.body,
                 extensions={'timeout': _timeouts(call.timeout_ms)},
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except _NOT_SENT as error:
             raise _failed(upstream, error, may_have_run=False) from error
         except (
             httpcore.TimeoutException,
--- a/teaseldale/web/__init__.py
+++ b/teaseldale/web/__init__.py
@@ -6,11 +6,16 @@
     FoundEndpoint,
     Responder,
 )
-from teaseldale.web._exchange import BodyTooLargeError, Exchange
+from teaseldale.web._exchange import (
+    BodyTooLargeError,
+    CallerGoneError,
+    Exchange,
+)
 from teaseldale.web._server import EmbeddedServer
 
 __all__ = (
     'BodyTooLargeError',
+    'CallerGoneError',
     'EmbeddedServer',
     'EndpointCall',
     'EndpointTable',
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -6,6 +6,14 @@
 
 import msgspec
 
+from teaseldale.outcomes import Refusal
+from teaseldale.web._refusal_answer import (
+    Headers,
+    refusal_body,
+    refusal_event,
+    refusal_headers,
+)
+
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
@@ -17,6 +25,10 @@
     """The request's body is longer than the limit."""
 
 
+class CallerGoneError(ConnectionError):
+    """The caller closed the connection before the body was whole."""
+
+
 class Exchange:
     """Reads one request and writes its answer."""
 
@@ -56,7 +68,7 @@
                 return bytes(content).decode('latin-1')
         return None
 
-    def headers(self) -> tuple[tuple[bytes, bytes], ...]:
+    def headers(self) -> Headers:
         """Returns all headers with lower-case names."""
         return tuple(self._scope['headers'])
 
@@ -66,11 +78,19 @@
         return query.get(name, [default])[0]
 
     async def body(self, limit_bytes: int) -> bytes:
-        """Reads the whole body or raises ``BodyTooLargeError``."""
+        """Reads the whole body.
+
+        Raises ``BodyTooLargeError`` or ``CallerGoneError``.
+        """
+        announced = self.header(b'content-length') or '0'
+        if int(announced) > limit_bytes:
+            raise BodyTooLargeError
         parts = bytearray()
         more = True
         while more:
             message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                raise CallerGoneError
             parts += message.get('body', b'')
             if len(parts) > limit_bytes:
                 raise BodyTooLargeError
@@ -87,7 +107,7 @@
     async def start(
         self,
         status: int,
-        headers: tuple[tuple[bytes, bytes], ...],
+        headers: Headers,
     ) -> None:
         """Sends the status and headers."""
         self.started = True
@@ -113,7 +133,7 @@
         self,
         status: int,
         body: object,
-        headers: tuple[tuple[bytes, bytes], ...] = (),
+        headers: Headers = (),
     ) -> None:
         """Sends a whole JSON answer."""
         await self.answer(
@@ -122,11 +142,26 @@
             _JSON_HEADERS + headers,
         )
 
+    async def refuse(self, refusal: Refusal, headers: Headers = ()) -> None:
+        """Sends a refusal.
+
+        After the answer has started, the refusal goes out as an event and
+        the connection is cut, so that the answer is visibly not whole.
+        """
+        if self.started:
+            await self.write(refusal_event(refusal))
+            return
+        await self.answer(
+            refusal.status,
+            refusal_body(refusal),
+            (*_JSON_HEADERS, *refusal_headers(refusal), *headers),
+        )
+
     async def answer(
         self,
         status: int,
         body: bytes,
-        headers: tuple[tuple[bytes, bytes], ...],
+        headers: Headers,
     ) -> None:
         """Sends a whole answer."""
         length = str(len(body)).encode()
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -1,6 +1,8 @@
 """uvicorn inside our own event loop, without its signal handling."""
 
 import contextlib
+import functools
+import logging
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -8,10 +10,16 @@
 import uvicorn
 from anyio.abc import TaskGroup
 
-from teaseldale.web._exchange import Exchange
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.web._exchange import CallerGoneError, Exchange
+from teaseldale.web._protocol import GuardedProtocol
 
 _POLL_MS = 5
 _MS_PER_SECOND = 1000
+_KEEP_ALIVE_SECONDS = 75
+_BACKLOG = 2048
 
 
 class _Server(uvicorn.Server):
@@ -28,24 +36,38 @@
         *,
         address: str,
         respond: Callable[[Exchange], Awaitable[None]],
+        metrics: Metrics | None = None,
+        refusals_counter: str = 'refusals',
     ) -> None:
-        """Creates a server for ``address``, an "ip:port"."""
+        """Creates a server for ``address``, an "ip:port".
+
+        Requests refused before ``respond`` sees them are counted in
+        ``refusals_counter`` of ``metrics``.
+        """
         host, _, port = address.rpartition(':')
         self._respond = respond
+        self._metrics = metrics or Metrics()
+        self._refusals_counter = refusals_counter
+        self._log = StateLog(channel='web')
+        logging.getLogger('uvicorn').setLevel(logging.CRITICAL)
         self._server = _Server(
             uvicorn.Config(
                 self._application,
                 host=host,
                 port=int(port),
                 loop='none',
-                http='httptools',
+                http=functools.partial(  # type: ignore[arg-type]
+                    GuardedProtocol,
+                    on_malformed=self._count_malformed,
+                ),
                 interface='asgi3',
                 proxy_headers=False,
                 ws='none',
                 lifespan='off',
                 log_config=None,
                 access_log=False,
-                timeout_keep_alive=75,
+                backlog=_BACKLOG,
+                timeout_keep_alive=_KEEP_ALIVE_SECONDS,
                 date_header=False,
                 server_header=False,
             ),
@@ -63,6 +85,12 @@
         while self._server.server_state.connections:
             await anyio.sleep(_POLL_MS / _MS_PER_SECOND)
 
+    def _count_malformed(self) -> None:
+        self._metrics.increment(
+            self._refusals_counter,
+            RefusalCode.BAD_REQUEST,
+        )
+
     async def _application(
         self,
         scope: dict[str, Any],
@@ -70,4 +98,24 @@
         send: Any,
     ) -> None:
         exchange = Exchange(scope=scope, receive=receive, send=send)
-        await self._respond(exchange)
+        try:
+            await self._respond(exchange)
+        except CallerGoneError:
+            self._metrics.increment('callers_gone')
+        except Exception as error:
+            await self._fail(exchange, error)
+
+    async def _fail(self, exchange: Exchange, error: Exception) -> None:
+        reason = type(error).__name__
+        self._metrics.increment('responder_failures', reason)
+        self._log.changed('responder_failed', reason=reason, text=str(error))
+        await exchange.refuse(_internal_error())
+
+
+def _internal_error() -> Refusal:
+    return Refusal(
+        code=RefusalCode.INTERNAL_ERROR,
+        message='The VM failed; send the request again with its key.',
+        not_run=False,
+        step=Step.PARSE,
+    )
