Complete the command line: notes, budgets, moves, load, clear failures

Cause: moves, cancelled notes, created budgets and a bounded load had no command; a flag without a value, an address in use or an unreadable key ended in a traceback; a group without a command ended with status 0.

--- a/teaseldale/command/_event_loop.py
+++ b/teaseldale/command/_event_loop.py
@@ -1,21 +1,36 @@
-"""Running of the event loop until a signal asks to stop."""
+"""Running of the event loop, also until a signal asks to stop."""
 
 import os
 import signal
 from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import anyio
 
 # Keeps libuv, inside uvloop below 0.23, from opening io_uring descriptors.
 # Later releases of uvloop ignore it.
 _IO_URING_VARIABLE = 'UV_USE_IO_URING'
+_ResultT = TypeVar('_ResultT')
+
+
+def run_in_loop(
+    function: Callable[..., Awaitable[_ResultT]],
+    *arguments: Any,
+) -> _ResultT:
+    """Runs an async function to its end."""
+    os.environ[_IO_URING_VARIABLE] = '0'
+    return anyio.run(
+        function,
+        *arguments,
+        backend='asyncio',
+        backend_options={'use_uvloop': True},
+    )
 
 
 def run_until_signal(
     function: Callable[[anyio.Event], Awaitable[None]],
 ) -> None:
     """Runs ``function`` with an event that SIGTERM or SIGINT sets."""
-    os.environ[_IO_URING_VARIABLE] = '0'
 
     async def run() -> None:  # noqa: WPS430
         shutdown = anyio.Event()
@@ -24,7 +39,7 @@
             await function(shutdown)
             tasks.cancel_scope.cancel()
 
-    anyio.run(run, backend='asyncio', backend_options={'use_uvloop': True})
+    run_in_loop(run)
 
 
 async def _set_on_signal(shutdown: anyio.Event) -> None:
--- a/teaseldale/command/_fleet.py
+++ b/teaseldale/command/_fleet.py
@@ -1,54 +1,121 @@
 """Commands that operators send to a running fleet."""
 
-import pathlib
 from typing import Any
-from urllib.parse import urlencode
+from urllib.parse import quote, urlencode
 
 from teaseldale.command._operators_client import OperatorsClient
+from teaseldale.command._usage import bytes_of_file, count_of, text_of
 
 _DEFAULT_URL = 'http://127.0.0.1:7301'
 _DEFAULT_KEY_FILE = 'operators.key'
+_MOST_TOKENS = 10**15
+_NOTES_PATH = '/notes'
+_MOVES_PATH = '/moves'
 
 
-class NoteCommands:
-    """Applies and shows release notes."""
+class FleetCommands:
+    """Commands for the VM at one operators' address."""
 
-    def apply(
+    def __init__(
         self,
-        path: str,
         *,
         url: str = _DEFAULT_URL,
         key_file: str = _DEFAULT_KEY_FILE,
-    ) -> Any:
-        """Sends the note in the TOML file at PATH to the fleet."""
-        client = OperatorsClient(url=url, key_file=key_file)
-        return client.call('POST', '/notes', pathlib.Path(path).read_bytes())
+    ) -> None:
+        """Keeps where to send; nothing is read before a command runs."""
+        self._url = url
+        self._key_file = key_file
 
+    def _call(self, method: str, path: str, body: bytes = b'') -> Any:
+        client = OperatorsClient(url=self._url, key_file=self._key_file)
+        return client.call(method, path, body)
 
-class BudgetCommands:
-    """Shows and tops up budgets."""
 
-    def show(
-        self,
-        name: str,
-        *,
-        url: str = _DEFAULT_URL,
-        key_file: str = _DEFAULT_KEY_FILE,
-    ) -> Any:
+class NoteCommands(FleetCommands):
+    """Applies, shows and cancels release notes.
+
+    URL and KEY_FILE name a VM's operators' address and the file that holds
+    the operators' key.
+    """
+
+    def apply(self, path: str, *, dry_run: bool = False) -> Any:
+        """Sends the note in the TOML file at PATH; DRY_RUN only checks it."""
+        query = '?dry_run=true' if dry_run else ''
+        note = bytes_of_file(text_of(path, 'PATH'))
+        return self._call('POST', f'{_NOTES_PATH}{query}', note)
+
+    def show(self, name: str) -> Any:
+        """Prints the note NAME with its content."""
+        return self._call('GET', _named(_NOTES_PATH, name))
+
+    def status(self, name: str = '') -> Any:
+        """Prints the state of note NAME, or of all notes."""
+        if not name:
+            return self._call('GET', _NOTES_PATH)
+        found = self._call('GET', _named(_NOTES_PATH, name))
+        found.pop('note', None)
+        return found
+
+    def cancel(self, name: str) -> Any:
+        """Cancels note NAME if it has not been accepted."""
+        return self._call('POST', f'{_named(_NOTES_PATH, name)}/cancel')
+
+
+class BudgetCommands(FleetCommands):
+    """Creates, shows and tops up budgets.
+
+    URL and KEY_FILE name a VM's operators' address and the file that holds
+    the operators' key.
+    """
+
+    def create(self, name: str, tokens: int, *, team: str = 'operators') -> Any:
+        """Adds budget NAME with TOKENS, by a release note of its own."""
+        budget = text_of(name, 'NAME')
+        credited = count_of(tokens, 'TOKENS', most=_MOST_TOKENS)
+        note = (
+            f'name = "create-budget-{budget}"\n'
+            f'team = "{text_of(team, "--team")}"\n'
+            '[[additions.budgets]]\n'
+            f'name = "{budget}"\n'
+            f'initial_tokens = {credited}\n'
+        )
+        return self._call('POST', _NOTES_PATH, note.encode())
+
+    def show(self, name: str) -> Any:
         """Prints the totals of budget NAME."""
-        client = OperatorsClient(url=url, key_file=key_file)
-        query = urlencode({'name': name})
-        return client.call('GET', f'/budget?{query}')
+        query = urlencode({'name': text_of(name, 'NAME')})
+        return self._call('GET', f'/budget?{query}')
 
-    def topup(
-        self,
-        name: str,
-        tokens: int,
-        *,
-        url: str = _DEFAULT_URL,
-        key_file: str = _DEFAULT_KEY_FILE,
-    ) -> Any:
+    def topup(self, name: str, tokens: int) -> Any:
         """Credits TOKENS to budget NAME."""
-        client = OperatorsClient(url=url, key_file=key_file)
-        query = urlencode({'name': name, 'tokens': tokens})
-        return client.call('POST', f'/budget/topup?{query}')
+        query = urlencode(
+            {
+                'name': text_of(name, 'NAME'),
+                'tokens': count_of(tokens, 'TOKENS', most=_MOST_TOKENS),
+            },
+        )
+        return self._call('POST', f'/budget/topup?{query}')
+
+
+class MoveCommands(FleetCommands):
+    """Shows version moves and takes them back.
+
+    URL and KEY_FILE name a VM's operators' address and the file that holds
+    the operators' key.
+    """
+
+    def status(self, name: str = '') -> Any:
+        """Prints the state of move NAME, or of all moves."""
+        found = self._call('GET', _MOVES_PATH)
+        if not name:
+            return found
+        return [move for move in found if move['name'] == name]
+
+    def takeback(self, name: str) -> Any:
+        """Takes move NAME back in the whole fleet."""
+        return self._call('POST', f'{_named(_MOVES_PATH, name)}/takeback')
+
+
+def _named(path: str, name: object) -> str:
+    quoted = quote(text_of(name, 'NAME'), safe='')
+    return f'{path}/{quoted}'
--- /dev/null
+++ b/teaseldale/command/_load_run.py
@@ -0,0 +1,172 @@
+"""Streams completions from a fleet and measures them."""
+
+import time
+from collections import Counter
+
+import anyio
+import attrs
+import httpcore
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from teaseldale.upstreams import StreamNetworkBackend
+
+_STATUS_OK = 200
+_US_PER_SECOND = 1_000_000
+_US_PER_MS = 1000
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_SIGNIFICANT_DIGITS = 3
+_READ_TIMEOUT_SECONDS = 60
+_DONE = b'data: [DONE]\n\n'
+_MEDIAN = 50
+_HIGH = 95
+_HIGHEST = 99
+_DIGITS = 3
+
+
+@attrs.frozen(kw_only=True)
+class LoadPlan:
+    """What is sent, and its bounds."""
+
+    urls: tuple[str, ...]  # callers' addresses, taken in turn
+    key: str = attrs.field(repr=False)  # of a client account
+    route: str
+    stream_count: int  # at once
+    request_count: int
+    duration_seconds: float  # no request starts after it
+    output_tokens: int  # of each request
+    prompt: str = 'a chestnut sack'
+
+
+@attrs.frozen(kw_only=True)
+class LoadReport:
+    """Latencies and throughput of whole answers."""
+
+    whole_answers: int
+    failures: dict[str, int]  # by refusal code or kind of error
+    output_tokens: int
+    duration_seconds: float
+    tokens_per_second: float
+    first_token_p50_ms: float
+    first_token_p95_ms: float
+    first_token_p99_ms: float
+    request_p50_ms: float
+    request_p95_ms: float
+    request_p99_ms: float
+
+
+class LoadRun:
+    """Runs a plan with as many tasks as streams."""
+
+    def __init__(self, *, plan: LoadPlan) -> None:
+        """Prepares a run; nothing is sent before ``run``."""
+        self._plan = plan
+        self._sent = 0
+        self._whole = 0
+        self._failures: Counter[str] = Counter()
+        self._first_token = _histogram()
+        self._request = _histogram()
+        self._started = float(0)
+        self._duration = float(0)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=plan.stream_count,
+            max_keepalive_connections=plan.stream_count,
+            network_backend=StreamNetworkBackend(),
+        )
+
+    async def run(self) -> None:
+        """Sends until the count or the duration is reached."""
+        self._started = time.perf_counter()
+        async with self._pool, anyio.create_task_group() as tasks:
+            for _ in range(self._plan.stream_count):
+                tasks.start_soon(self._send_in_turn)
+        self._duration = time.perf_counter() - self._started
+
+    def report(self) -> LoadReport:
+        """Returns the figures of the answers so far."""
+        duration = self._duration or time.perf_counter() - self._started
+        tokens = self._whole * self._plan.output_tokens
+        return LoadReport(
+            whole_answers=self._whole,
+            failures=dict(self._failures),
+            output_tokens=tokens,
+            duration_seconds=round(duration, _DIGITS),
+            tokens_per_second=round(tokens / duration, _DIGITS),
+            first_token_p50_ms=_quantile_ms(self._first_token, _MEDIAN),
+            first_token_p95_ms=_quantile_ms(self._first_token, _HIGH),
+            first_token_p99_ms=_quantile_ms(self._first_token, _HIGHEST),
+            request_p50_ms=_quantile_ms(self._request, _MEDIAN),
+            request_p95_ms=_quantile_ms(self._request, _HIGH),
+            request_p99_ms=_quantile_ms(self._request, _HIGHEST),
+        )
+
+    async def _send_in_turn(self) -> None:
+        end = self._started + self._plan.duration_seconds
+        while self._sent < self._plan.request_count:
+            if time.perf_counter() > end:
+                return
+            number = self._sent
+            self._sent += 1
+            try:
+                await self._send(number)
+            except (
+                httpcore.TimeoutException,
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+            ) as error:
+                self._failures[type(error).__name__] += 1
+
+    async def _send(self, number: int) -> None:
+        plan = self._plan
+        base_url = plan.urls[number % len(plan.urls)]
+        sent = time.perf_counter()
+        async with self._pool.stream(
+            'POST',
+            f'{base_url}/v1/chat/completions',
+            headers={'authorization': f'Bearer {plan.key}'},
+            content=_body(plan),
+            extensions={'timeout': {'read': _READ_TIMEOUT_SECONDS}},
+        ) as response:
+            if response.status == _STATUS_OK:
+                await self._read(response, sent)
+                return
+            refusal = msgspec.json.decode(await response.aread())
+            self._failures[refusal['error']['code']] += 1
+
+    async def _read(self, response: httpcore.Response, sent: float) -> None:
+        end = b''
+        async for chunk in response.aiter_stream():
+            if not end:
+                _record(self._first_token, sent)
+            end = (end + chunk)[-len(_DONE) :]
+        if end == _DONE:
+            self._whole += 1
+            _record(self._request, sent)
+        else:
+            self._failures['not_whole'] += 1
+
+
+def _body(plan: LoadPlan) -> bytes:
+    return msgspec.json.encode(
+        {
+            'model': plan.route,
+            'messages': [{'role': 'user', 'content': plan.prompt}],
+            'max_tokens': plan.output_tokens,
+            'stream': True,
+        },
+    )
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS)
+
+
+def _record(histogram: HdrHistogram, since: float) -> None:
+    elapsed_us = (time.perf_counter() - since) * _US_PER_SECOND
+    histogram.record_value(max(_LOWEST_US, int(elapsed_us)))
+
+
+def _quantile_ms(histogram: HdrHistogram, percent: int) -> float:
+    found_us = histogram.get_value_at_percentile(percent)
+    return round(int(found_us) / _US_PER_MS, _DIGITS)
--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -2,6 +2,7 @@
 
 import functools
 import sys
+from typing import Any, NoReturn
 
 import anyio
 import fire
@@ -9,14 +10,23 @@
 
 from teaseldale import VERSION
 from teaseldale.command._event_loop import run_until_signal
-from teaseldale.command._fleet import BudgetCommands, NoteCommands
-from teaseldale.command._operators_client import CommandFailedError
+from teaseldale.command._fleet import (
+    BudgetCommands,
+    FleetCommands,
+    MoveCommands,
+    NoteCommands,
+)
+from teaseldale.command._load import run_load
 from teaseldale.command._program import build_kernel
 from teaseldale.command._standins import StandinCommands
+from teaseldale.command._usage import CommandFailedError, UsageError, text_of
 from teaseldale.logs import make_log_handler
 from teaseldale.settings import Settings, SettingsError, load_settings
 
 _EXIT_FAILED = 1
+_EXIT_WRONG_USE = 2
+_USAGE = 'Usage: teaseldale COMMAND --help tells what a command takes.'
+_Failure = (SettingsError, CommandFailedError, OSError)
 
 
 class Commands:
@@ -24,20 +34,22 @@
 
     def __init__(self) -> None:
         """Creates the groups of commands."""
-        self.note = NoteCommands()
-        self.budget = BudgetCommands()
+        self.note = NoteCommands
+        self.budget = BudgetCommands
+        self.move = MoveCommands
         self.standin = StandinCommands()
+        self.load = run_load
 
     def serve(self, *, settings: str) -> None:
         """Runs one VM with the settings file SETTINGS."""
-        loaded = load_settings(settings)
+        loaded = load_settings(text_of(settings, '--settings'))
         handler = make_log_handler(loaded.logs.format, loaded.vm.name)
         with handler.applicationbound():
             run_until_signal(functools.partial(_serve, loaded))
 
     def check(self, *, settings: str) -> str:
         """Checks the settings file SETTINGS and lists every mistake."""
-        load_settings(settings)
+        load_settings(text_of(settings, '--settings'))
         return 'settings are right'
 
     def version(self) -> str:
@@ -49,16 +61,36 @@
     """Runs the command line; exits with 0, 1 (failed) or 2 (wrong use)."""
     try:
         fire.Fire(Commands, name='teaseldale', serialize=_printable)
-    except (SettingsError, CommandFailedError) as error:
-        print(error, file=sys.stderr)  # noqa: WPS421
-        sys.exit(_EXIT_FAILED)
+    except UsageError as wrong:
+        _fail(f'{wrong}\n{_USAGE}', _EXIT_WRONG_USE)
+    except _Failure as error:
+        _fail(str(error), _EXIT_FAILED)
+    except ExceptionGroup as group:
+        known = group.subgroup(_Failure)
+        if known is None:
+            raise
+        _fail(_first_text(known), _EXIT_FAILED)
 
 
 async def _serve(settings: Settings, shutdown: anyio.Event) -> None:
     await build_kernel(settings, shutdown).run(shutdown)
 
 
-def _printable(outcome: object) -> object:
+def _fail(text: str, status: int) -> NoReturn:
+    print(text, file=sys.stderr)  # noqa: WPS421
+    sys.exit(status)
+
+
+def _first_text(group: BaseException) -> str:
+    error = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return str(error)
+
+
+def _printable(outcome: Any) -> Any:
+    if isinstance(outcome, Commands | StandinCommands | FleetCommands | type):
+        raise UsageError('Name a command of this group.')
     if isinstance(outcome, dict | list):
         return msgspec.json.format(msgspec.json.encode(outcome)).decode()
     return outcome
--- a/teaseldale/command/_operators_client.py
+++ b/teaseldale/command/_operators_client.py
@@ -1,26 +1,28 @@
 """HTTP client of the operators' interface, used by commands."""
 
-import pathlib
 from typing import Any
 
 import httpcore
 import msgspec
 
+from teaseldale.command._usage import (
+    CommandFailedError,
+    bytes_of_file,
+    text_of,
+)
+
 _STATUS_OK = 200
 _TIMEOUT_SECONDS = 30
 
 
-class CommandFailedError(Exception):
-    """The fleet refused a command or could not be reached."""
-
-
 class OperatorsClient:
     """Calls one VM's operators' interface."""
 
-    def __init__(self, *, url: str, key_file: str) -> None:
+    def __init__(self, *, url: object, key_file: object) -> None:
         """Creates a client; ``url`` is such as ``http://10.0.0.1:7301``."""
-        self._url = url.rstrip('/')
-        self._key = pathlib.Path(key_file).read_text('utf-8').strip()
+        self._url = text_of(url, '--url').rstrip('/')
+        key = bytes_of_file(text_of(key_file, '--key_file'))
+        self._key = key.decode('latin-1').strip()
 
     def call(self, method: str, path: str, body: bytes = b'') -> Any:
         """Returns the decoded answer or raises ``CommandFailedError``."""
@@ -30,11 +32,33 @@
                 self._url + path,
                 headers={'authorization': f'Bearer {self._key}'},
                 content=body,
-                extensions={'timeout': {'read': _TIMEOUT_SECONDS}},
+                extensions={
+                    'timeout': {
+                        'connect': _TIMEOUT_SECONDS,
+                        'read': _TIMEOUT_SECONDS,
+                    },
+                },
             )
-        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
-            raise CommandFailedError(f'{self._url}: {error}') from error
-        answer = msgspec.json.decode(response.content)
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            reason = str(error) or type(error).__name__
+            raise CommandFailedError(f'{self._url}: {reason}') from error
+        return self._decoded(response)
+
+    def _decoded(self, response: httpcore.Response) -> Any:
+        try:
+            answer = msgspec.json.decode(response.content)
+        except msgspec.MsgspecError as error:
+            raise CommandFailedError(
+                f'{self._url}: status {response.status}, not JSON; is this '
+                "the operators' address?",
+            ) from error
         if response.status != _STATUS_OK:
-            raise CommandFailedError(answer['error']['message'])
+            refusal = answer['error']
+            raise CommandFailedError(
+                f'{self._url}: {refusal["code"]}: {refusal["message"]}',
+            )
         return answer
--- /dev/null
+++ b/teaseldale/command/tests/steps_commands.py
@@ -0,0 +1,112 @@
+"""Steps that run commands against a fleet."""
+
+import json
+import pathlib
+
+import msgspec
+from behave import then, when
+
+from benchmarks.fleet import ACCOUNT_KEY, free_port
+from teaseldale.settings.tests.steps_settings import run_command
+
+
+def _operate(context, command, **options):
+    fleet = context.fleet
+    url = f'http://{fleet.vms[-1].operators}'
+    flags = {'url': url, 'key_file': fleet.path / 'operators.key', **options}
+    pairs = [f'--{name}={text}' for name, text in flags.items()]
+    return run_command(*command.split(), *pairs)
+
+
+def _failed(ended, text):
+    assert ended.returncode == 1, ended
+    assert text in ended.stderr, ended
+    assert 'Traceback' not in ended.stderr, ended
+
+
+@then('the command "{command}" succeeds')
+def succeeds(context, command):
+    ended = _operate(context, command)
+    assert ended.returncode == 0, ended
+
+
+@then('the command "{command}" prints {text}')
+def prints(context, command, text):
+    ended = _operate(context, command)
+    assert ended.returncode == 0, ended
+    assert text in ended.stdout, ended
+
+
+@then('the command "{command}" fails with "{text}"')
+def fails(context, command, text):
+    _failed(_operate(context, command), text)
+
+
+@then('a note with an unknown field fails and names the field')
+def wrong_note(context):
+    path = context.fleet.path / 'wrong.toml'
+    path.write_text('name = "x"\nteam = 7\n')
+    _failed(_operate(context, f'note apply {path}'), 'team')
+
+
+@then('a wrong operators\' key fails with "{text}"')
+def wrong_key(context, text):
+    path = context.fleet.path / 'wrong.key'
+    path.write_text('wrong')
+    _failed(_operate(context, 'budget show roofs', key_file=path), text)
+
+
+@then('an address where nothing listens fails and is named')
+def nothing_listens(context):
+    url = f'http://127.0.0.1:{free_port()}'
+    _failed(_operate(context, 'budget show roofs', url=url), url)
+
+
+def _load(context, key):
+    path = pathlib.Path(context.fleet.path / 'account.key')
+    path.write_text(key)
+    return run_command(
+        'load',
+        '--url=' + ','.join(vm.url for vm in context.fleet.vms),
+        f'--key_file={path}',
+        '--streams=5',
+        '--requests=20',
+        '--output_tokens=8',
+        '--json',
+    )
+
+
+@then('a load of {count:d} requests reports {whole:d} whole answers in JSON')
+def load_fleet(context, count, whole):
+    ended = _load(context, ACCOUNT_KEY)
+    assert ended.returncode == 0, ended
+    report = msgspec.json.decode(ended.stdout)
+    assert report['whole_answers'] == whole, report
+    assert report['failures'] == {}, report
+    assert 0 < report['first_token_p50_ms'] <= report['request_p95_ms'], report
+    assert json.loads(ended.stdout)['output_tokens'] == whole * 8
+
+
+@then('the same load with a wrong key fails')
+def load_with_wrong_key(context):
+    _failed(_load(context, 'wrong'), 'unauthorized')
+
+
+@then('each command has help')
+def has_help(context):
+    for row in context.table:
+        ended = run_command(*row['command'].split(), '--help')
+        assert ended.returncode == 0, (row['command'], ended)
+        assert row['word'] in ended.stdout + ended.stderr, ended
+
+
+@when('a second VM is served with the same settings')
+def serve_again(context):
+    context.vm = context.fleet.vms[0]
+    path = context.fleet.path / f'{context.vm.name}.toml'
+    context.ended = run_command('serve', '--settings', str(path))
+
+
+@then('the second VM ends with status 1 and names the address in use')
+def address_named(context):
+    _failed(context.ended, context.vm.operators)
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import logging
+import socket
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -44,7 +45,7 @@
         Requests refused before ``respond`` sees them are counted in
         ``refusals_counter`` of ``metrics``.
         """
-        host, _, port = address.rpartition(':')
+        self._address = address
         self._respond = respond
         self._metrics = metrics or Metrics()
         self._refusals_counter = refusals_counter
@@ -53,8 +54,6 @@
         self._server = _Server(
             uvicorn.Config(
                 self._application,
-                host=host,
-                port=int(port),
                 loop='none',
                 http=functools.partial(  # type: ignore[arg-type]
                     GuardedProtocol,
@@ -66,7 +65,6 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
-                backlog=_BACKLOG,
                 timeout_keep_alive=_KEEP_ALIVE_SECONDS,
                 date_header=False,
                 server_header=False,
@@ -74,8 +72,12 @@
         )
 
     async def start(self, tasks: TaskGroup) -> None:
-        """Returns once the address accepts connections."""
-        tasks.start_soon(self._server.serve)
+        """Returns once the address accepts connections.
+
+        Raises ``OSError`` when the address cannot be used.
+        """
+        listener = _listen(self._address)
+        tasks.start_soon(self._server.serve, [listener])
         while not self._server.started:
             await anyio.sleep(_POLL_MS / _MS_PER_SECOND)
 
@@ -112,6 +114,19 @@
         await exchange.refuse(_internal_error())
 
 
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    try:
+        return socket.create_server(
+            (host.strip('[]'), int(port)),
+            family=family,
+            backlog=_BACKLOG,
+        )
+    except OSError as error:
+        raise OSError(f'{address}: {error.strerror}') from error
+
+
 def _internal_error() -> Refusal:
     return Refusal(
         code=RefusalCode.INTERNAL_ERROR,
