--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import os
 import pathlib
 import signal
 import socket
@@ -12,7 +13,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from types import TracebackType
 
 import attrs
@@ -24,6 +25,7 @@
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
 _STOP_TIMEOUT_SECONDS = 30
+_UNPACK_FOLDER = pathlib.Path('build/unpacked')  # of the built file
 
 
 def free_port() -> int:
@@ -61,7 +63,7 @@
         slot_count: int = 64,
         token_interval_ms: float = 5,
         first_token_ms: int = 10,
-        balancer_grace_ms: int = 50,
+        limits: Mapping[str, int] | None = None,
         note: str = '',
         program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
     ) -> None:
@@ -75,7 +77,7 @@
         self.service = _address()
         self.engines = [_address() for _ in range(engine_count)]
         self.slot_count = slot_count
-        self.balancer_grace_ms = balancer_grace_ms
+        self._limits = {'balancer_grace_ms': 50, **(limits or {})}
         self._token_interval_ms = token_interval_ms
         self._first_token_ms = first_token_ms
         self.vms = [
@@ -164,7 +166,7 @@
 membership_url = "http://{self.platform}"
 
 [limits]
-balancer_grace_ms = {self.balancer_grace_ms}
+{_toml(self._limits)}
 
 [logs]
 format = "key_value"
@@ -306,6 +308,7 @@
             (*self._program, *arguments),
             stdout=log,
             stderr=log,
+            env={**os.environ, 'SHIV_ROOT': str(_UNPACK_FOLDER.resolve())},
         )
         log.close()
 
@@ -329,3 +332,7 @@
 
 def _address() -> str:
     return f'127.0.0.1:{free_port()}'
+
+
+def _toml(fields: Mapping[str, int]) -> str:
+    return '\n'.join(f'{name} = {amount}' for name, amount in fields.items())
--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -125,3 +125,6 @@
             target = os.readlink(descriptor)
             assert 'io_uring' not in target, (vm.name, target)
             assert not target.startswith('/dev/shm'), (vm.name, target)
+        maps = pathlib.Path(f'/proc/{pid}/maps').read_text()
+        for kind in ('/dev/shm', '/SYSV', '/memfd:', 'io_uring'):
+            assert kind not in maps, (vm.name, kind)
--- a/teaseldale/entry/_callers.py
+++ b/teaseldale/entry/_callers.py
@@ -23,7 +23,7 @@
 )
 from teaseldale.kernel import BaseService
 from teaseldale.notes import ClientAccount, RouteKind
-from teaseldale.outcomes import Refusal
+from teaseldale.outcomes import Refusal, RefusalCode
 from teaseldale.settings import LimitSettings
 from teaseldale.web import BodyTooLargeError, EmbeddedServer, Exchange
 
@@ -31,6 +31,7 @@
 _COMPLETIONS_PATH = '/v1/chat/completions'
 _MODELS_PATH = '/v1/models'
 _SERVICES_PATH = '/services/'
+_CLOSE = ((b'connection', b'close'),)
 _STATUS_OK = 200
 _MS_PER_SECOND = 1000
 
@@ -96,7 +97,8 @@
         outcome = await self._dispatch(exchange)
         if outcome is not None:
             self._parts.metrics.increment('refusals', outcome.code)
-            await exchange.refuse(outcome)
+            closing = outcome.code is RefusalCode.DRAINING
+            await exchange.refuse(outcome, _CLOSE if closing else ())
 
     async def _dispatch(self, exchange: Exchange) -> Refusal | None:
         account = self._authenticate(exchange)
--- a/teaseldale/kernel/_kernel.py
+++ b/teaseldale/kernel/_kernel.py
@@ -1,10 +1,12 @@
 """Registry of services and their ordered life cycle."""
 
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import anyio
 
 from teaseldale.kernel._service import BaseService
+from teaseldale.logs import StateLog
 
 _ServiceT = TypeVar('_ServiceT')
 
@@ -19,6 +21,7 @@
     def __init__(self) -> None:
         """Creates an empty registry."""
         self._services: dict[str, BaseService] = {}
+        self._log = StateLog(channel='kernel')
 
     def register(self, service: BaseService) -> None:
         """Adds a service; its dependencies are registered before it."""
@@ -40,13 +43,35 @@
         return service
 
     async def run(self, shutdown: anyio.Event) -> None:
-        """Runs all services until ``shutdown`` is set, then drains them."""
+        """Runs all services until ``shutdown`` is set, then drains them.
+
+        A service that fails to drain or stop is logged and does not keep the
+        others from doing so.
+        """
         async with anyio.create_task_group() as tasks:
             for service in self._services.values():
                 await service.start(tasks)
+            self._log.changed('started')
             await shutdown.wait()
+            self._log.changed('draining')
             for draining in reversed(self._services.values()):
-                await draining.drain()
+                await self._end(draining, draining.drain)
             for stopping in reversed(self._services.values()):
-                await stopping.stop()
+                await self._end(stopping, stopping.stop)
+            self._log.changed('stopped')
             tasks.cancel_scope.cancel()
+
+    async def _end(
+        self,
+        service: BaseService,
+        step: Callable[[], Awaitable[None]],
+    ) -> None:
+        try:
+            await step()
+        except Exception as error:
+            self._log.changed(
+                'service_failed_to_end',
+                service=service.name,
+                step=step.__name__,
+                reason=str(error),
+            )
--- /dev/null
+++ b/teaseldale/kernel/tests/steps_kernel.py
@@ -0,0 +1,80 @@
+"""Steps for the life cycle of services."""
+
+import anyio
+from behave import given, then, when
+
+from teaseldale.fakes import run_in_virtual_time
+from teaseldale.kernel import BaseService, Kernel, ServiceMissingError
+
+
+class _Recorded(BaseService):
+    def __init__(self, *, name, steps, fails):
+        self._name = name
+        self._steps = steps
+        self._fails = fails
+
+    @property
+    def name(self):
+        return self._name
+
+    async def start(self, tasks):
+        self._steps.append(f'{self._name}.start')
+
+    async def drain(self):
+        self._end('drain')
+
+    async def stop(self):
+        self._end('stop')
+
+    def _end(self, step):
+        self._steps.append(f'{self._name}.{step}')
+        if self._fails:
+            raise ConnectionError('the platform is down')
+
+
+@given('services a, b and c of which b fails to drain and to stop')
+def make_services(context):
+    context.steps = []
+    context.kernel = Kernel()
+    for name in 'abc':
+        context.kernel.register(
+            _Recorded(name=name, steps=context.steps, fails=name == 'b')
+        )
+
+
+@when('the kernel runs and is shut down')
+def run_kernel(context):
+    async def main():
+        shutdown = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.kernel.run, shutdown)
+            await anyio.sleep(1)
+            shutdown.set()
+
+    run_in_virtual_time(main)
+
+
+@then('the steps are {expected}')
+def steps_are(context, expected):
+    assert context.steps == expected.split(), context.steps
+
+
+@then('b is found by its name and kind')
+def found(context):
+    assert context.kernel.find('b', _Recorded).name == 'b'
+
+
+@then('an unknown name and a second b are refused with what is known')
+def refused(context):
+    try:
+        context.kernel.find('d', _Recorded)
+    except ServiceMissingError as error:
+        assert "['a', 'b', 'c']" in str(error), error
+    else:
+        raise AssertionError('d was found')
+    try:
+        context.kernel.register(_Recorded(name='b', steps=[], fails=False))
+    except ValueError as error:
+        assert "'b'" in str(error), error
+    else:
+        raise AssertionError('a second b was registered')
