--- a/teaseldale/command/_load_run.py
+++ b/teaseldale/command/_load_run.py
@@ -14,6 +14,7 @@
 _STATUS_OK = 200
 _US_PER_SECOND = 1_000_000
 _US_PER_MS = 1000
+_MS_PER_SECOND = 1000
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 3
@@ -37,6 +38,7 @@
     duration_seconds: float  # no request starts after it
     output_tokens: int  # of each request
     prompt: str = 'a chestnut sack'
+    start_interval_ms: float = 0  # between the first requests of streams
 
 
 @attrs.frozen(kw_only=True)
@@ -81,6 +83,9 @@
         async with self._pool, anyio.create_task_group() as tasks:
             for _ in range(self._plan.stream_count):
                 tasks.start_soon(self._send_in_turn)
+                await anyio.sleep(
+                    self._plan.start_interval_ms / _MS_PER_SECOND,
+                )
         self._duration = time.perf_counter() - self._started
 
     def report(self) -> LoadReport:
