--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -61,10 +61,13 @@
         slot_count: int = 64,
         token_interval_ms: float = 5,
         first_token_ms: int = 10,
+        balancer_grace_ms: int = 50,
+        note: str = '',
         program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
     ) -> None:
         """Chooses free ports; nothing runs before ``start``."""
         self._program = tuple(program)
+        self._note = note  # applied first; empty for the fleet's own
         self._folder = tempfile.TemporaryDirectory(prefix='teaseldale-')
         self.path = pathlib.Path(self._folder.name)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -72,6 +75,7 @@
         self.service = _address()
         self.engines = [_address() for _ in range(engine_count)]
         self.slot_count = slot_count
+        self.balancer_grace_ms = balancer_grace_ms
         self._token_interval_ms = token_interval_ms
         self._first_token_ms = first_token_ms
         self.vms = [
@@ -118,7 +122,7 @@
             self.start_vm(vm)
         for vm in self.vms:
             wait_for_port(vm.operators)
-        self.apply_note(self.first_note())
+        self.apply_note(self._note or self.first_note())
         for vm in self.vms:
             self.wait_until_ready(vm)
 
@@ -159,6 +163,9 @@
 table_url = "http://{self.platform}"
 membership_url = "http://{self.platform}"
 
+[limits]
+balancer_grace_ms = {self.balancer_grace_ms}
+
 [logs]
 format = "key_value"
 """
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,12 +1,12 @@
 """Assembly of one VM's services."""
 
-import pathlib
 import uuid
 
 import anyio
 
 from teaseldale.budgets import TableLedger, TransactionalSpending
 from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
 from teaseldale.kernel import Kernel
 from teaseldale.metrics import Metrics
@@ -17,7 +17,7 @@
 from teaseldale.platform import HttpMembershipList, HttpTableService
 from teaseldale.requests import TableRequestRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
-from teaseldale.settings import Settings
+from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
 
 
@@ -34,14 +34,21 @@
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
-            configuration=configuration,
-            ledger=TableLedger(table=table),
-            peers=peers,
+            is_ready=lambda: configuration.current().revision > 0,
             metrics=metrics,
             shutdown=shutdown,
-            operators_key=_read_secret(settings.vm.operators_key_file),
+            operators_key=read_secret(
+                settings.vm.operators_key_file,
+                field='vm.operators_key_file',
+            ),
         ),
     )
+    add_endpoints(
+        operators,
+        configuration=configuration,
+        ledger=TableLedger(table=table),
+        peers=peers,
+    )
     callers = CallersInterface(
         address=settings.vm.callers_address,
         parts=RequestParts(
@@ -80,7 +87,3 @@
         ),
         clock=clock,
     )
-
-
-def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text('utf-8').strip()
