Carry calls between VMs in batched frames over renewed links

Cause: request and reply sockets cost one native context per call, 31 native threads, and 8 handler tasks that a waiting handler could use up; a body that could not be decoded ended a handler task; a lost connection was found only by the next heartbeat and lost the calls on it. Change: push and pull sockets with frames of many calls and replies, read by the library's descriptor; one task for each link and for each watched peer; a link without reply gets a fresh socket, its calls are repeated, and only a second silence makes the peer unreachable; links outside the cell are opened on demand; bounded queues and handlers; a counter for each reason; a message carries the least version that its fields need. Ruled out: polyamorous pair sockets, which drop frames in silence when a pipe is full; awaiting each native operation, at twice the CPU.

--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -29,7 +29,7 @@
         base_url=settings.platform.table_url,
         timeout_ms=settings.platform.timeout_ms,
     )
-    peers = _peer_network(settings, clock)
+    peers = _peer_network(settings, clock, metrics)
     configuration = TableConfiguration(table=table, clock=clock)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
@@ -66,7 +66,11 @@
     return kernel
 
 
-def _peer_network(settings: Settings, clock: BaseClock) -> PynngPeerNetwork:
+def _peer_network(
+    settings: Settings,
+    clock: BaseClock,
+    metrics: Metrics,
+) -> PynngPeerNetwork:
     return PynngPeerNetwork(
         identity=VmIdentity(
             name=settings.vm.name,
@@ -79,6 +83,7 @@
             timeout_ms=settings.platform.timeout_ms,
         ),
         clock=clock,
+        metrics=metrics,
     )
 
 
--- a/teaseldale/peers/__init__.py
+++ b/teaseldale/peers/__init__.py
@@ -1,7 +1,13 @@
 """Links between VMs: typed messages, request and reply, heartbeats."""
 
 from teaseldale.peers._cells import CELL_LIMIT_VMS, CellIdentity, CellMap
-from teaseldale.peers._codec import MessageCodec, UnknownMessageError
+from teaseldale.peers._codec import (
+    EncodedMessage,
+    MalformedMessageError,
+    MessageCodec,
+    UnknownMessageError,
+    since,
+)
 from teaseldale.peers._identity import VmIdentity
 from teaseldale.peers._network import BasePeerNetwork, Handler
 from teaseldale.peers._pynng_network import PynngPeerNetwork
@@ -11,9 +17,12 @@
     'BasePeerNetwork',
     'CellIdentity',
     'CellMap',
+    'EncodedMessage',
     'Handler',
+    'MalformedMessageError',
     'MessageCodec',
     'PynngPeerNetwork',
     'UnknownMessageError',
     'VmIdentity',
+    'since',
 )
--- a/teaseldale/peers/_codec.py
+++ b/teaseldale/peers/_codec.py
@@ -1,21 +1,57 @@
-"""Encoding of typed messages: a kind, a version and a MessagePack body."""
+"""Encoding of typed messages: a kind, a version and a MessagePack body.
 
-from typing import Any
+A message carries the least version that its fields need: a field added later
+is declared with ``since`` and raises the version only when it differs from
+its default. A receiver refuses a version that it does not know, so a field
+that must be obeyed is never dropped in silence; fields that may be ignored
+are added without ``since``.
+"""
+
+from typing import Any, TypeVar
 
 import attrs
 import msgspec
 
+_SINCE = 'since'
+_FIRST_VERSION = 1
+_FieldT = TypeVar('_FieldT')
+
 
 class UnknownMessageError(ValueError):
     """A message of a kind or version that this release does not know."""
 
 
-@attrs.frozen(kw_only=True)
-class _Envelope:
+class MalformedMessageError(ValueError):
+    """Bytes that are no message of their kind."""
+
+
+class EncodedMessage(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    kw_only=True,
+):
+    """A message as it travels; later releases may append fields."""
+
     kind: str  # registered name of the message
-    version: int  # version of the body's fields
-    sender: bytes  # encoded VmIdentity
-    body: bytes  # encoded message
+    version: int  # least version of the kind that can express the body
+    body: bytes  # MessagePack map of the message's fields
+
+
+@attrs.frozen(kw_only=True)
+class _MessageKind:
+    message_type: type
+    kind: str
+    version: int  # newest version that this release knows
+    later_fields: tuple[tuple[str, int, object], ...]
+
+
+def since(version: int, *, default: _FieldT) -> _FieldT:
+    """Declares a field that older versions of its message lack.
+
+    The default must mean the same as the absence of the field.
+    """
+    return attrs.field(default=default, metadata={_SINCE: version})
 
 
 class MessageCodec:
@@ -23,43 +59,77 @@
 
     def __init__(self) -> None:
         """Creates a codec that knows no message."""
-        self._kinds: dict[type, tuple[str, int]] = {}
-        self._types: dict[tuple[str, int], type] = {}
+        self._by_type: dict[type, _MessageKind] = {}
+        self._by_name: dict[str, _MessageKind] = {}
+        self._encoder = msgspec.msgpack.Encoder()
 
     def register(
         self,
         message_type: type,
         *,
         kind: str,
-        version: int = 1,
+        version: int = _FIRST_VERSION,
     ) -> None:
-        """Makes a message type known under ``kind`` and ``version``."""
-        self._kinds[message_type] = (kind, version)
-        self._types[kind, version] = message_type
-
-    def encode(self, message: object, *, sender: bytes = b'') -> bytes:
-        """Encodes a registered message."""
-        kind, version = self._kinds[type(message)]
-        return msgspec.msgpack.encode(
-            _Envelope(
-                kind=kind,
-                version=version,
-                sender=sender,
-                body=msgspec.msgpack.encode(message),
-            ),
+        """Makes a message type known under ``kind`` up to ``version``."""
+        known = _MessageKind(
+            message_type=message_type,
+            kind=kind,
+            version=version,
+            later_fields=_later_fields(message_type),
+        )
+        self._by_type[message_type] = known
+        self._by_name[kind] = known
+
+    def encode(self, message: object) -> EncodedMessage:
+        """Encodes a registered message in the least version it needs."""
+        known = self._by_type[type(message)]
+        return EncodedMessage(
+            kind=known.kind,
+            version=_least_version(known, message),
+            body=self._encoder.encode(message),
         )
 
-    def decode(self, encoded: bytes) -> tuple[Any, bytes]:
-        """Returns the message and the encoded sender."""
-        envelope = msgspec.msgpack.decode(encoded, type=_Envelope)
-        message_type = self._types.get((envelope.kind, envelope.version))
-        if message_type is None:
+    def decode(self, encoded: EncodedMessage) -> Any:
+        """Returns the message; fields unknown here are ignored.
+
+        Raises ``UnknownMessageError`` or ``MalformedMessageError``.
+        """
+        known = self._by_name.get(encoded.kind)
+        if known is None or not self._speaks(known, encoded.version):
             raise UnknownMessageError(
-                f'{envelope.kind} version {envelope.version} is unknown here; '
+                f'{encoded.kind} version {encoded.version} is unknown here; '
                 'the sender runs another release.',
             )
-        message: Any = msgspec.msgpack.decode(
-            envelope.body,
-            type=message_type,
-        )
-        return message, envelope.sender
+        try:
+            return msgspec.msgpack.decode(
+                encoded.body,
+                type=known.message_type,
+            )
+        except (msgspec.MsgspecError, ValueError, TypeError) as error:
+            raise MalformedMessageError(f'{encoded.kind}: {error}') from error
+
+    def _speaks(self, known: _MessageKind, version: int) -> bool:
+        return _FIRST_VERSION <= version <= known.version
+
+
+def _later_fields(message_type: type) -> tuple[tuple[str, int, object], ...]:
+    if not attrs.has(message_type):
+        return ()
+    return tuple(
+        (field.name, field.metadata[_SINCE], field.default)
+        for field in attrs.fields(message_type)
+        if _SINCE in field.metadata
+    )
+
+
+def _least_version(known: _MessageKind, message: object) -> int:
+    if not known.later_fields:
+        return _FIRST_VERSION
+    return max(
+        _FIRST_VERSION,
+        *(
+            version
+            for name, version, default in known.later_fields
+            if getattr(message, name) != default
+        ),
+    )
--- /dev/null
+++ b/teaseldale/peers/_directory.py
@@ -0,0 +1,112 @@
+"""Who the other VMs are, by the platform's membership list."""
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PlatformError
+from teaseldale.peers._cells import CellMap
+from teaseldale.peers._frames import tag_of
+from teaseldale.peers._identity import VmIdentity
+from teaseldale.platform import BaseMembershipList, MemberState, VmMember
+
+_INTERVAL_MS = 1000
+_INTERVAL_PER_VM_MS = 10  # keeps a large fleet from asking too often
+_LEARNED_LIMIT = 1024
+
+
+class PeerDirectory:
+    """Last list of VMs, also kept while the list cannot be read."""
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        membership: BaseMembershipList,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Creates a directory that knows no other VM."""
+        self._identity = identity
+        self._membership = membership
+        self._clock = clock
+        self._metrics = metrics
+        self._state = MemberState.LIVE
+        self._peers: dict[str, VmIdentity] = {}
+        self._by_tag: dict[int, VmIdentity] = {}
+        self._learned: dict[int, VmIdentity] = {}  # not on the list yet
+        self._cell: tuple[VmIdentity, ...] = ()
+
+    def peers(self) -> tuple[VmIdentity, ...]:
+        """Returns all other VMs on the list."""
+        return tuple(self._peers.values())
+
+    def cell_peers(self) -> tuple[VmIdentity, ...]:
+        """Returns the other VMs of this VM's cell."""
+        return self._cell
+
+    def find_tag(self, tag: int) -> VmIdentity | None:
+        """Returns the incarnation that frames name by ``tag``."""
+        return self._by_tag.get(tag) or self._learned.get(tag)
+
+    def learn(self, sender: VmIdentity) -> None:
+        """Remembers the sender of a frame that is not on the list yet."""
+        self._learned[tag_of(sender)] = sender
+        if len(self._learned) > _LEARNED_LIMIT:
+            self._learned.pop(next(iter(self._learned)))
+
+    async def leave(self) -> None:
+        """Tells the list that this VM leaves."""
+        self._state = MemberState.LEAVING
+        await self._announce()
+
+    async def refresh(self) -> bool:
+        """Announces this VM and reads the list; True if it has changed."""
+        try:
+            await self._announce()
+            members = await self._membership.members()
+        except PlatformError:
+            self._metrics.increment('membership_unavailable')
+            return False
+        return bool(members) and self._replace(members)
+
+    async def wait(self) -> None:
+        """Waits until the list should be read again."""
+        scaled_ms = _INTERVAL_PER_VM_MS * len(self._peers)
+        await self._clock.sleep_ms(max(_INTERVAL_MS, scaled_ms))
+
+    async def _announce(self) -> None:
+        await self._membership.announce(
+            VmMember(
+                name=self._identity.name,
+                incarnation=self._identity.incarnation,
+                address=self._identity.address,
+                availability_zone=self._identity.availability_zone,
+                state=self._state,
+            ),
+        )
+
+    def _replace(self, members: tuple[VmMember, ...]) -> bool:
+        listed = {
+            identity.key: identity
+            for identity in map(_identity_of, members)
+            if identity.name != self._identity.name
+        }
+        if listed == self._peers:
+            return False
+        cells = CellMap(vms=(*listed.values(), self._identity))
+        self._peers = listed
+        self._by_tag = {tag_of(peer): peer for peer in listed.values()}
+        self._cell = tuple(
+            peer
+            for peer in cells.members(cells.cell_of(self._identity))
+            if peer != self._identity
+        )
+        return True
+
+
+def _identity_of(member: VmMember) -> VmIdentity:
+    return VmIdentity(
+        name=member.name,
+        incarnation=member.incarnation,
+        availability_zone=member.availability_zone,
+        address=member.address,
+    )
--- /dev/null
+++ b/teaseldale/peers/_link.py
@@ -0,0 +1,187 @@
+"""One link: a socket to one incarnation and the frames queued for it."""
+
+from collections import deque
+
+import anyio
+import pynng
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.peers._frames import (
+    FRAME_FORMAT,
+    Frame,
+    FrameItem,
+    encode_frame,
+    tag_of,
+)
+from teaseldale.peers._identity import VmIdentity
+
+_BATCH_WINDOW_MS = 2
+_BATCH_LIMIT_BYTES = 65_536
+_QUEUE_LIMIT_BYTES = 1_048_576
+_SOCKET_QUEUE_FRAMES = 8
+_SOCKET_FULL_RETRY_MS = 10
+_RECONNECT_MIN_MS = 50
+_RECONNECT_MAX_MS = 2000
+
+
+class LinkFullError(Exception):
+    """The queue of a link holds as many bytes as it may."""
+
+
+class PeerLink:
+    """Sends calls and replies to one peer; answers arrive elsewhere."""
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        peer: VmIdentity,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Opens the socket; connecting goes on in the background."""
+        self.peer = peer
+        self.peer_tag = tag_of(peer)
+        self.last_heard_ms: int | None = None  # last reply from the peer
+        self.last_used_ms = clock.monotonic_ms()
+        self._identity = identity
+        self._tag = tag_of(identity)
+        self._clock = clock
+        self._metrics = metrics
+        self._calls: dict[int, FrameItem] = {}
+        self._replies: deque[FrameItem] = deque()
+        self._queued_bytes = 0
+        self._last_sent_ms = 0
+        self._last_item_count = 0  # items of the last frame
+        self._introduced = False  # whether the peer knows our identity
+        self._closed = False
+        self._work = anyio.Event()
+        self._socket = _open_socket(peer)
+        self._opened_ms = clock.monotonic_ms()
+
+    async def run(self) -> None:
+        """Sends what is queued until cancelled."""
+        while True:
+            await self._work.wait()
+            self._work = anyio.Event()
+            await self._wait_for_more()
+            while self._calls or self._replies:
+                await self._send(self._take_frame())
+
+    def post_call(self, item: FrameItem) -> None:
+        """Queues a call, or raises ``LinkFullError``."""
+        self._reserve(item)
+        self._calls[item.number] = item
+        self._work.set()
+
+    def repeat_call(self, item: FrameItem) -> None:
+        """Queues a call again that was sent over an earlier socket."""
+        if item.number not in self._calls:
+            self.post_call(item)
+
+    def post_reply(self, item: FrameItem) -> None:
+        """Queues a reply, or raises ``LinkFullError``."""
+        self._reserve(item)
+        self._replies.append(item)
+        self._work.set()
+
+    def withdraw(self, number: int) -> None:
+        """Forgets a call that nobody waits for any more."""
+        item = self._calls.pop(number, None)
+        if item is not None:
+            self._queued_bytes -= len(item.message.body)
+
+    def heard(self) -> None:
+        """Notes that the peer has answered over this link."""
+        self._introduced = True
+        self.last_heard_ms = self._clock.monotonic_ms()
+
+    @property
+    def socket_age_ms(self) -> int:
+        """Time since the present socket was opened."""
+        return self._clock.monotonic_ms() - self._opened_ms
+
+    def replace_socket(self, reason: str) -> None:
+        """Opens a fresh connection in place of one that gave no answer."""
+        self._metrics.increment('peer_link_replaced', reason)
+        self._introduced = False
+        self._socket.close()
+        self._socket = _open_socket(self.peer)
+        self._opened_ms = self._clock.monotonic_ms()
+
+    def close(self) -> None:
+        """Closes the socket; what is queued is lost."""
+        self._closed = True
+        self._socket.close()
+
+    def _reserve(self, item: FrameItem) -> None:
+        size = len(item.message.body)
+        if self._queued_bytes + size > _QUEUE_LIMIT_BYTES:
+            self._metrics.increment('peer_queue_full')
+            raise LinkFullError
+        self._queued_bytes += size
+        self.last_used_ms = self._clock.monotonic_ms()
+
+    async def _wait_for_more(self) -> None:
+        """Lets a link gather a batch if its last frame held several items."""
+        if self._last_item_count < 2:
+            return
+        since_last_ms = self._clock.monotonic_ms() - self._last_sent_ms
+        if since_last_ms < _BATCH_WINDOW_MS:
+            await self._clock.sleep_ms(_BATCH_WINDOW_MS - since_last_ms)
+
+    def _take_frame(self) -> bytes:
+        room = _BATCH_LIMIT_BYTES
+        replies: list[FrameItem] = []
+        while self._replies and room > 0:
+            replies.append(self._replies.popleft())
+            room -= len(replies[-1].message.body)
+        calls: list[FrameItem] = []
+        while self._calls and room > 0:
+            calls.append(self._calls.pop(next(iter(self._calls))))
+            room -= len(calls[-1].message.body)
+        self._queued_bytes -= _BATCH_LIMIT_BYTES - room
+        self._last_item_count = len(calls) + len(replies)
+        self._metrics.increment('peer_items_sent', 'call', len(calls))
+        self._metrics.increment('peer_items_sent', 'reply', len(replies))
+        return encode_frame(
+            Frame(
+                format=FRAME_FORMAT,
+                sender_tag=self._tag,
+                target_tag=self.peer_tag,
+                sender=None if self._introduced else self._identity,
+                calls=tuple(calls),
+                replies=tuple(replies),
+            ),
+        )
+
+    async def _send(self, frame: bytes) -> None:
+        while not self._closed and not self._offer(frame):
+            await self._clock.sleep_ms(_SOCKET_FULL_RETRY_MS)
+        self._last_sent_ms = self._clock.monotonic_ms()
+        self._metrics.increment('peer_frames_sent')
+        self._metrics.increment('peer_bytes_sent', amount=len(frame))
+
+    def _offer(self, frame: bytes) -> bool:
+        try:
+            self._socket.send(frame, block=False)
+        except pynng.TryAgain:
+            self._metrics.increment('peer_socket_full')
+            return False
+        return True
+
+
+def url_of(identity: VmIdentity) -> str:
+    """Returns the URL at which a VM's listener is."""
+    return f'tcp://{identity.address}'
+
+
+def _open_socket(peer: VmIdentity) -> pynng.Push0:
+    socket = pynng.Push0(
+        send_buffer_size=_SOCKET_QUEUE_FRAMES,
+        reconnect_time_min=_RECONNECT_MIN_MS,
+        reconnect_time_max=_RECONNECT_MAX_MS,
+    )
+    socket.dial(url_of(peer), block=False)
+    return socket
--- /dev/null
+++ b/teaseldale/peers/_links.py
@@ -0,0 +1,103 @@
+"""The set of open links: lasting ones in the cell, others on demand."""
+
+from collections.abc import Collection, Iterator
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.peers._identity import VmIdentity
+from teaseldale.peers._link import PeerLink
+
+_IDLE_LIMIT_MS = 30_000
+
+
+@attrs.frozen(kw_only=True)
+class _OpenLink:
+    link: PeerLink
+    scope: anyio.CancelScope
+
+
+class LinkSet:
+    """Opens a link when it is first used and closes it when idle."""
+
+    def __init__(
+        self,
+        *,
+        identity: VmIdentity,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Creates an empty set."""
+        self._identity = identity
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks: TaskGroup | None = None
+        self._open: dict[str, _OpenLink] = {}
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Gives the set the task group in which links run."""
+        self._tasks = tasks
+
+    def __iter__(self) -> Iterator[PeerLink]:
+        """Iterates over the open links."""
+        return iter([opened.link for opened in self._open.values()])
+
+    def find(self, peer: VmIdentity) -> PeerLink | None:
+        """Returns the link to a peer if it is open."""
+        opened = self._open.get(peer.key)
+        return None if opened is None else opened.link
+
+    def to_peer(self, peer: VmIdentity) -> PeerLink:
+        """Returns the link to a peer, opening it where needed."""
+        opened = self._open.get(peer.key)
+        if opened is None:
+            opened = self._open_link(peer)
+        return opened.link
+
+    def close(self, peer: VmIdentity) -> None:
+        """Closes the link to a peer if it is open."""
+        opened = self._open.pop(peer.key, None)
+        if opened is not None:
+            opened.scope.cancel()
+            opened.link.close()
+            self._count_open()
+
+    def close_idle(self, lasting_keys: Collection[str]) -> None:
+        """Closes links outside ``lasting_keys`` that have not been used."""
+        now_ms = self._clock.monotonic_ms()
+        for link in self:
+            idle_ms = now_ms - link.last_used_ms
+            if link.peer.key not in lasting_keys and idle_ms > _IDLE_LIMIT_MS:
+                self._metrics.increment('peer_link_closed', 'idle')
+                self.close(link.peer)
+
+    def close_all(self) -> None:
+        """Closes every link."""
+        for link in self:
+            self.close(link.peer)
+
+    def _open_link(self, peer: VmIdentity) -> _OpenLink:
+        if self._tasks is None:
+            raise RuntimeError('Start the peer network before its first use.')
+        link = PeerLink(
+            identity=self._identity,
+            peer=peer,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        opened = _OpenLink(link=link, scope=anyio.CancelScope())
+        self._open[peer.key] = opened
+        self._tasks.start_soon(_run_in, opened.scope, link)
+        self._count_open()
+        return opened
+
+    def _count_open(self) -> None:
+        self._metrics.set_gauge('peer_links_open', len(self._open))
+
+
+async def _run_in(scope: anyio.CancelScope, link: PeerLink) -> None:
+    with scope:
+        await link.run()
--- a/teaseldale/peers/_pynng_network.py
+++ b/teaseldale/peers/_pynng_network.py
@@ -1,52 +1,36 @@
-"""Peer links over pynng request and reply sockets."""
+"""Calls between VMs over pynng push and pull sockets."""
 
+import functools
+import random
 from typing import Any
 
-import anyio
-import attrs
-import msgspec
-import pynng
 from anyio.abc import TaskGroup
 
 from teaseldale.clock import BaseClock
 from teaseldale.kernel import BaseService
-from teaseldale.outcomes import PeerUnreachableError, PlatformError, Step
+from teaseldale.metrics import Metrics
+from teaseldale.peers._caller import Caller
 from teaseldale.peers._codec import MessageCodec
+from teaseldale.peers._directory import PeerDirectory
+from teaseldale.peers._dispatch import Dispatcher
 from teaseldale.peers._identity import VmIdentity
+from teaseldale.peers._link import PeerLink
+from teaseldale.peers._links import LinkSet
+from teaseldale.peers._native_threads import limit_native_threads
 from teaseldale.peers._network import BasePeerNetwork, Handler
-from teaseldale.platform import BaseMembershipList, MemberState, VmMember
+from teaseldale.peers._receiver import Receiver
+from teaseldale.peers._watch import Heartbeat, HeartbeatReply, LinkWatch
+from teaseldale.peers._watches import WatchSet
+from teaseldale.platform import BaseMembershipList
 
-_HANDLER_TASKS = 8
-_HEARTBEAT_INTERVAL_MS = 1000
-_HEARTBEAT_TIMEOUT_MS = 800
-_MEMBERSHIP_INTERVAL_MS = 1000
-_NO_RESEND = -1
-_MS_PER_SECOND = 1000
-
-
-@attrs.frozen(kw_only=True)
-class Heartbeat:
-    """Asks whether the peer runs."""
-
-    sent_ms: int  # sender's monotonic clock
-
-
-@attrs.frozen(kw_only=True)
-class HeartbeatReply:
-    """Echo of a heartbeat."""
-
-    sent_ms: int
-
-
-@attrs.frozen(kw_only=True)
-class HandlerFailed:
-    """Reply to a message whose handler failed or that is unknown."""
-
-    reason: str
+_HEARTBEAT_TIMEOUT_MS = 500
+_HEARTBEAT_MIN_MS = 1000
+_HEARTBEAT_PER_PEER_MS = 250
+_RENEW_INTERVAL_MS = 500
 
 
 class PynngPeerNetwork(BasePeerNetwork, BaseService):
-    """Full mesh of links within the fleet, by the membership list."""
+    """Lasting links within the cell, others opened on demand."""
 
     def __init__(
         self,
@@ -54,24 +38,44 @@
         identity: VmIdentity,
         membership: BaseMembershipList,
         clock: BaseClock,
+        metrics: Metrics,
     ) -> None:
         """Prepares the links; nothing is opened before ``start``."""
+        limit_native_threads()
         self._identity = identity
-        self._membership = membership
         self._clock = clock
         self._codec = MessageCodec()
-        self._handlers: dict[type, Handler] = {}
-        self._peers: dict[str, VmIdentity] = {}
-        self._sockets: dict[str, Any] = {}
-        self._reachable: set[str] = set()
-        self._state = MemberState.LIVE
-        self._sender = msgspec.msgpack.encode(identity)
-        self._codec.register(HandlerFailed, kind='handler_failed')
+        self._dispatcher = Dispatcher(codec=self._codec, metrics=metrics)
+        self._links = LinkSet(identity=identity, clock=clock, metrics=metrics)
+        self._directory = PeerDirectory(
+            identity=identity,
+            membership=membership,
+            clock=clock,
+            metrics=metrics,
+        )
+        self._caller = Caller(
+            codec=self._codec,
+            links=self._links,
+            clock=clock,
+            metrics=metrics,
+            on_suspect=self._suspect,
+        )
+        self._receiver = Receiver(
+            identity=identity,
+            directory=self._directory,
+            caller=self._caller,
+            dispatcher=self._dispatcher,
+            links=self._links,
+            metrics=metrics,
+        )
+        self._watches = WatchSet(make_watch=self._make_watch)
+        self._metrics = metrics
+        self._random = random.Random(identity.key)
         self.handle(
             Heartbeat,
             kind='heartbeat',
             reply_type=HeartbeatReply,
-            handler=_echo,
+            handler=self._answer_heartbeat,
         )
 
     @property
@@ -100,19 +104,25 @@
             kind=f'{kind}_reply',
             version=version,
         )
-        self._handlers[message_type] = handler
+        self._dispatcher.add(message_type, handler)
 
     async def start(self, tasks: TaskGroup) -> None:
         """Listens for peers and starts following the membership list."""
-        listener = pynng.Rep0(listen=_url_of(self._identity))
-        for _ in range(_HANDLER_TASKS):
-            tasks.start_soon(self._serve, listener.new_context())
-        tasks.start_soon(self._follow_membership, tasks)
+        self._links.start(tasks)
+        self._watches.start(tasks)
+        listener = self._receiver.listen()
+        tasks.start_soon(self._receiver.run, listener, tasks)
+        tasks.start_soon(self._follow_membership)
 
     async def drain(self) -> None:
         """Tells the membership list that this VM leaves."""
-        self._state = MemberState.LEAVING
-        await self._announce()
+        await self._directory.leave()
+
+    async def stop(self) -> None:
+        """Closes all sockets."""
+        self._watches.replace(())
+        self._links.close_all()
+        self._receiver.stop()
 
     async def request(
         self,
@@ -122,137 +132,74 @@
         timeout_ms: int,
     ) -> Any:
         """Returns the peer's reply, or raises ``PeerUnreachableError``."""
-        socket = self._socket_to(peer)
-        encoded = self._codec.encode(message, sender=self._sender)
-        try:
-            with (
-                anyio.fail_after(timeout_ms / _MS_PER_SECOND),
-                socket.new_context() as context,
-            ):
-                await context.asend(encoded)
-                answer = await context.arecv()
-        except (TimeoutError, pynng.NNGException) as error:
-            self._drop_socket(peer)
-            raise _unreachable(peer, type(error).__name__) from error
-        reply, sender = self._codec.decode(answer)
-        if msgspec.msgpack.decode(sender, type=VmIdentity) != peer:
-            raise _unreachable(peer, 'replaced by another incarnation')
-        if isinstance(reply, HandlerFailed):
-            raise _unreachable(peer, reply.reason)
-        return reply
+        return await self._caller.call(peer, message, timeout_ms)
 
     def known_peers(self) -> tuple[VmIdentity, ...]:
         """Other VMs on the membership list."""
-        return tuple(self._peers.values())
+        return self._directory.peers()
 
     def reachable_peers(self) -> tuple[VmIdentity, ...]:
-        """Known peers that answered their last heartbeat."""
+        """Peers of the cell that answer, and others that did of late."""
         return tuple(
-            peer for peer in self._peers.values() if peer.key in self._reachable
+            peer for peer in self._directory.peers() if self._is_reachable(peer)
         )
 
-    async def _serve(self, context: Any) -> None:
-        while True:
-            encoded = await context.arecv()
-            reply = await self._handled(encoded)
-            await context.asend(self._codec.encode(reply, sender=self._sender))
-
-    async def _handled(self, encoded: bytes) -> Any:
-        try:
-            message, sender = self._codec.decode(encoded)
-        except ValueError as error:
-            return HandlerFailed(reason=str(error))
-        identity = msgspec.msgpack.decode(sender, type=VmIdentity)
-        try:
-            return await self._handlers[type(message)](identity, message)
-        except (PlatformError, PeerUnreachableError) as error:
-            return HandlerFailed(reason=str(error))
+    def _is_reachable(self, peer: VmIdentity) -> bool:
+        watch = self._watches.find(peer)
+        if watch is not None:
+            return watch.reachable
+        link = self._links.find(peer)
+        return link is not None and link.last_heard_ms is not None
 
-    async def _follow_membership(self, tasks: TaskGroup) -> None:
+    async def _follow_membership(self) -> None:
         while True:
-            try:
-                await self._announce()
-                members = await self._membership.members()
-            except PlatformError:
-                members = ()
-            if members:
-                self._update_peers(members, tasks)
-            await self._clock.sleep_ms(_MEMBERSHIP_INTERVAL_MS)
-
-    async def _announce(self) -> None:
-        await self._membership.announce(
-            VmMember(
-                name=self._identity.name,
-                incarnation=self._identity.incarnation,
-                address=self._identity.address,
-                availability_zone=self._identity.availability_zone,
-                state=self._state,
-            ),
+            if await self._directory.refresh():
+                self._watches.replace(self._directory.cell_peers())
+            self._links.close_idle(self._watches.keys())
+            await self._directory.wait()
+
+    def _make_watch(self, peer: VmIdentity) -> LinkWatch:
+        return LinkWatch(
+            link=self._links.to_peer(peer),
+            clock=self._clock,
+            metrics=self._metrics,
+            send=functools.partial(self._send_heartbeat, peer),
+            renew=self._caller.renew,
+            random_source=self._random,
+            interval_ms=self._heartbeat_interval_ms(),
         )
 
-    def _update_peers(
+    def _heartbeat_interval_ms(self) -> int:
+        peer_count = len(self._directory.cell_peers())
+        return max(_HEARTBEAT_MIN_MS, _HEARTBEAT_PER_PEER_MS * peer_count)
+
+    async def _send_heartbeat(
         self,
-        members: tuple[VmMember, ...],
-        tasks: TaskGroup,
+        peer: VmIdentity,
+        heartbeat: Heartbeat,
     ) -> None:
-        listed = {
-            identity.key: identity
-            for identity in map(_identity_of, members)
-            if identity.name != self._identity.name
-        }
-        for key, peer in listed.items():
-            if key not in self._peers:
-                tasks.start_soon(self._watch, peer)
-        self._peers = listed
-
-    async def _watch(self, peer: VmIdentity) -> None:
-        await anyio.lowlevel.checkpoint()
-        while peer.key in self._peers:
-            beat = Heartbeat(sent_ms=self._clock.monotonic_ms())
-            try:
-                await self.request(peer, beat, timeout_ms=_HEARTBEAT_TIMEOUT_MS)
-            except PeerUnreachableError:
-                self._reachable.discard(peer.key)
-            else:
-                self._reachable.add(peer.key)
-            await self._clock.sleep_ms(_HEARTBEAT_INTERVAL_MS)
-        self._reachable.discard(peer.key)
-        self._drop_socket(peer)
-
-    def _socket_to(self, peer: VmIdentity) -> Any:
-        socket = self._sockets.get(peer.key)
-        if socket is None:
-            socket = pynng.Req0(resend_time=_NO_RESEND)
-            socket.dial(_url_of(peer), block=False)
-            self._sockets[peer.key] = socket
-        return socket
-
-    def _drop_socket(self, peer: VmIdentity) -> None:
-        socket = self._sockets.pop(peer.key, None)
-        if socket is not None:
-            socket.close()
-
+        await self._caller.call(peer, heartbeat, _HEARTBEAT_TIMEOUT_MS)
 
-def _url_of(identity: VmIdentity) -> str:
-    return f'tcp://{identity.address}'
-
-
-async def _echo(_sender: VmIdentity, message: Heartbeat) -> HeartbeatReply:
-    return HeartbeatReply(sent_ms=message.sent_ms)
-
-
-def _identity_of(member: VmMember) -> VmIdentity:
-    return VmIdentity(
-        name=member.name,
-        incarnation=member.incarnation,
-        availability_zone=member.availability_zone,
-        address=member.address,
-    )
-
-
-def _unreachable(peer: VmIdentity, reason: str) -> PeerUnreachableError:
-    return PeerUnreachableError(
-        step=Step.PEER_REQUEST,
-        peer=peer.key,
-        reason=reason,
-    )
+    async def _answer_heartbeat(
+        self,
+        sender: VmIdentity,
+        heartbeat: Heartbeat,
+    ) -> HeartbeatReply:
+        link = self._links.to_peer(sender)
+        if heartbeat.replies_missing:
+            self._renew(link, 'replies_missing')
+        watch = self._watches.find(sender)
+        if watch is not None:
+            watch.heard_from_peer()
+        return HeartbeatReply()
+
+    def _suspect(self, link: PeerLink) -> None:
+        watch = self._watches.find(link.peer)
+        if watch is None:
+            self._renew(link, 'no_reply')
+        else:
+            watch.suspect()
+
+    def _renew(self, link: PeerLink, reason: str) -> None:
+        if link.socket_age_ms > _RENEW_INTERVAL_MS:
+            self._caller.renew(link, reason)
--- /dev/null
+++ b/teaseldale/peers/_watch.py
@@ -0,0 +1,141 @@
+"""Watch over one link: heartbeats, fresh sockets and reachability."""
+
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers._identity import VmIdentity
+from teaseldale.peers._link import PeerLink
+
+_BACK_OFF_MIN_MS = 500
+_BACK_OFF_MAX_MS = 8000
+_JITTER_SHARE = 0.25
+_MS_PER_SECOND = 1000
+
+SendHeartbeat = Callable[['Heartbeat'], Awaitable[object]]
+RenewLink = Callable[[PeerLink, str], None]
+
+
+@attrs.frozen(kw_only=True)
+class Heartbeat:
+    """Asks whether the peer runs and both directions pass frames."""
+
+    replies_missing: bool = False  # asks for replies over a fresh socket
+
+
+@attrs.frozen(kw_only=True)
+class HeartbeatReply:
+    """Answer to a heartbeat."""
+
+
+class LinkWatch:
+    """Decides whether one peer is reachable and renews its link."""
+
+    def __init__(
+        self,
+        *,
+        link: PeerLink,
+        clock: BaseClock,
+        metrics: Metrics,
+        send: SendHeartbeat,
+        renew: RenewLink,
+        random_source: random.Random,
+        interval_ms: int,
+    ) -> None:
+        """Creates the watch; ``send`` raises ``PeerUnreachableError``.
+
+        ``renew`` gives a link a fresh socket for a reason that is counted.
+        """
+        self.reachable = False
+        self._link = link
+        self._clock = clock
+        self._metrics = metrics
+        self._send = send
+        self._renew = renew
+        self._random = random_source
+        self._interval_ms = interval_ms
+        self._back_off_ms = _BACK_OFF_MIN_MS
+        self._hurry = anyio.Event()
+        self._suspected = False
+        self._log = StateLog(channel='peers')
+
+    @property
+    def peer(self) -> VmIdentity:
+        """The peer that is watched."""
+        return self._link.peer
+
+    async def run(self) -> None:
+        """Sends heartbeats while no other reply has come, until cancelled."""
+        while True:
+            if self._is_quiet():
+                await self._probe()
+            await self._wait()
+
+    def suspect(self) -> None:
+        """Sends a heartbeat at once: a call has had no reply for a while."""
+        self._suspected = True
+        self._hurry.set()
+
+    def heard_from_peer(self) -> None:
+        """Sends a heartbeat at once if the peer was held unreachable."""
+        if not self.reachable:
+            self._hurry.set()
+
+    async def _probe(self) -> None:
+        self._suspected = False
+        started_ms = self._clock.monotonic_ms()
+        if await self._beats(Heartbeat()) or self._heard_since(started_ms):
+            self._mark(reachable=True)
+            return
+        self._renew(self._link, 'silent')
+        renewed = await self._beats(Heartbeat(replies_missing=True))
+        self._mark(reachable=renewed)
+
+    async def _beats(self, heartbeat: Heartbeat) -> bool:
+        try:
+            await self._send(heartbeat)
+        except PeerUnreachableError:
+            self._metrics.increment('peer_heartbeat_missed')
+            return False
+        return True
+
+    async def _wait(self) -> None:
+        pause_ms = self._next_pause_ms()
+        self._hurry = anyio.Event()
+        with anyio.move_on_after(pause_ms / _MS_PER_SECOND):
+            await self._hurry.wait()
+
+    def _next_pause_ms(self) -> float:
+        if self.reachable:
+            self._back_off_ms = _BACK_OFF_MIN_MS
+            return self._jittered(self._interval_ms)
+        pause_ms = self._jittered(self._back_off_ms)
+        self._back_off_ms = min(_BACK_OFF_MAX_MS, self._back_off_ms * 2)
+        return pause_ms
+
+    def _jittered(self, duration_ms: int) -> float:
+        return duration_ms * (1 - _JITTER_SHARE * self._random.random())
+
+    def _is_quiet(self) -> bool:
+        last_ms = self._link.last_heard_ms
+        if last_ms is None or self._suspected or not self.reachable:
+            return True
+        return self._clock.monotonic_ms() - last_ms > self._interval_ms / 2
+
+    def _heard_since(self, started_ms: int) -> bool:
+        last_ms = self._link.last_heard_ms
+        return last_ms is not None and last_ms > started_ms
+
+    def _mark(self, *, reachable: bool) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        state = 'reachable' if reachable else 'unreachable'
+        self._metrics.increment('peer_state_changed', state)
+        self._log.changed(f'peer_{state}', peer=self.peer.key)
--- /dev/null
+++ b/teaseldale/peers/tests/network.py
@@ -0,0 +1,119 @@
+"""Two or more VMs with real sockets on loopback, in one event loop."""
+
+import contextlib
+import functools
+
+import anyio
+import attrs
+import pynng
+
+from benchmarks.fleet import free_port
+from teaseldale.clock import SystemClock
+from teaseldale.metrics import Metrics
+from teaseldale.peers import PynngPeerNetwork, VmIdentity
+from teaseldale.platform import BaseMembershipList, MemberState, VmMember
+
+PATIENCE_SECONDS = 60
+
+
+@attrs.frozen(kw_only=True)
+class Ask:
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    text: str
+
+
+class MemberList(BaseMembershipList):
+    """Membership list in memory."""
+
+    def __init__(self):
+        self.listed = {}
+
+    async def announce(self, member):
+        self.listed[member.name] = member
+
+    async def members(self):
+        return tuple(self.listed.values())
+
+
+def list_other(members, name, zone):
+    """Lists a VM that does not run."""
+    members.listed[name] = VmMember(
+        name=name,
+        incarnation='none',
+        address=f'127.0.0.1:{free_port()}',
+        availability_zone=zone,
+        state=MemberState.LIVE,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """One VM of a test."""
+
+    network: PynngPeerNetwork
+    metrics: Metrics
+
+    async def ask(self, other, text='hello', timeout_ms=20_000):
+        return await self.network.request(
+            other.network.identity,
+            Ask(text=text),
+            timeout_ms=timeout_ms,
+        )
+
+    def reaches(self, other):
+        key = other.network.identity.key
+        return key in {peer.key for peer in self.network.reachable_peers()}
+
+
+def make_node(members, name, *, port, relay_port=None, incarnation='first'):
+    """Creates a VM; others dial ``relay_port`` where it is given."""
+    metrics = Metrics()
+    network = PynngPeerNetwork(
+        identity=VmIdentity(
+            name=name,
+            incarnation=incarnation,
+            availability_zone='mill',
+            address=f'127.0.0.1:{relay_port or port}',
+        ),
+        membership=members,
+        clock=SystemClock(),
+        metrics=metrics,
+    )
+    network._receiver.listen = functools.partial(_listen, port)
+    return Node(network=network, metrics=metrics)
+
+
+def _listen(port):
+    return pynng.Pull0(listen=f'tcp://127.0.0.1:{port}')
+
+
+async def echo(_sender, message):
+    return Answer(text=message.text)
+
+
+@contextlib.asynccontextmanager
+async def running(*nodes, handler=echo):
+    """Runs VMs until the block ends."""
+    async with anyio.create_task_group() as tasks:
+        for node in nodes:
+            node.network.handle(
+                Ask, kind='ask', reply_type=Answer, handler=handler
+            )
+            await node.network.start(tasks)
+        try:
+            yield tasks
+        finally:
+            for node in nodes:
+                await node.network.stop()
+            tasks.cancel_scope.cancel()
+
+
+async def wait_until(condition):
+    """Waits for a condition, for long enough on a busy machine."""
+    with anyio.fail_after(PATIENCE_SECONDS):
+        while not condition():
+            await anyio.sleep(0.02)
