Measure links and mixed releases; print a table of held bounds

Cause: no command collected measurements, and a message with fields that were all at their defaults could not be encoded (found by the first measurement).

--- /dev/null
+++ b/benchmarks/peers_versions.py
@@ -0,0 +1,153 @@
+"""Two releases side by side during a rolling replacement, three ways.
+
+A fleet of 8 VMs is replaced one by one. After each step every VM sends every
+other one the same mix of messages, of which one in twenty uses the feature
+that only the new release knows. A message is refused if its receiver says so,
+and misread if it is handled without the feature.
+"""
+
+import enum
+import random
+
+import attrs
+
+from benchmarks.rows import BenchmarkRow
+from teaseldale.peers import (
+    EncodedMessage,
+    MessageCodec,
+    UnknownMessageError,
+    since,
+)
+
+_SEED = 8
+_VM_COUNT = 8
+_MESSAGES_PER_PAIR = 40
+_FEATURE_SHARE = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class OldOrder:
+    """The message of the old release."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class NewOrder:
+    """The message of the new release; its fence must be obeyed."""
+
+    name: str
+    fence: int = since(2, default=0)
+
+
+@enum.unique
+class Way(enum.Enum):
+    """How a release writes messages that an older one may read."""
+
+    LEAST_VERSION = enum.auto()
+    TOLERANT = enum.auto()  # always version 1, unknown fields ignored
+    NEWEST = enum.auto()  # always the newest version
+
+
+@attrs.define
+class Outcomes:
+    """Counts over the whole replacement."""
+
+    refused: int = 0
+    misread: int = 0
+    handled: int = 0
+
+
+def old_release() -> MessageCodec:
+    """Returns the codec of the old release."""
+    codec = MessageCodec()
+    codec.register(OldOrder, kind='order', version=1)
+    return codec
+
+
+def new_release() -> MessageCodec:
+    """Returns the codec of the new release."""
+    codec = MessageCodec()
+    codec.register(NewOrder, kind='order', version=2)
+    return codec
+
+
+def replace_fleet(way: Way) -> Outcomes:
+    """Counts what becomes of all messages in one rolling replacement."""
+    outcomes = Outcomes()
+    chance = random.Random(_SEED)
+    for replaced_count in range(_VM_COUNT + 1):
+        for sender in range(_VM_COUNT):
+            for receiver in range(_VM_COUNT):
+                if sender != receiver:
+                    _send_mix(
+                        outcomes,
+                        chance,
+                        way,
+                        new_sender=sender < replaced_count,
+                        new_receiver=receiver < replaced_count,
+                    )
+    return outcomes
+
+
+def version_rows() -> list[BenchmarkRow]:
+    """Returns misread and needlessly refused messages of the three ways."""
+    least = replace_fleet(Way.LEAST_VERSION)
+    tolerant = replace_fleet(Way.TOLERANT)
+    newest = replace_fleet(Way.NEWEST)
+    needed = tolerant.misread
+    return [
+        BenchmarkRow(
+            name='peers.rolling_upgrade_misread_messages',
+            unit='messages',
+            ours=least.misread,
+            naive=tolerant.misread,
+            naive_name='version 1 always, unknown fields ignored',
+            bound=0,
+            deterministic=True,
+            seed=_SEED,
+        ),
+        BenchmarkRow(
+            name='peers.rolling_upgrade_needless_refusals',
+            unit='messages',
+            ours=least.refused - needed,
+            naive=newest.refused - needed,
+            naive_name='newest version always',
+            bound=0,
+            deterministic=True,
+            seed=_SEED,
+        ),
+    ]
+
+
+def _send_mix(
+    outcomes: Outcomes,
+    chance: random.Random,
+    way: Way,
+    *,
+    new_sender: bool,
+    new_receiver: bool,
+) -> None:
+    receiver = new_release() if new_receiver else old_release()
+    for _ in range(_MESSAGES_PER_PAIR):
+        fence = 7 if chance.random() < _FEATURE_SHARE else 0
+        encoded = _encode(way, fence if new_sender else 0, new_sender)
+        try:
+            order = receiver.decode(encoded)
+        except UnknownMessageError:
+            outcomes.refused += 1
+            continue
+        if new_sender and getattr(order, 'fence', 0) != fence:
+            outcomes.misread += 1
+        else:
+            outcomes.handled += 1
+
+
+def _encode(way: Way, fence: int, new_sender: bool) -> EncodedMessage:
+    if not new_sender:
+        return old_release().encode(OldOrder(name='sack'))
+    encoded = new_release().encode(NewOrder(name='sack', fence=fence))
+    if way is Way.LEAST_VERSION:
+        return encoded
+    version = 1 if way is Way.TOLERANT else 2
+    return EncodedMessage(kind=encoded.kind, version=version, body=encoded.body)
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,85 @@
+"""The table and the JSON of a run of measurements."""
+
+import pathlib
+
+import cattrs
+import msgspec
+
+from benchmarks.collect import Measured, MeasuredModule
+from benchmarks.rows import BenchmarkRow, BoundKind
+
+RESULTS_FOLDER = pathlib.Path('build/bench')
+_HEADINGS = ('measure', 'unit', 'ours', 'naive', 'ratio', 'bound', 'verdict')
+_RIGHT_ALIGNED = frozenset(('ours', 'naive', 'ratio', 'bound'))
+
+
+def print_table(measured: Measured) -> None:
+    """Prints one line for each row, ending in "held" or "not held"."""
+    lines = [_HEADINGS]
+    for module in measured.modules:
+        lines.extend(_cells(row) for row in module.rows)
+    widths = [max(len(line[at]) for line in lines) for at in range(7)]
+    for line in lines:
+        print(_aligned(line, widths))
+    for module in measured.modules:
+        print(f'{module.name} took {module.duration_seconds:.1f} s')
+    for failure in measured.failures:
+        print(f'FAILED {failure}')
+
+
+def write_json(measured: Measured) -> None:
+    """Writes ``build/bench/<module>.json`` for each module."""
+    RESULTS_FOLDER.mkdir(parents=True, exist_ok=True)
+    for module in measured.modules:
+        document = cattrs.unstructure(module) | {
+            'quick': measured.quick,
+            'verdicts': {
+                row.name: 'held' if row.held else 'not held'
+                for row in module.rows
+            },
+        }
+        encoded = msgspec.json.format(msgspec.json.encode(document))
+        _path_of(module.name).write_bytes(encoded + b'\n')
+
+
+def read_results() -> tuple[MeasuredModule, ...]:
+    """Returns what the last runs have written."""
+    return tuple(
+        cattrs.structure(msgspec.json.decode(path.read_bytes()), MeasuredModule)
+        for path in sorted(RESULTS_FOLDER.glob('*.json'))
+    )
+
+
+def figure(amount: float | None) -> str:
+    """Returns a figure with four significant digits, "-" for none."""
+    if amount is None:
+        return '-'
+    if amount and abs(amount) < 0.001:
+        return f'{amount:.2e}'
+    if abs(amount) >= 1000:
+        return f'{amount:,.0f}'
+    return f'{amount:.4g}'
+
+
+def _path_of(name: str) -> pathlib.Path:
+    return RESULTS_FOLDER / f'{name}.json'
+
+
+def _cells(row: BenchmarkRow) -> tuple[str, ...]:
+    sign = '<=' if row.bound_kind is BoundKind.AT_MOST else '>='
+    return (
+        row.name,
+        row.unit,
+        figure(row.ours),
+        figure(row.naive),
+        figure(row.ours / row.naive if row.naive else None),
+        f'{sign} {figure(row.bound)}',
+        'held' if row.held else 'not held',
+    )
+
+
+def _aligned(line: tuple[str, ...], widths: list[int]) -> str:
+    return '  '.join(
+        cell.rjust(width) if heading in _RIGHT_ALIGNED else cell.ljust(width)
+        for heading, cell, width in zip(_HEADINGS, line, widths, strict=True)
+    )
--- a/teaseldale/peers/_codec.py
+++ b/teaseldale/peers/_codec.py
@@ -123,13 +123,9 @@
 
 
 def _least_version(known: _MessageKind, message: object) -> int:
-    if not known.later_fields:
-        return _FIRST_VERSION
-    return max(
-        _FIRST_VERSION,
-        *(
-            version
-            for name, version, default in known.later_fields
-            if getattr(message, name) != default
-        ),
-    )
+    needed = [
+        version
+        for name, version, default in known.later_fields
+        if getattr(message, name) != default
+    ]
+    return max(needed, default=_FIRST_VERSION)
