--- a/benchmarks/measure_peers.py
+++ b/benchmarks/measure_peers.py
@@ -5,6 +5,11 @@
 from benchmarks.rows import BenchmarkRow, Slope
 
 
+def deterministic_rows(_quick: bool) -> list[BenchmarkRow]:
+    """Returns the rows that CI checks."""
+    return version_rows()
+
+
 def rows(quick: bool) -> list[BenchmarkRow]:
     """Returns the rows of links and of mixed releases."""
     return [*version_rows(), *link_rows(quick)]
--- a/benchmarks/peers_process.py
+++ b/benchmarks/peers_process.py
@@ -57,6 +57,14 @@
     text: str
 
 
+@attrs.frozen(kw_only=True)
+class _Envelope:
+    kind: str
+    version: int
+    sender: bytes
+    body: bytes
+
+
 class _MemberList(BaseMembershipList):
     def __init__(self) -> None:
         self._listed: dict[str, VmMember] = {}
@@ -177,21 +185,29 @@
 
 
 async def _naive() -> tuple[float, float]:
-    """Request and reply sockets, a native context for each call."""
+    """Request and reply sockets, a native context for each call.
+
+    Each message carries its kind, its version and its sender, and each call
+    has a time limit, as the calls that it is compared with.
+    """
     url = f'tcp://127.0.0.1:{free_port()}'
-    body = msgspec.msgpack.encode(Ask(text=_TEXT))
+    sender = VmIdentity(
+        name='vm-0',
+        incarnation='0' * 32,
+        availability_zone='mill',
+        address='127.0.0.1:7201',
+    )
 
     async def serve(listener: pynng.Rep0) -> None:
         context = listener.new_context()
         while True:
-            asked = await context.arecv()
-            message = msgspec.msgpack.decode(asked, type=Ask)
-            await context.asend(msgspec.msgpack.encode(message))
+            asked = _decode_naive(await context.arecv())
+            await context.asend(_encode_naive(asked, sender))
 
     async def ask() -> None:
-        with dialer.new_context() as context:
-            await context.asend(body)
-            msgspec.msgpack.decode(await context.arecv(), type=Ask)
+        with anyio.fail_after(30), dialer.new_context() as context:
+            await context.asend(_encode_naive(Ask(text=_TEXT), sender))
+            _decode_naive(await context.arecv())
 
     listener = pynng.Rep0(listen=url)
     dialer = pynng.Req0(dial=url)
@@ -208,6 +224,22 @@
     return rate, cpu / (_CONCURRENT_TASKS * _CALLS_PER_TASK) * 1_000_000
 
 
+def _encode_naive(message: Ask, sender: VmIdentity) -> bytes:
+    envelope = _Envelope(
+        kind='ask',
+        version=1,
+        sender=msgspec.msgpack.encode(sender),
+        body=msgspec.msgpack.encode(message),
+    )
+    return msgspec.msgpack.encode(envelope)
+
+
+def _decode_naive(encoded: bytes) -> Ask:
+    envelope = msgspec.msgpack.decode(encoded, type=_Envelope)
+    msgspec.msgpack.decode(envelope.sender, type=VmIdentity)
+    return msgspec.msgpack.decode(envelope.body, type=Ask)
+
+
 async def _repeat(ask) -> None:
     for _ in range(_CALLS_PER_TASK):
         await ask()
--- /dev/null
+++ b/features/steps/measurements.py
@@ -0,0 +1,42 @@
+"""Steps that check deterministic rows of the measurements."""
+
+import importlib
+
+import attrs
+from behave import then, when
+
+from benchmarks.collect import module_names
+from benchmarks.rows import BenchmarkRow, BoundKind
+
+
+@when('all measurements that have deterministic rows are taken quickly')
+def take(context):
+    context.rows = []
+    for name in module_names():
+        module = importlib.import_module(f'benchmarks.measure_{name}')
+        # A module may give its deterministic rows without the others.
+        give = getattr(module, 'deterministic_rows', None) or module.rows
+        context.rows.extend(row for row in give(True) if row.deterministic)
+
+
+@then('each deterministic row is held')
+def all_held(context):
+    assert context.rows
+    broken = [
+        (row.name, row.ours, row.bound) for row in context.rows if not row.held
+    ]
+    assert not broken, broken
+
+
+@then('a row that breaks its bound is told apart from one that keeps it')
+def told_apart(context):
+    row = BenchmarkRow(
+        name='example',
+        unit='tokens',
+        ours=2,
+        naive=None,
+        bound=1,
+        deterministic=True,
+    )
+    assert not row.held
+    assert attrs.evolve(row, bound_kind=BoundKind.AT_LEAST).held
