--- a/features/steps/whole_path.py
+++ b/features/steps/whole_path.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import sys
+import time
 
 import httpcore
 import msgspec
@@ -10,6 +11,7 @@
 
 from benchmarks.fleet import ACCOUNT_KEY, EMPTY_ACCOUNT_KEY, Fleet
 
+_SETTLED_WITHIN_SECONDS = 10
 _BUILT_FILE = pathlib.Path('dist/teaseldale')
 
 
@@ -91,14 +93,19 @@
 
 @then('{tokens:d} tokens are billed to budget {name}')
 def billed(context, tokens, name):
-    state = context.fleet.operate(
-        context.fleet.vms[0],
-        'GET',
-        f'/budget?name={name}',
-    )
+    deadline = time.monotonic() + _SETTLED_WITHIN_SECONDS
+    state = budget_state(context.fleet, name)
+    while state['billed_tokens'] < tokens and time.monotonic() < deadline:
+        time.sleep(0.1)
+        state = budget_state(context.fleet, name)
     assert state['billed_tokens'] == tokens, state
 
 
+def budget_state(fleet, name):
+    """Returns a budget's totals as the first VM reads them."""
+    return fleet.operate(fleet.vms[0], 'GET', f'/budget?name={name}')
+
+
 @then('the caller is refused with status {status:d} and code {code}')
 def refused(context, status, code):
     assert context.response.status == status, context.response.status
--- a/teaseldale/budgets/__init__.py
+++ b/teaseldale/budgets/__init__.py
@@ -1,5 +1,6 @@
 """Spending of prepaid token budgets."""
 
+from teaseldale.budgets._granted_spending import GrantedSpending
 from teaseldale.budgets._ledger import LedgerRow, TableLedger
 from teaseldale.budgets._spending import (
     BaseSpending,
@@ -11,6 +12,7 @@
 __all__ = (
     'BaseSpending',
     'BudgetState',
+    'GrantedSpending',
     'LedgerRow',
     'Reservation',
     'TableLedger',
--- /dev/null
+++ b/teaseldale/budgets/_duplicate_credits.py
@@ -0,0 +1,116 @@
+"""Credits for requests that were billed for two runs."""
+
+import attrs
+import msgspec
+
+from teaseldale.budgets._ledger import TableLedger
+from teaseldale.outcomes import PlatformError
+from teaseldale.platform import (
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+from teaseldale.requests import (
+    DuplicateBill,
+    HolderParts,
+    RequestRecord,
+    Settlement,
+)
+
+DUPLICATES_TABLE = 'duplicates'
+_INTERVAL_MS = 2000
+
+
+@attrs.frozen(kw_only=True)
+class _DuplicateRow:
+    kept: str  # key of the VM whose run stays billed
+    credited: tuple[str, ...]  # keys of VMs whose runs were credited
+
+
+class DuplicateCredits:
+    """Credits all runs of a request but one, each exactly once."""
+
+    def __init__(self, *, parts: HolderParts) -> None:
+        """Works on the queue of duplicates in ``parts``."""
+        self._parts = parts
+        self._ledger = TableLedger(table=parts.table)
+
+    async def run(self) -> None:
+        """Credits what is in the queue until cancelled."""
+        while True:
+            await self._parts.clock.sleep_ms(_INTERVAL_MS)
+            for duplicate in self._parts.duplicates.waiting():
+                await self._try_credit(duplicate)
+
+    async def _try_credit(self, duplicate: DuplicateBill) -> None:
+        try:
+            done = await self._credit(duplicate)
+        except PlatformError:
+            return
+        if done:
+            self._parts.duplicates.resolved(duplicate)
+
+    async def _credit(self, duplicate: DuplicateBill) -> bool:
+        """Returns whether nothing is left to credit."""
+        key = duplicate.first.request.text
+        found = await self._parts.table.read(table=DUPLICATES_TABLE, key=key)
+        row = _decode(found, duplicate)
+        for run in (duplicate.first, duplicate.second):
+            if run.runner not in (row.kept, *row.credited):
+                return await self._write(key, found, row, run)
+        return True
+
+    async def _write(
+        self,
+        key: str,
+        found: Row | None,
+        row: _DuplicateRow,
+        run: RequestRecord,
+    ) -> bool:
+        credited = attrs.evolve(row, credited=(*row.credited, run.runner))
+        checks = [
+            RowCheck(
+                table=DUPLICATES_TABLE,
+                key=key,
+                revision=found.revision if found else 0,
+            ),
+        ]
+        writes = [
+            RowWrite(
+                table=DUPLICATES_TABLE,
+                key=key,
+                value=msgspec.msgpack.encode(credited),
+            ),
+        ]
+        settlement = _settlement_of(run)
+        for budget in settlement.budgets:
+            read = await self._ledger.read(budget)
+            if read is None:
+                continue
+            less = read.row.billed_tokens - settlement.used_tokens
+            checks.append(read.check())
+            writes.append(
+                read.write(attrs.evolve(read.row, billed_tokens=less))
+            )
+        outcome = await self._parts.table.commit(
+            make_transaction(checks=checks, writes=writes),
+        )
+        if not isinstance(outcome, Committed):
+            return False
+        self._parts.metrics.increment('duplicates_credited')
+        return True
+
+
+def _decode(found: Row | None, duplicate: DuplicateBill) -> _DuplicateRow:
+    if found is not None and found.value is not None:
+        return msgspec.msgpack.decode(found.value, type=_DuplicateRow)
+    kept = min(duplicate.first.runner, duplicate.second.runner)
+    return _DuplicateRow(kept=kept, credited=())
+
+
+def _settlement_of(run: RequestRecord) -> Settlement:
+    if run.settlement is None:
+        raise ValueError('Only settled runs are credited.')
+    return run.settlement
--- /dev/null
+++ b/teaseldale/budgets/_grant_book.py
@@ -0,0 +1,176 @@
+"""Local state of a holder: grants, reservations, settlements."""
+
+from collections import deque
+
+import anyio
+import attrs
+
+from teaseldale.budgets._grant_rows import GrantRow
+from teaseldale.budgets._grant_size import DemandMeter
+from teaseldale.budgets._ledger import ReadLedgerRow
+from teaseldale.clock import BaseClock
+from teaseldale.requests import Settlement, SpendingHolder
+
+_MS_PER_SECOND = 1000
+
+
+@attrs.define(kw_only=True, eq=False)
+class GrantWaiter:
+    """A request that waits for an extension."""
+
+    tokens: int
+    answered: bool = False  # a round has looked at it
+
+
+@attrs.define(kw_only=True, eq=False)
+class LocalGrant:
+    """One budget's grant as this VM knows it."""
+
+    budget: str
+    demand: DemandMeter
+    row: GrantRow = GrantRow()  # as last committed
+    revision: int = 0  # of the row, 0 when absent
+    ledger: ReadLedgerRow | None = None  # as last seen
+    reserved_tokens: int = 0  # by running requests
+    queued_tokens: int = 0  # settled and not yet committed
+    returning_tokens: int = 0  # to be handed back by the next round
+    folding: bool = False  # move billed tokens to the ledger next round
+    waiting: list[GrantWaiter] = attrs.field(factory=list)
+
+    @property
+    def available_tokens(self) -> int:
+        """Tokens that can be reserved."""
+        return (
+            self.row.open_tokens
+            - self.reserved_tokens
+            - self.queued_tokens
+            - self.returning_tokens
+        )
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing depends on the grant."""
+        busy = self.reserved_tokens or self.queued_tokens or self.waiting
+        return not (busy or self.returning_tokens)
+
+    @property
+    def unanswered(self) -> list[GrantWaiter]:
+        """Waiters that no round has looked at."""
+        return [waiter for waiter in self.waiting if not waiter.answered]
+
+    @property
+    def urgent(self) -> bool:
+        """Whether the next round has something to do for the grant."""
+        return bool(self.returning_tokens or self.folding or self.unanswered)
+
+
+class GrantBook:
+    """All grants of a holder and the settlements that wait."""
+
+    def __init__(self, *, clock: BaseClock, holder: SpendingHolder) -> None:
+        """Creates a book without grants."""
+        self.grants: dict[str, LocalGrant] = {}
+        self.queue: deque[Settlement] = deque()
+        self._attention: dict[str, LocalGrant] = {}
+        self._clock = clock
+        self._holder = holder
+        self._changed = anyio.Event()
+
+    @property
+    def urgent(self) -> bool:
+        """Whether somebody waits for a round."""
+        return bool(self.urgent_grants())
+
+    def urgent_grants(self) -> list[LocalGrant]:
+        """Returns the grants that the next round is to change."""
+        self._attention = {
+            budget: grant
+            for budget, grant in self._attention.items()
+            if grant.urgent
+        }
+        return list(self._attention.values())
+
+    def wait_for_extension(self, grant: LocalGrant, tokens: int) -> GrantWaiter:
+        """Adds a waiter, to be removed from the grant by the caller."""
+        waiter = GrantWaiter(tokens=tokens)
+        grant.waiting.append(waiter)
+        self._attention[grant.budget] = grant
+        self.notify()
+        return waiter
+
+    def hand_back(self, grant: LocalGrant, tokens: int) -> None:
+        """Lets the next round return tokens to the budget."""
+        grant.returning_tokens += tokens
+        grant.folding = True
+        self._attention[grant.budget] = grant
+        self.notify()
+
+    def grant(self, budget: str) -> LocalGrant:
+        """Returns the grant of a budget, empty at first."""
+        found = self.grants.get(budget)
+        if found is None:
+            demand = DemandMeter(clock=self._clock)
+            found = LocalGrant(budget=budget, demand=demand)
+            self.grants[budget] = found
+        return found
+
+    def short_grants(
+        self,
+        budgets: tuple[str, ...],
+        tokens: int,
+    ) -> list[LocalGrant]:
+        """Returns the grants that cannot cover ``tokens``."""
+        grants = [self.grant(budget) for budget in budgets]
+        return [grant for grant in grants if grant.available_tokens < tokens]
+
+    def reserve(self, budgets: tuple[str, ...], tokens: int) -> None:
+        """Sets tokens aside; the grants have been checked before."""
+        for budget in budgets:
+            self.grant(budget).reserved_tokens += tokens
+
+    def release(self, budgets: tuple[str, ...], tokens: int) -> None:
+        """Frees a reservation that costs nothing."""
+        for budget in budgets:
+            self.grant(budget).reserved_tokens -= tokens
+        self.notify()
+
+    def settle(
+        self,
+        budgets: tuple[str, ...],
+        *,
+        reserved_tokens: int,
+        used_tokens: int,
+    ) -> Settlement:
+        """Queues a bill and frees the rest of the reservation."""
+        settlement = Settlement(
+            holder=self._holder.key,
+            sequence=self._holder.next_sequence(),
+            budgets=budgets,
+            used_tokens=used_tokens,
+        )
+        self.queue.append(settlement)
+        for budget in budgets:
+            grant = self.grant(budget)
+            grant.reserved_tokens -= reserved_tokens
+            grant.queued_tokens += used_tokens
+            grant.demand.add(used_tokens)
+        self.notify()
+        return settlement
+
+    def clear(self) -> None:
+        """Forgets everything of a holder that was replaced."""
+        self.grants.clear()
+        self._attention.clear()
+        self.queue.clear()
+        self.notify()
+
+    def notify(self) -> None:
+        """Wakes everybody who waits for a change."""
+        changed = self._changed
+        self._changed = anyio.Event()
+        changed.set()
+
+    async def wait_for_change(self, timeout_ms: float) -> None:
+        """Returns at the next change or after the time limit."""
+        with anyio.move_on_after(timeout_ms / _MS_PER_SECOND):
+            await self._changed.wait()
--- /dev/null
+++ b/teaseldale/budgets/_grant_rounds.py
@@ -0,0 +1,311 @@
+"""Rounds of table transactions that keep a holder's grants."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from teaseldale.budgets._grant_book import GrantBook, GrantWaiter, LocalGrant
+from teaseldale.budgets._grant_rows import (
+    GrantRow,
+    HolderRow,
+    ReadGrant,
+    ReadHolder,
+)
+from teaseldale.budgets._grant_size import extension_tokens, target_tokens
+from teaseldale.budgets._ledger import (
+    LEDGER_TABLE,
+    LedgerRow,
+    ReadLedgerRow,
+    TableLedger,
+    decode_ledger_row,
+)
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PlatformError
+from teaseldale.platform import (
+    Committed,
+    Conflicted,
+    RetryingTableService,
+    Row,
+    Transaction,
+    make_transaction,
+)
+from teaseldale.requests import Settlement, SpendingHolder
+
+_BUDGETS_PER_ROUND = 64
+_RESEND_INTERVAL_MS = 500
+
+
+class HolderClosedError(Exception):
+    """Others have recovered the grants of this holder."""
+
+
+@attrs.define(kw_only=True)
+class _Change:
+    """What a round does to one grant."""
+
+    grant: LocalGrant
+    used_tokens: int = 0
+    extension_tokens: int = 0
+    returned_tokens: int = 0
+    moves_ledger: bool = False
+
+    @property
+    def row(self) -> GrantRow:
+        old = self.grant.row
+        billed = old.billed_tokens + self.used_tokens
+        return GrantRow(
+            open_tokens=old.open_tokens
+            + self.extension_tokens
+            - self.used_tokens
+            - self.returned_tokens,
+            billed_tokens=0 if self.moves_ledger else billed,
+        )
+
+    @property
+    def ledger_row(self) -> LedgerRow:
+        old = _ledger_of(self.grant).row
+        billed = self.grant.row.billed_tokens + self.used_tokens
+        return attrs.evolve(
+            old,
+            billed_tokens=old.billed_tokens + billed,
+            open_tokens=old.open_tokens
+            + self.extension_tokens
+            - self.returned_tokens
+            - billed,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _Plan:
+    changes: tuple[_Change, ...]
+    settlements: tuple[Settlement, ...]
+    waiters: tuple[GrantWaiter, ...]
+
+
+class GrantRounds:
+    """The only writer of a holder's rows; one transaction at a time.
+
+    A transaction without an answer is sent again, with its id, until its
+    outcome is known.
+    """
+
+    def __init__(
+        self,
+        *,
+        book: GrantBook,
+        table: RetryingTableService,
+        holder: SpendingHolder,
+        clock: BaseClock,
+        metrics: Metrics,
+        holder_count: Callable[[], int],
+    ) -> None:
+        """Creates a writer; ``adopt`` comes first."""
+        self._book = book
+        self._table = table
+        self._ledger = TableLedger(table=table)
+        self._holder = holder
+        self._clock = clock
+        self._metrics = metrics
+        self._holder_count = holder_count
+        self._row: ReadHolder | None = None
+
+    @property
+    def row(self) -> ReadHolder:
+        """The holder's row as last committed."""
+        if self._row is None:
+            raise RuntimeError('Register the holder before its first round.')
+        return self._row
+
+    def adopt(self, row: ReadHolder) -> None:
+        """Takes over the holder's row as it was inserted."""
+        self._row = row
+
+    async def run_once(self) -> None:
+        """Settles, extends and returns what waits; renews the validity.
+
+        Raises ``HolderClosedError``.
+        """
+        await self._read_ledgers()
+        while True:
+            plan = self._plan()
+            sent_ms = self._clock.monotonic_ms()
+            outcome = await self._commit(self._transaction(plan))
+            if isinstance(outcome, Committed):
+                self._apply(plan, outcome.revision)
+                self._holder.renew(sent_ms=sent_ms)
+                return
+            self._take_conflicts(outcome)
+
+    async def _read_ledgers(self) -> None:
+        for grant in self._book.urgent_grants():
+            if grant.ledger is None or self._would_refuse(grant):
+                grant.ledger = await self._read_ledger(grant)
+
+    def _would_refuse(self, grant: LocalGrant) -> bool:
+        return bool(grant.unanswered) and not self._extension_of(grant)
+
+    async def _read_ledger(self, grant: LocalGrant) -> ReadLedgerRow | None:
+        try:
+            found = await self._ledger.read(grant.budget)
+        except PlatformError:
+            return grant.ledger
+        return found or ReadLedgerRow(
+            name=grant.budget,
+            row=LedgerRow(topped_up_tokens=0),
+            revision=0,
+        )
+
+    def _plan(self) -> _Plan:
+        settlements, used = self._next_settlements()
+        waiters: list[GrantWaiter] = []
+        changes: dict[str, _Change] = {
+            budget: _Change(grant=self._book.grant(budget), used_tokens=tokens)
+            for budget, tokens in used.items()
+        }
+        for grant in self._book.urgent_grants():
+            if len(changes) >= _BUDGETS_PER_ROUND:
+                break
+            if grant.ledger is not None:
+                self._plan_grant(grant, changes)
+                waiters.extend(grant.unanswered)
+        return _Plan(
+            changes=tuple(changes.values()),
+            settlements=tuple(settlements),
+            waiters=tuple(waiters),
+        )
+
+    def _next_settlements(self) -> tuple[list[Settlement], Counter[str]]:
+        settlements: list[Settlement] = []
+        used: Counter[str] = Counter()
+        for settlement in self._book.queue:
+            if len(used) >= _BUDGETS_PER_ROUND:
+                break
+            settlements.append(settlement)
+            for budget in settlement.budgets:
+                used[budget] += settlement.used_tokens
+        return settlements, used
+
+    def _plan_grant(
+        self,
+        grant: LocalGrant,
+        changes: dict[str, _Change],
+    ) -> None:
+        extension = self._extension_of(grant)
+        if not (extension or grant.folding):
+            return
+        change = changes.setdefault(grant.budget, _Change(grant=grant))
+        change.extension_tokens = extension
+        change.returned_tokens = grant.returning_tokens
+        change.moves_ledger = True
+
+    def _extension_of(self, grant: LocalGrant) -> int:
+        if grant.ledger is None:
+            return 0
+        available = grant.available_tokens
+        waiting = [waiter.tokens for waiter in grant.waiting]
+        short = sum(waiting) - available
+        if short <= 0:
+            return 0
+        target = target_tokens(
+            demand=grant.demand,
+            request_tokens=max(waiting),
+        )
+        return extension_tokens(
+            short_tokens=short,
+            smallest_tokens=min(waiting) - available,
+            target_tokens=target - available,
+            free_tokens=grant.ledger.row.free_tokens,
+            holder_count=self._holder_count(),
+        )
+
+    def _transaction(self, plan: _Plan) -> Transaction:
+        holder = self.row
+        checks = [holder.check()]
+        writes = [holder.write(_renewed(holder.row, plan.settlements))]
+        for change in plan.changes:
+            read = _read_grant(self._holder.key, change.grant)
+            checks.append(read.check())
+            writes.append(read.write(change.row))
+            if change.moves_ledger:
+                ledger = _ledger_of(change.grant)
+                checks.append(ledger.check())
+                writes.append(ledger.write(change.ledger_row))
+        return make_transaction(checks=checks, writes=writes)
+
+    async def _commit(self, transaction: Transaction) -> Committed | Conflicted:
+        self._metrics.increment('grant_rounds')
+        while True:
+            try:
+                return await self._table.commit(transaction)
+            except PlatformError:
+                await self._clock.sleep_ms(_RESEND_INTERVAL_MS)
+
+    def _apply(self, plan: _Plan, revision: int) -> None:
+        holder = self.row
+        self._row = attrs.evolve(
+            holder,
+            row=_renewed(holder.row, plan.settlements),
+            revision=revision,
+        )
+        for _ in plan.settlements:
+            self._book.queue.popleft()
+        self._holder.settled_through = self._row.row.settled_through
+        for change in plan.changes:
+            _apply_change(change, revision)
+        for waiter in plan.waiters:
+            waiter.answered = True
+        self._book.notify()
+
+    def _take_conflicts(self, outcome: Conflicted) -> None:
+        self._metrics.increment('grant_round_conflicts')
+        for row in outcome.rows:
+            if row.table != LEDGER_TABLE:
+                raise HolderClosedError
+            self._take_ledger(row)
+
+    def _take_ledger(self, row: Row) -> None:
+        self._book.grant(row.key).ledger = decode_ledger_row(row)
+
+
+def _renewed(row: HolderRow, settlements: Iterable[Settlement]) -> HolderRow:
+    through = row.settled_through
+    for settlement in settlements:
+        through = settlement.sequence
+    return attrs.evolve(
+        row,
+        settled_through=through,
+        write_count=row.write_count + 1,
+    )
+
+
+def _read_grant(holder: str, grant: LocalGrant) -> ReadGrant:
+    return ReadGrant(
+        holder=holder,
+        budget=grant.budget,
+        row=grant.row,
+        revision=grant.revision,
+    )
+
+
+def _ledger_of(grant: LocalGrant) -> ReadLedgerRow:
+    if grant.ledger is None:
+        raise RuntimeError('Read the ledger row before planning a round.')
+    return grant.ledger
+
+
+def _apply_change(change: _Change, revision: int) -> None:
+    grant = change.grant
+    if change.moves_ledger:
+        grant.folding = grant.returning_tokens > change.returned_tokens
+        grant.ledger = attrs.evolve(
+            _ledger_of(grant),
+            row=change.ledger_row,
+            revision=revision,
+        )
+    grant.row = change.row
+    empty = not (grant.row.open_tokens or grant.row.billed_tokens)
+    grant.revision = 0 if empty else revision
+    grant.queued_tokens -= change.used_tokens
+    grant.returning_tokens -= change.returned_tokens
--- /dev/null
+++ b/teaseldale/budgets/_grant_rows.py
@@ -0,0 +1,126 @@
+"""Rows of grants and of their holders in the table service."""
+
+import enum
+
+import attrs
+import msgspec
+
+from teaseldale.platform import Row, RowCheck, RowWrite
+from teaseldale.requests import Settlement
+
+HOLDERS_TABLE = 'holders'
+GRANTS_TABLE = 'grants'
+
+
+@enum.unique
+class HolderState(enum.StrEnum):
+    """Whether a holder may still write."""
+
+    OPEN = 'open'
+    CLOSING = 'closing'  # its grants are being recovered
+    BILLING = 'billing'  # what it spent is known
+    CLOSED = 'closed'  # nothing of it is open; kept until it has lapsed
+
+
+@attrs.frozen(kw_only=True)
+class HolderRow:
+    """A VM incarnation that holds grants."""
+
+    vm: str  # key of the VM
+    state: HolderState = HolderState.OPEN
+    settled_through: int = 0  # settlements up to this one are billed
+    write_count: int = 0  # grows with each renewal
+    recovered: tuple[Settlement, ...] = ()  # billed at the recovery
+
+
+@attrs.frozen(kw_only=True)
+class GrantRow:
+    """Tokens of one budget that one holder has been given.
+
+    ``open_tokens + billed_tokens`` is part of the ledger's open tokens.
+    """
+
+    open_tokens: int = 0  # not yet spent
+    billed_tokens: int = 0  # spent, and not yet moved to the ledger
+
+
+@attrs.frozen(kw_only=True)
+class ReadHolder:
+    """A holder's row and its revision."""
+
+    key: str
+    row: HolderRow
+    revision: int
+
+    def check(self) -> RowCheck:
+        """Condition that the row is as it was read."""
+        return RowCheck(
+            table=HOLDERS_TABLE,
+            key=self.key,
+            revision=self.revision,
+        )
+
+    def write(self, row: HolderRow | None) -> RowWrite:
+        """Write that replaces or deletes the row."""
+        return RowWrite(
+            table=HOLDERS_TABLE,
+            key=self.key,
+            value=None if row is None else msgspec.msgpack.encode(row),
+        )
+
+
+@attrs.frozen(kw_only=True)
+class ReadGrant:
+    """A grant's row and its revision."""
+
+    holder: str
+    budget: str
+    row: GrantRow
+    revision: int
+
+    @property
+    def key(self) -> str:
+        """Key in the table."""
+        return grant_key(self.holder, self.budget)
+
+    def check(self) -> RowCheck:
+        """Condition that the row is as it was read."""
+        return RowCheck(
+            table=GRANTS_TABLE,
+            key=self.key,
+            revision=self.revision,
+        )
+
+    def write(self, row: GrantRow) -> RowWrite:
+        """Write that replaces the row; an empty grant is deleted."""
+        empty = not (row.open_tokens or row.billed_tokens)
+        return RowWrite(
+            table=GRANTS_TABLE,
+            key=self.key,
+            value=None if empty else msgspec.msgpack.encode(row),
+        )
+
+
+def grant_key(holder: str, budget: str) -> str:
+    """Returns the key of a grant's row."""
+    return f'{holder}/{budget}'
+
+
+def decode_holder(row: Row) -> ReadHolder:
+    """Decodes a row of the holders' table that is not deleted."""
+    return ReadHolder(
+        key=row.key,
+        row=msgspec.msgpack.decode(row.value or b'', type=HolderRow),
+        revision=row.revision,
+    )
+
+
+def decode_grant(row: Row) -> ReadGrant:
+    """Decodes a row of the grants' table that is not deleted."""
+    holder, _, budget = row.key.partition('/')
+    return ReadGrant(
+        holder=holder,
+        budget=budget,
+        row=msgspec.msgpack.decode(row.value or b'', type=GrantRow),
+        revision=row.revision,
+    )
--- /dev/null
+++ b/teaseldale/budgets/_holder_registration.py
@@ -0,0 +1,70 @@
+"""Registration of a VM as a holder of grants."""
+
+from teaseldale.budgets._grant_rounds import GrantRounds
+from teaseldale.budgets._grant_rows import (
+    GRANTS_TABLE,
+    HOLDERS_TABLE,
+    HolderRow,
+    HolderState,
+    ReadHolder,
+    decode_holder,
+    grant_key,
+)
+from teaseldale.platform import Committed, make_transaction
+from teaseldale.requests import HolderParts
+
+
+class HolderRegistration:
+    """Inserts and removes the row of this VM's holder."""
+
+    def __init__(self, *, parts: HolderParts) -> None:
+        """Nothing is written before ``register``."""
+        self._parts = parts
+
+    async def register(self, rounds: GrantRounds) -> None:
+        """Inserts the row and learns which holders are fenced.
+
+        Raises ``PlatformError``; a later call goes on from there.
+        """
+        holder = self._parts.holder
+        sent_ms = self._parts.clock.monotonic_ms()
+        inserted = await self._insert(
+            ReadHolder(
+                key=holder.key,
+                row=HolderRow(vm=holder.vm.key),
+                revision=0,
+            ),
+        )
+        for row in await self._parts.table.scan(table=HOLDERS_TABLE):
+            read = decode_holder(row)
+            if read.row.state is not HolderState.OPEN:
+                self._parts.store.fence(read.key)
+        rounds.adopt(inserted)
+        holder.registered = True
+        holder.renew(sent_ms=sent_ms)
+
+    async def withdraw(self, rounds: GrantRounds) -> None:
+        """Removes the row unless grants are still open."""
+        table = self._parts.table
+        prefix = grant_key(self._parts.holder.key, '')
+        if await table.scan(table=GRANTS_TABLE, prefix=prefix):
+            return
+        row = rounds.row
+        await table.commit(
+            make_transaction(checks=(row.check(),), writes=(row.write(None),)),
+        )
+
+    async def _insert(self, absent: ReadHolder) -> ReadHolder:
+        outcome = await self._parts.table.commit(
+            make_transaction(
+                checks=(absent.check(),),
+                writes=(absent.write(absent.row),),
+            ),
+        )
+        if isinstance(outcome, Committed):
+            return ReadHolder(
+                key=absent.key,
+                row=absent.row,
+                revision=outcome.revision,
+            )
+        return decode_holder(outcome.rows[0])
--- a/teaseldale/budgets/_ledger.py
+++ b/teaseldale/budgets/_ledger.py
@@ -3,11 +3,18 @@
 import attrs
 import msgspec
 
+from teaseldale.budgets._grant_rows import (
+    GRANTS_TABLE,
+    HOLDERS_TABLE,
+    decode_grant,
+    grant_key,
+)
 from teaseldale.budgets._spending import BudgetState
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.platform import (
     BaseTableService,
     Committed,
+    Row,
     RowCheck,
     RowWrite,
     make_transaction,
@@ -67,24 +74,30 @@
         found = await self._table.read(table=LEDGER_TABLE, key=name)
         if found is None or found.value is None:
             return None
-        return ReadLedgerRow(
-            name=name,
-            row=msgspec.msgpack.decode(found.value, type=LedgerRow),
-            revision=found.revision,
-        )
+        return decode_ledger_row(found)
 
     async def state(self, name: str) -> BudgetState | None:
         """Reads a budget's totals."""
         found = await self.read(name)
         if found is None:
             return None
+        billed = await self._billed_in_grants(name)
         return BudgetState(
             name=name,
             topped_up_tokens=found.row.topped_up_tokens,
-            billed_tokens=found.row.billed_tokens,
-            open_tokens=found.row.open_tokens,
+            billed_tokens=found.row.billed_tokens + billed,
+            open_tokens=found.row.open_tokens - billed,
         )
 
+    async def _billed_in_grants(self, name: str) -> int:
+        billed = 0
+        for holder in await self._table.scan(table=HOLDERS_TABLE):
+            key = grant_key(holder.key, name)
+            row = await self._table.read(table=GRANTS_TABLE, key=key)
+            if row is not None:
+                billed += decode_grant(row).row.billed_tokens
+        return billed
+
     async def create(self, name: str, initial_tokens: int) -> bool:
         """Inserts a budget's row; False when it was there already."""
         absent = ReadLedgerRow(
@@ -127,6 +140,14 @@
                 )
 
 
+def decode_ledger_row(row: Row) -> ReadLedgerRow:
+    """Decodes a row; a deleted one is a budget without tokens."""
+    decoded = LedgerRow(topped_up_tokens=0)
+    if row.value is not None:
+        decoded = msgspec.msgpack.decode(row.value, type=LedgerRow)
+    return ReadLedgerRow(name=row.key, row=decoded, revision=row.revision)
+
+
 def _unknown_budget(name: str) -> Refusal:
     return Refusal(
         code=RefusalCode.BAD_REQUEST,
--- /dev/null
+++ b/teaseldale/budgets/_recall.py
@@ -0,0 +1,122 @@
+"""Recall of idle grants from other VMs before a request is refused."""
+
+import anyio
+import attrs
+
+from teaseldale.budgets._grant_book import GrantBook, LocalGrant
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+
+_TIMEOUT_MS = 800
+_ROUND_WAIT_MS = 500
+
+
+@attrs.frozen(kw_only=True)
+class RecallGrant:
+    """Asks a VM to hand idle tokens of a budget back."""
+
+    budget: str
+    tokens: int  # what the sender lacks
+
+
+@attrs.frozen(kw_only=True)
+class RecallReply:
+    """What was handed back and what running requests may free."""
+
+    released_tokens: int
+    reserved_tokens: int
+
+
+class GrantRecall:
+    """Asks peers for idle tokens; one recall of a budget at a time."""
+
+    def __init__(
+        self,
+        *,
+        book: GrantBook,
+        peers: BasePeerNetwork,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Handles recalls of others from now on."""
+        self._book = book
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._locks: dict[str, anyio.Lock] = {}
+        peers.handle(
+            RecallGrant,
+            kind='recall_grant',
+            reply_type=RecallReply,
+            handler=self._release,
+        )
+
+    async def recall(self, budget: str, tokens: int) -> RecallReply:
+        """Returns what all reachable peers together say."""
+        lock = self._locks.setdefault(budget, anyio.Lock())
+        if lock.locked():
+            async with lock:
+                return RecallReply(released_tokens=1, reserved_tokens=1)
+        async with lock:
+            self._metrics.increment('grant_recalls')
+            replies: list[RecallReply] = []
+            asked = RecallGrant(budget=budget, tokens=tokens)
+            async with anyio.create_task_group() as tasks:
+                for peer in self._peers.reachable_peers():
+                    tasks.start_soon(self._ask, peer, asked, replies)
+        self._locks.pop(budget, None)
+        return RecallReply(
+            released_tokens=sum(reply.released_tokens for reply in replies),
+            reserved_tokens=sum(reply.reserved_tokens for reply in replies),
+        )
+
+    async def _ask(
+        self,
+        peer: VmIdentity,
+        asked: RecallGrant,
+        replies: list[RecallReply],
+    ) -> None:
+        try:
+            reply: RecallReply = await self._peers.request(
+                peer,
+                asked,
+                timeout_ms=_TIMEOUT_MS,
+            )
+        except PeerUnreachableError as error:
+            self._metrics.increment('recall_failures', error.step)
+            return
+        replies.append(reply)
+
+    async def _release(
+        self,
+        _sender: VmIdentity,
+        asked: RecallGrant,
+    ) -> RecallReply:
+        grant = self._book.grants.get(asked.budget)
+        if grant is None:
+            return RecallReply(released_tokens=0, reserved_tokens=0)
+        released = _idle_tokens(grant, asked.tokens)
+        if released:
+            self._book.hand_back(grant, released)
+            await self._wait_for_round(grant)
+        return RecallReply(
+            released_tokens=released,
+            reserved_tokens=grant.reserved_tokens + grant.available_tokens,
+        )
+
+    async def _wait_for_round(self, grant: LocalGrant) -> None:
+        until_ms = self._clock.monotonic_ms() + _ROUND_WAIT_MS
+        while grant.returning_tokens:
+            left_ms = until_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                return
+            await self._book.wait_for_change(left_ms)
+
+
+def _idle_tokens(grant: LocalGrant, wanted_tokens: int) -> int:
+    if grant.waiting:
+        return 0
+    available = max(0, grant.available_tokens)
+    return min(available, max(wanted_tokens, available // 2))
--- /dev/null
+++ b/teaseldale/budgets/_recovery.py
@@ -0,0 +1,278 @@
+"""Recovery of the grants of VMs that are gone."""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from teaseldale.budgets._grant_rows import (
+    HOLDERS_TABLE,
+    HolderState,
+    ReadHolder,
+    decode_holder,
+)
+from teaseldale.budgets._holder_close import HolderClose
+from teaseldale.outcomes import PeerUnreachableError, PlatformError
+from teaseldale.peers import VmIdentity
+from teaseldale.platform import Committed, make_transaction
+from teaseldale.requests import (
+    HOLDER_DRIFT_MS,
+    FenceHolder,
+    FenceReply,
+    HolderParts,
+    HolderSpending,
+    RequestRecord,
+    Settlement,
+)
+
+_INTERVAL_MS = 2000
+_SCAN_INTERVAL_MS = 30_000
+_TIMEOUT_MS = 800
+_CLOSING = frozenset((HolderState.CLOSING, HolderState.BILLING))
+
+
+@attrs.frozen(kw_only=True)
+class _Observation:
+    revision: int
+    since_ms: int  # first seen, on this VM's monotonic clock
+
+
+class HolderRecovery:
+    """Returns what a lost VM did not spend, and bills what it did.
+
+    A holder is closed once every other holder's VM has refused to be witness
+    for it. One that has not renewed within its validity, on this VM's clock,
+    and that is off the membership list, needs no answer.
+    """
+
+    def __init__(self, *, parts: HolderParts) -> None:
+        """Works for the fleet of ``parts.peers``."""
+        self._parts = parts
+        self._close = HolderClose(parts=parts)
+        self._observed: dict[str, _Observation] = {}
+        self._rows: tuple[ReadHolder, ...] = ()
+        self._scanned_ms = 0
+
+    async def run(self) -> None:
+        """Looks for lost holders until cancelled."""
+        while True:
+            await self._parts.clock.sleep_ms(_INTERVAL_MS)
+            if not self._is_due():
+                continue
+            try:
+                await self._look()
+            except PlatformError as error:
+                self._parts.metrics.increment('recovery_retries', error.step)
+
+    def _is_due(self) -> bool:
+        now_ms = self._parts.clock.monotonic_ms()
+        if now_ms - self._scanned_ms >= _SCAN_INTERVAL_MS:
+            return True
+        return any(self._is_lost(row) for row in self._rows)
+
+    def _is_lost(self, row: ReadHolder) -> bool:
+        if row.row.state in _CLOSING:
+            return True
+        live = row.row.state is HolderState.OPEN
+        return live and self._find(row.row.vm) is None
+
+    async def _look(self) -> None:
+        self._rows = await self._scan()
+        self._scanned_ms = self._parts.clock.monotonic_ms()
+        for row in self._rows:
+            if row.row.state is HolderState.CLOSED:
+                await self._forget(row)
+            elif self._is_lost(row) and self._leads(row):
+                await self._recover(row)
+
+    async def _scan(self) -> tuple[ReadHolder, ...]:
+        found = await self._parts.table.scan(table=HOLDERS_TABLE)
+        rows = tuple(decode_holder(row) for row in found)
+        now_ms = self._parts.clock.monotonic_ms()
+        earlier = self._observed
+        self._observed = {}
+        for row in rows:
+            seen = earlier.get(row.key)
+            if seen is None or seen.revision != row.revision:
+                seen = _Observation(revision=row.revision, since_ms=now_ms)
+            self._observed[row.key] = seen
+        return rows
+
+    async def _forget(self, row: ReadHolder) -> None:
+        self._parts.store.fence(row.key)
+        self._parts.store.drop_holder(row.key)
+        if self._has_lapsed(row) and self._leads(row):
+            await self._parts.table.commit(
+                make_transaction(
+                    checks=(row.check(),),
+                    writes=(row.write(None),),
+                ),
+            )
+
+    async def _recover(self, row: ReadHolder) -> None:
+        closing = await self._to_closing(row)
+        if closing is None:
+            return
+        billing = await self._to_billing(closing)
+        if billing is not None and await self._close.close(billing):
+            self._parts.metrics.increment('holders_recovered')
+
+    async def _to_closing(self, row: ReadHolder) -> ReadHolder | None:
+        if row.row.state is not HolderState.OPEN:
+            return row
+        if not await self._all_agree(row):
+            return None
+        closing = await self._change(row, state=HolderState.CLOSING)
+        if closing is not None:
+            self._parts.metrics.increment('holders_fenced')
+            self._rows = await self._scan()
+        return closing
+
+    async def _to_billing(self, row: ReadHolder) -> ReadHolder | None:
+        if row.row.state is HolderState.BILLING:
+            return row
+        spending = await self._fence(row)
+        if spending is None:
+            return None
+        return await self._change(
+            row,
+            state=HolderState.BILLING,
+            recovered=_bills(row, spending),
+        )
+
+    async def _all_agree(self, row: ReadHolder) -> bool:
+        if self._has_lapsed(row) and not self._is_listed(row.row.vm):
+            return True
+        vms = self._other_vms(row)
+        if vms is None:
+            return False
+        for vm in vms:
+            reply = await self._ask(vm, row, commit=False)
+            if reply is None or reply.reachable:
+                return False
+        return True
+
+    async def _fence(self, row: ReadHolder) -> list[HolderSpending] | None:
+        vms = self._other_vms(row)
+        if vms is None:
+            return None
+        spending = [self._parts.store.fence(row.key)]
+        owner = self._find(row.row.vm)
+        if owner is not None and owner != self._parts.peers.identity:
+            vms.append(owner)
+        for vm in vms:
+            reply = await self._ask(vm, row, commit=True)
+            if reply is None:
+                return None
+            spending.append(reply.spending)
+        return spending
+
+    async def _ask(
+        self,
+        vm: VmIdentity,
+        row: ReadHolder,
+        *,
+        commit: bool,
+    ) -> FenceReply | None:
+        asked = FenceHolder(holder=row.key, vm=row.row.vm, commit=commit)
+        try:
+            reply: FenceReply = await self._parts.peers.request(
+                vm,
+                asked,
+                timeout_ms=_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            return None
+        return reply
+
+    async def _change(
+        self,
+        row: ReadHolder,
+        *,
+        state: HolderState,
+        recovered: tuple[Settlement, ...] = (),
+    ) -> ReadHolder | None:
+        changed = attrs.evolve(row.row, state=state, recovered=recovered)
+        outcome = await self._parts.table.commit(
+            make_transaction(
+                checks=(row.check(),),
+                writes=(row.write(changed),),
+            ),
+        )
+        if not isinstance(outcome, Committed):
+            return None
+        return attrs.evolve(row, row=changed, revision=outcome.revision)
+
+    def _other_vms(self, lost: ReadHolder) -> list[VmIdentity] | None:
+        """Returns the other holders' VMs; None if one may be cut off."""
+        found: list[VmIdentity] = []
+        for row in self._rows:
+            peer = self._find(row.row.vm)
+            if peer is not None:
+                found.append(peer)
+            elif self._may_be_cut_off(row, lost):
+                return None
+        own = self._parts.peers.identity
+        return [
+            peer
+            for peer in dict.fromkeys(found)
+            if peer != own and peer.key != lost.row.vm
+        ]
+
+    def _may_be_cut_off(self, row: ReadHolder, lost: ReadHolder) -> bool:
+        if row.row.vm == lost.row.vm or row.row.state is HolderState.CLOSED:
+            return False
+        return self._is_listed(row.row.vm) or not self._has_lapsed(row)
+
+    def _has_lapsed(self, row: ReadHolder) -> bool:
+        seen = self._observed.get(row.key)
+        if seen is None or seen.revision != row.revision:
+            return False
+        age_ms = self._parts.clock.monotonic_ms() - seen.since_ms
+        return age_ms > self._parts.holder.validity_ms + HOLDER_DRIFT_MS
+
+    def _is_listed(self, vm: str) -> bool:
+        return any(peer.key == vm for peer in self._parts.peers.known_peers())
+
+    def _find(self, vm: str) -> VmIdentity | None:
+        own = self._parts.peers.identity
+        for peer in (own, *self._parts.peers.reachable_peers()):
+            if peer.key == vm:
+                return peer
+        return None
+
+    def _leads(self, row: ReadHolder) -> bool:
+        own = self._parts.peers.identity
+        reachable = (own, *self._parts.peers.reachable_peers())
+        return own == min(reachable, key=lambda vm: _rank(vm, row.key))
+
+
+def _rank(vm: VmIdentity, holder: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{vm.name}/{holder}'.encode())
+
+
+def _bills(
+    row: ReadHolder,
+    spending: Iterable[HolderSpending],
+) -> tuple[Settlement, ...]:
+    settlements: dict[int, Settlement] = {}
+    in_doubt: dict[str, RequestRecord] = {}
+    for part in spending:
+        settlements.update((one.sequence, one) for one in part.settlements)
+        in_doubt.update((one.request.text, one) for one in part.in_doubt)
+    open_bills = [
+        settlement
+        for sequence, settlement in sorted(settlements.items())
+        if sequence > row.row.settled_through
+    ]
+    open_bills.extend(_bill_in_doubt(record) for record in in_doubt.values())
+    return tuple(open_bills)
+
+
+def _bill_in_doubt(record: RequestRecord) -> Settlement:
+    return Settlement(
+        holder=record.holder,
+        sequence=0,
+        budgets=record.budgets,
+        used_tokens=record.reserved_tokens,
+    )
--- a/teaseldale/budgets/_spending.py
+++ b/teaseldale/budgets/_spending.py
@@ -5,7 +5,7 @@
 import attrs
 
 from teaseldale.outcomes import Refusal
-from teaseldale.requests import RequestIdentity
+from teaseldale.requests import RequestIdentity, Settlement
 
 
 @attrs.frozen(kw_only=True)
@@ -15,6 +15,7 @@
     request: RequestIdentity
     budgets: tuple[str, ...]
     tokens: int  # upper bound of the request's use
+    holder: str = ''  # key of the holder that pays, empty without grants
 
 
 @attrs.frozen(kw_only=True)
@@ -51,5 +52,9 @@
         reservation: Reservation,
         *,
         used_tokens: int,
-    ) -> None:
-        """Bills ``used_tokens``, at most those reserved; frees the rest."""
+    ) -> Settlement | Refusal:
+        """Bills ``used_tokens``, at most those reserved; frees the rest.
+
+        A refusal says that nothing was billed, since the grant was lost; the
+        answer may not end then.
+        """
--- a/teaseldale/budgets/_transactional_spending.py
+++ b/teaseldale/budgets/_transactional_spending.py
@@ -10,7 +10,7 @@
     Committed,
     make_transaction,
 )
-from teaseldale.requests import RequestIdentity
+from teaseldale.requests import RequestIdentity, Settlement
 
 _ATTEMPTS = 20
 _RETRY_AFTER_MS = 1000
@@ -52,7 +52,7 @@
         reservation: Reservation,
         *,
         used_tokens: int,
-    ) -> None:
+    ) -> Settlement:
         """Bills the use; repeats until the transaction is applied."""
         settled = False
         while not settled:
@@ -62,6 +62,12 @@
                 open_change=-reservation.tokens,
                 billed_change=min(used_tokens, reservation.tokens),
             )
+        return Settlement(
+            holder='',
+            sequence=0,
+            budgets=reservation.budgets,
+            used_tokens=min(used_tokens, reservation.tokens),
+        )
 
     async def _try_reserve(
         self,
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,21 +1,22 @@
 """Assembly of one VM's services."""
 
 import pathlib
+import random
 import uuid
 
 import anyio
 
-from teaseldale.budgets import TableLedger, TransactionalSpending
+from teaseldale.budgets import GrantedSpending, TableLedger
 from teaseldale.clock import BaseClock, SystemClock
 from teaseldale.entry import CallersInterface, RequestParts
-from teaseldale.kernel import Kernel
+from teaseldale.kernel import BaseService, Kernel
 from teaseldale.metrics import Metrics
 from teaseldale.moves import InForceVersion
 from teaseldale.notes import TableConfiguration
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
-from teaseldale.requests import TableRequestRegistry
+from teaseldale.requests import HolderParts, WitnessedRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
 from teaseldale.settings import Settings
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
@@ -31,6 +32,15 @@
     )
     peers = _peer_network(settings, clock)
     configuration = TableConfiguration(table=table, clock=clock)
+    holder_parts = HolderParts.build(
+        table=table,
+        peers=peers,
+        clock=clock,
+        metrics=metrics,
+        random_source=random.Random(),
+    )
+    spending = GrantedSpending(parts=holder_parts)
+    registry = WitnessedRegistry(parts=holder_parts)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
@@ -46,8 +56,8 @@
         address=settings.vm.callers_address,
         parts=RequestParts(
             configuration=configuration,
-            registry=TableRequestRegistry(table=table),
-            spending=TransactionalSpending(table=table),
+            registry=registry,
+            spending=spending,
             versions=InForceVersion(),
             router=LocalRouter(
                 configuration=configuration,
@@ -60,8 +70,19 @@
         ),
         limits=settings.limits,
     )
+    return _kernel_of(
+        operators,
+        peers,
+        configuration,
+        spending,
+        registry,
+        callers,
+    )
+
+
+def _kernel_of(*services: BaseService) -> Kernel:
     kernel = Kernel()
-    for service in (operators, peers, configuration, callers):
+    for service in services:
         kernel.register(service)
     return kernel
 
--- a/teaseldale/entry/_lifecycle.py
+++ b/teaseldale/entry/_lifecycle.py
@@ -8,8 +8,10 @@
 from teaseldale.budgets import Reservation
 from teaseldale.entry._parts import RequestParts
 from teaseldale.notes import ClientAccount, Route
-from teaseldale.outcomes import PlatformError, Refusal
-from teaseldale.requests import OpenedRequest
+from teaseldale.outcomes import PlatformError, Refusal, RefusalCode
+from teaseldale.requests import OpenedRequest, ReservedFunds, Settlement
+
+_RETRY_AFTER_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -45,47 +47,86 @@
             tokens=tokens,
         )
         if isinstance(reserved, Refusal):
-            await self._give_up(opened, reserved)
+            await self._give_up(opened, reserved, None)
             return
+        funds = ReservedFunds(
+            holder=reserved.holder,
+            budgets=budgets,
+            tokens=tokens,
+        )
+        self._parts.registry.record_funds(opened, funds)
         outcome = await work(reserved)
-        await self._settle(reserved, outcome)
-        if isinstance(outcome.answer, Refusal):
-            await self._give_up(opened, outcome.answer)
+        settlement = await self._settle(reserved, outcome)
+        if isinstance(settlement, Refusal):
+            await self._give_up(opened, settlement, None)
+        elif isinstance(outcome.answer, Refusal):
+            billed = settlement if outcome.used_tokens else None
+            await self._give_up(opened, outcome.answer, billed)
         else:
-            await self._finish(opened, outcome.answer)
+            await self._finish(opened, outcome.answer, settlement)
 
     async def _settle(
         self,
         reserved: Reservation,
         outcome: WorkOutcome,
-    ) -> None:
+    ) -> Settlement | Refusal:
         try:
-            await self._parts.spending.settle(
+            return await self._parts.spending.settle(
                 reserved,
                 used_tokens=outcome.used_tokens,
             )
         except PlatformError as error:
             self._parts.metrics.increment('settlements_failed', error.step)
+            return _not_settled(error)
 
     async def _finish(
         self,
         opened: OpenedRequest,
         stored: StoredAnswer,
+        settlement: Settlement,
     ) -> None:
         try:
-            await self._parts.registry.finish(opened, stored)
+            refused = await self._parts.registry.finish(
+                opened,
+                stored,
+                settlement,
+            )
         except PlatformError as error:
             self._parts.metrics.increment('outcomes_not_stored', error.step)
-        opened.answer.finish(stored)
+            refused = None
+        if refused is None:
+            opened.answer.finish(stored)
+        else:
+            opened.answer.fail(refused)
 
-    async def _give_up(self, opened: OpenedRequest, refusal: Refusal) -> None:
+    async def _give_up(
+        self,
+        opened: OpenedRequest,
+        refusal: Refusal,
+        settlement: Settlement | None,
+    ) -> None:
+        opened.answer.fail(refusal)
         try:
-            await self._parts.registry.abandon(opened, not_run=refusal.not_run)
+            await self._parts.registry.abandon(
+                opened,
+                not_run=refusal.not_run,
+                settlement=settlement,
+            )
         except PlatformError as error:
             self._parts.metrics.increment('outcomes_not_stored', error.step)
-        opened.answer.fail(refusal)
 
 
 def charged_budgets(account: ClientAccount, route: Route) -> tuple[str, ...]:
     """Returns the budgets that pay for a request, each once."""
     return tuple(dict.fromkeys((*account.budgets, *route.budgets)))
+
+
+def _not_settled(error: PlatformError) -> Refusal:
+    return Refusal(
+        code=RefusalCode.BUDGET_UNAVAILABLE,
+        message='The bill could not be settled; ask again with the key.',
+        not_run=False,
+        step=error.step,
+        peer=error.peer,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
--- a/teaseldale/platform/__init__.py
+++ b/teaseldale/platform/__init__.py
@@ -8,6 +8,7 @@
     MemberState,
     VmMember,
 )
+from teaseldale.platform._retrying_table import RetryingTableService
 from teaseldale.platform._table import (
     BaseTableService,
     Committed,
@@ -28,6 +29,7 @@
     'HttpTableService',
     'InMemoryTable',
     'MemberState',
+    'RetryingTableService',
     'Row',
     'RowCheck',
     'RowWrite',
--- /dev/null
+++ b/teaseldale/platform/_retrying_table.py
@@ -0,0 +1,118 @@
+"""Table service client that sends calls again after a lost answer."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PlatformError
+from teaseldale.platform._table import (
+    BaseTableService,
+    Committed,
+    Conflicted,
+    Row,
+    Transaction,
+)
+
+_ATTEMPTS = 3
+_FIRST_DELAY_MS = 50
+_LONGEST_DELAY_MS = 2000
+_ResultT = TypeVar('_ResultT')
+
+
+class RetryingTableService(BaseTableService):
+    """Repeats each call a bounded number of times, with back-off.
+
+    A transaction keeps its id, so that one whose answer was lost takes effect
+    once. After the last attempt ``PlatformError`` is raised, and then each
+    call has one attempt until the service answers again.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: BaseTableService,
+        clock: BaseClock,
+        metrics: Metrics,
+        random_source: random.Random,
+        attempts: int = _ATTEMPTS,
+    ) -> None:
+        """Creates a client that makes at most ``attempts`` of each call."""
+        self._table = table
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random_source
+        self._attempts = attempts
+        self._failed_since_ms: int | None = None
+        self._outage = False
+
+    @property
+    def available(self) -> bool:
+        """False once all attempts of a call failed, until one is answered."""
+        return not self._outage
+
+    @property
+    def outage_ms(self) -> int:
+        """Time since the first of the attempts that failed in a row."""
+        if self._failed_since_ms is None:
+            return 0
+        return self._clock.monotonic_ms() - self._failed_since_ms
+
+    async def commit(self, transaction: Transaction) -> Committed | Conflicted:
+        """Sends the transaction until it is answered."""
+        return await self._repeat(lambda: self._table.commit(transaction))
+
+    async def read(self, *, table: str, key: str) -> Row | None:
+        """Reads one row."""
+        return await self._repeat(
+            lambda: self._table.read(table=table, key=key),
+        )
+
+    async def scan(
+        self,
+        *,
+        table: str,
+        prefix: str = '',
+        after_revision: int = 0,
+    ) -> tuple[Row, ...]:
+        """Reads rows changed after a revision."""
+        return await self._repeat(
+            lambda: self._table.scan(
+                table=table,
+                prefix=prefix,
+                after_revision=after_revision,
+            ),
+        )
+
+    async def _repeat(
+        self,
+        call: Callable[[], Awaitable[_ResultT]],
+    ) -> _ResultT:
+        attempts = 1 if self._outage else self._attempts
+        for attempt in range(1, attempts):
+            try:
+                return self._answered(await call())
+            except PlatformError as error:
+                self._note_failure(error)
+            await self._clock.sleep_ms(self._delay_ms(attempt))
+        try:
+            return self._answered(await call())
+        except PlatformError as last:
+            self._note_failure(last)
+            self._outage = True
+            raise
+
+    def _answered(self, answer: _ResultT) -> _ResultT:
+        self._failed_since_ms = None
+        self._outage = False
+        return answer
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if self._failed_since_ms is None:
+            self._failed_since_ms = self._clock.monotonic_ms()
+        self._metrics.increment('table_retries', error.reason)
+
+    def _delay_ms(self, attempt: int) -> float:
+        longest = min(_LONGEST_DELAY_MS, _FIRST_DELAY_MS * 2**attempt)
+        return self._random.uniform(longest / 2, longest)
--- a/teaseldale/requests/__init__.py
+++ b/teaseldale/requests/__init__.py
@@ -1,17 +1,51 @@
 """Request registry: one key, one run, one bill."""
 
+from teaseldale.requests._duplicates import DuplicateBill, DuplicateQueue
+from teaseldale.requests._holder import (
+    HOLDER_DRIFT_MS,
+    HOLDER_VALIDITY_MS,
+    Settlement,
+    SpendingHolder,
+)
 from teaseldale.requests._identity import RequestIdentity
+from teaseldale.requests._messages import FenceHolder, FenceReply
+from teaseldale.requests._parts import HolderParts
+from teaseldale.requests._records import (
+    HolderSpending,
+    RecordState,
+    RecordStore,
+    RequestRecord,
+)
 from teaseldale.requests._registry import (
     AttachedAnswer,
     BaseRequestRegistry,
     OpenedRequest,
+    RequestStatus,
+    ReservedFunds,
 )
 from teaseldale.requests._table_registry import TableRequestRegistry
+from teaseldale.requests._witnessed_registry import WitnessedRegistry
 
 __all__ = (
+    'HOLDER_DRIFT_MS',
+    'HOLDER_VALIDITY_MS',
     'AttachedAnswer',
     'BaseRequestRegistry',
+    'DuplicateBill',
+    'DuplicateQueue',
+    'FenceHolder',
+    'FenceReply',
+    'HolderParts',
+    'HolderSpending',
     'OpenedRequest',
+    'RecordState',
+    'RecordStore',
     'RequestIdentity',
+    'RequestRecord',
+    'RequestStatus',
+    'ReservedFunds',
+    'Settlement',
+    'SpendingHolder',
     'TableRequestRegistry',
+    'WitnessedRegistry',
 )
--- /dev/null
+++ b/teaseldale/requests/_answer_reader.py
@@ -0,0 +1,78 @@
+"""Answers to VMs that read the answer of a request run here."""
+
+from collections.abc import Callable
+
+from teaseldale.answers import AnswerLog, AnswerPart, StoredAnswer
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.requests._identity import RequestIdentity
+from teaseldale.requests._intent_guard import IntentGuard
+from teaseldale.requests._messages import ReadAnswer, ReadAnswerReply
+from teaseldale.requests._records import RecordStore
+
+
+class AnswerReader:
+    """Gives out running answers and stored ones."""
+
+    def __init__(
+        self,
+        *,
+        peers: BasePeerNetwork,
+        find_running: Callable[[RequestIdentity], AnswerLog | None],
+        store: RecordStore,
+        guard: IntentGuard,
+    ) -> None:
+        """Handles messages of readers from now on."""
+        self._find_running = find_running
+        self._store = store
+        self._guard = guard
+        peers.handle(
+            ReadAnswer,
+            kind='read_answer',
+            reply_type=ReadAnswerReply,
+            handler=self._read_answer,
+        )
+
+    async def _read_answer(
+        self,
+        _sender: VmIdentity,
+        asked: ReadAnswer,
+    ) -> ReadAnswerReply:
+        answer = self._find_running(asked.request)
+        if answer is None:
+            return self._read_stored(asked)
+        return ReadAnswerReply(
+            known=True,
+            failed=answer.refusal is not None,
+            cancelled_attempt='',
+            parts=tuple(
+                part for part in answer.parts if part.offset >= asked.offset
+            ),
+            stored=answer.stored,
+        )
+
+    def _read_stored(self, asked: ReadAnswer) -> ReadAnswerReply:
+        record = self._store.find(asked.request)
+        if record is None or record.stored is None:
+            return ReadAnswerReply(
+                known=False,
+                failed=True,
+                cancelled_attempt=self._guard.cancelled_attempt(asked.request),
+                parts=(),
+                stored=None,
+            )
+        return ReadAnswerReply(
+            known=True,
+            failed=False,
+            cancelled_attempt='',
+            parts=(_tail(asked, record.stored),),
+            stored=record.stored,
+        )
+
+
+def _tail(asked: ReadAnswer, stored: StoredAnswer) -> AnswerPart:
+    text = stored.body.decode(errors='replace')
+    return AnswerPart(
+        offset=asked.offset,
+        token_count=stored.output_tokens - asked.offset,
+        text=text[asked.character_count :],
+    )
--- /dev/null
+++ b/teaseldale/requests/_bill_safety.py
@@ -0,0 +1,79 @@
+"""Making a bill outlive the VM that runs the request."""
+
+from teaseldale.requests._holder import Settlement
+from teaseldale.requests._parts import HolderParts
+from teaseldale.requests._records import RequestRecord
+from teaseldale.requests._witness_service import WitnessService
+from teaseldale.requests._witnesses import HolderFencedError, WitnessLinks
+
+_TABLE_WAIT_MS = 1500
+_TABLE_POLL_MS = 50
+_WITNESSES = 1
+_WITNESSES_IN_OUTAGE = 2
+
+
+class BillSafety:
+    """Tells witnesses, or else waits until the table service has the bill."""
+
+    def __init__(
+        self,
+        *,
+        parts: HolderParts,
+        links: WitnessLinks,
+        witness: WitnessService,
+    ) -> None:
+        """Sends through ``links``; ``witness`` learns who was reached."""
+        self._parts = parts
+        self._links = links
+        self._witness = witness
+
+    async def tell(self, record: RequestRecord) -> bool:
+        """Returns whether a witness has the record.
+
+        Raises ``HolderFencedError``.
+        """
+        wanted = _WITNESSES
+        if not self._parts.table.available:
+            wanted = _WITNESSES_IN_OUTAGE
+        try:
+            reached, found = await self._links.send_to_any(
+                self._links.candidates(record.request),
+                record,
+                wanted=wanted,
+            )
+        except HolderFencedError:
+            self._parts.holder.fenced_by_peer = True
+            raise
+        if found is not None:
+            self._parts.duplicates.check(record, found)
+        self._witness.note_witnessed(record, reached)
+        return bool(reached)
+
+    async def make_safe(
+        self,
+        record: RequestRecord,
+        settlement: Settlement,
+    ) -> bool:
+        """Returns whether the bill is at a witness or in the table."""
+        try:
+            witnessed = await self.tell(record)
+        except HolderFencedError:
+            witnessed = False
+        if witnessed or not settlement.holder:
+            return True
+        clock = self._parts.clock
+        until_ms = clock.monotonic_ms() + _TABLE_WAIT_MS
+        while clock.monotonic_ms() < until_ms:
+            if self._parts.holder.includes(settlement):
+                return True
+            await clock.sleep_ms(_TABLE_POLL_MS)
+        return False
+
+    def is_safe(self, record: RequestRecord) -> bool:
+        """Whether a settled record of this VM may be replayed."""
+        settlement = record.settlement
+        if settlement is None or not settlement.holder:
+            return True
+        if self._witness.is_witnessed(record.request):
+            return True
+        return self._parts.holder.includes(settlement)
--- /dev/null
+++ b/teaseldale/requests/_group_commit.py
@@ -0,0 +1,72 @@
+"""Sending of items that wait at the same moment in one batch."""
+
+import abc
+from collections.abc import Sequence
+from typing import Generic, TypeVar
+
+import anyio
+
+_ItemT = TypeVar('_ItemT')
+_OutcomeT = TypeVar('_OutcomeT')
+_BATCH_LIMIT = 128
+
+
+class BaseBatchSender(abc.ABC, Generic[_ItemT, _OutcomeT]):
+    """Sends a batch of items."""
+
+    @abc.abstractmethod
+    async def send_batch(self, batch: Sequence[_ItemT]) -> list[_OutcomeT]:
+        """Returns one outcome for each item, or raises for all."""
+
+
+class _Waiting(Generic[_ItemT, _OutcomeT]):
+    def __init__(self, item: _ItemT) -> None:
+        self.item = item
+        self.outcomes: list[_OutcomeT] = []
+        self.error: Exception | None = None
+
+    @property
+    def done(self) -> bool:
+        return bool(self.outcomes) or self.error is not None
+
+
+class GroupCommit(Generic[_ItemT, _OutcomeT]):
+    """Sends one batch at a time; what arrives meanwhile forms the next."""
+
+    def __init__(
+        self,
+        *,
+        sender: BaseBatchSender[_ItemT, _OutcomeT],
+    ) -> None:
+        """Creates a group whose batches go through ``sender``."""
+        self._sender = sender
+        self._lock = anyio.Lock()
+        self._queue: list[_Waiting[_ItemT, _OutcomeT]] = []
+
+    async def submit(self, item: _ItemT) -> _OutcomeT:
+        """Returns the outcome of ``item``; raises what its batch raised."""
+        waiting: _Waiting[_ItemT, _OutcomeT] = _Waiting(item)
+        self._queue.append(waiting)
+        async with self._lock:
+            if not waiting.done:
+                await self._send_batch()
+        if waiting.error is not None:
+            raise waiting.error
+        return waiting.outcomes[0]
+
+    async def _send_batch(self) -> None:
+        batch = self._queue[:_BATCH_LIMIT]
+        self._queue = self._queue[_BATCH_LIMIT:]
+        try:
+            outcomes = await self._sender.send_batch(
+                [waiting.item for waiting in batch],
+            )
+        except Exception as error:
+            for failed in batch:
+                failed.error = error
+            return
+        except BaseException:
+            self._queue = batch + self._queue
+            raise
+        for waiting, outcome in zip(batch, outcomes, strict=True):
+            waiting.outcomes.append(outcome)
--- /dev/null
+++ b/teaseldale/requests/_intent_guard.py
@@ -0,0 +1,244 @@
+"""At most one run of requests that may not be repeated."""
+
+import attrs
+
+from teaseldale.answers import StoredAnswer
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PeerUnreachableError, PlatformError, Refusal
+from teaseldale.peers import VmIdentity
+from teaseldale.platform import RetryingTableService
+from teaseldale.requests._holder import Settlement
+from teaseldale.requests._identity import RequestIdentity
+from teaseldale.requests._intents import IntentRow, IntentTable, ReadIntent
+from teaseldale.requests._messages import ReadAnswerReply
+from teaseldale.requests._records import RecordState, RequestRecord
+from teaseldale.requests._refusals import (
+    in_doubt,
+    key_reused,
+    store_unavailable,
+)
+from teaseldale.requests._registry import OpenedRequest, RequestStatus
+from teaseldale.requests._witnesses import WitnessLinks
+
+_ATTEMPTS = 4
+_RETRY_INTERVAL_MS = 2000
+_PENDING_LIMIT = 10_000
+
+
+class IntentGuard:
+    """Writes an intent before the run and its outcome after."""
+
+    def __init__(
+        self,
+        *,
+        table: RetryingTableService,
+        clock: BaseClock,
+        metrics: Metrics,
+        vm_key: str,
+    ) -> None:
+        """Guards requests that the VM ``vm_key`` runs."""
+        self._table = table
+        self._intents = IntentTable(table=table)
+        self._clock = clock
+        self._metrics = metrics
+        self._vm_key = vm_key
+        self._held: dict[RequestIdentity, ReadIntent] = {}
+        self._cancelled: dict[RequestIdentity, str] = {}
+        self._pending: dict[RequestIdentity, IntentRow | None] = {}
+
+    @property
+    def table_outage(self) -> bool:
+        """Whether the table service does not answer now."""
+        return not self._table.available
+
+    def cancelled_attempt(self, request: RequestIdentity) -> str:
+        """Names the opening that this VM gave up before it ran, if any."""
+        return self._cancelled.get(request, '')
+
+    async def run(self) -> None:
+        """Repeats writes that the table service did not take."""
+        while True:
+            await self._clock.sleep_ms(_RETRY_INTERVAL_MS)
+            for request, row in tuple(self._pending.items()):
+                await self._write_pending(request, row)
+            self._metrics.set_gauge('intents_pending', len(self._pending))
+
+    async def intend(
+        self,
+        opened: OpenedRequest,
+        links: WitnessLinks,
+    ) -> RequestRecord | Refusal | None:
+        """Returns None if the request is this VM's to run."""
+        found = ReadIntent(request=opened.request, row=None, revision=0)
+        wanted = self._row(opened)
+        for _ in range(_ATTEMPTS):
+            try:
+                change = await self._intents.replace(found, wanted)
+            except PlatformError as error:
+                self._cancel(opened.request, opened.attempt)
+                return store_unavailable(error.peer)
+            found = change.current
+            if change.written:
+                self._cancelled.pop(opened.request, None)
+                self._pending.pop(opened.request, None)
+                self._held[opened.request] = found
+                return None
+            if found.row is not None:
+                outcome = await self._use_row(opened, found.row, links)
+                if outcome is not None:
+                    return outcome
+        return store_unavailable('local')
+
+    async def store_outcome(
+        self,
+        opened: OpenedRequest,
+        stored: StoredAnswer,
+    ) -> None:
+        """Keeps the outcome for retries at any VM."""
+        row = attrs.evolve(self._row(opened), stored=stored)
+        await self._write_or_wait(opened.request, row)
+
+    async def abandon(self, opened: OpenedRequest, *, not_run: bool) -> None:
+        """Removes the intent, or marks the outcome as unknown."""
+        if not_run:
+            self._cancel(opened.request, opened.attempt)
+            await self._write_or_wait(opened.request, None)
+        else:
+            row = attrs.evolve(self._row(opened), in_doubt=True)
+            await self._write_or_wait(opened.request, row)
+
+    async def status(
+        self,
+        request: RequestIdentity,
+        links: WitnessLinks,
+    ) -> RequestStatus:
+        """Reads the intent; raises ``PlatformError``."""
+        row = (await self._intents.read(request)).row
+        if row is None:
+            return RequestStatus.UNKNOWN
+        if row.stored is not None:
+            return RequestStatus.FINISHED
+        if not row.in_doubt and links.is_reachable(row.runner):
+            return RequestStatus.RUNNING
+        return RequestStatus.IN_DOUBT
+
+    async def _use_row(
+        self,
+        opened: OpenedRequest,
+        row: IntentRow,
+        links: WitnessLinks,
+    ) -> RequestRecord | Refusal | None:
+        """Returns None if the intent's request surely did not run."""
+        if row.digest != opened.digest:
+            return key_reused()
+        if row.stored is not None:
+            return _record(opened, row, row.stored)
+        if row.attempt == self._cancelled.get(opened.request):
+            return None
+        if row.in_doubt or row.runner == self._vm_key:
+            return in_doubt(row.runner)
+        return await self._ask_runner(opened, row, links)
+
+    async def _ask_runner(
+        self,
+        opened: OpenedRequest,
+        row: IntentRow,
+        links: WitnessLinks,
+    ) -> RequestRecord | Refusal | None:
+        peer = links.find_peer(row.runner)
+        if peer is None:
+            return await self._ask_witnesses(opened, row, links)
+        reply = await _read(links, peer, opened.request)
+        if reply is None:
+            return in_doubt(row.runner)
+        if reply.known:
+            return _record(opened, row, reply.stored)
+        if reply.cancelled_attempt == row.attempt:
+            return None
+        return in_doubt(row.runner)
+
+    async def _ask_witnesses(
+        self,
+        opened: OpenedRequest,
+        row: IntentRow,
+        links: WitnessLinks,
+    ) -> RequestRecord | Refusal:
+        for peer in links.candidates(opened.request):
+            reply = await _read(links, peer, opened.request)
+            if reply is not None and reply.stored is not None:
+                return _record(opened, row, reply.stored)
+        return in_doubt(row.runner)
+
+    def _row(self, opened: OpenedRequest) -> IntentRow:
+        return IntentRow(
+            digest=opened.digest,
+            runner=self._vm_key,
+            attempt=opened.attempt,
+            created_wall_ms=self._clock.wall_ms(),
+        )
+
+    def _cancel(self, request: RequestIdentity, attempt: str) -> None:
+        self._cancelled[request] = attempt
+        if len(self._cancelled) > _PENDING_LIMIT:
+            self._cancelled.pop(next(iter(self._cancelled)))
+
+    async def _write_or_wait(
+        self,
+        request: RequestIdentity,
+        row: IntentRow | None,
+    ) -> None:
+        if self.table_outage and len(self._pending) < _PENDING_LIMIT:
+            self._pending[request] = row
+            return
+        await self._write_pending(request, row)
+
+    async def _write_pending(
+        self,
+        request: RequestIdentity,
+        row: IntentRow | None,
+    ) -> None:
+        held = self._held.get(request)
+        if held is None:
+            self._pending.pop(request, None)
+            return
+        try:
+            change = await self._intents.replace(held, row)
+        except PlatformError:
+            self._pending[request] = row
+            return
+        if not change.written:
+            self._metrics.increment('intents_lost')
+        self._held.pop(request, None)
+        self._pending.pop(request, None)
+
+
+async def _read(
+    links: WitnessLinks,
+    peer: VmIdentity,
+    request: RequestIdentity,
+) -> ReadAnswerReply | None:
+    try:
+        return await links.read_answer(peer, request)
+    except PeerUnreachableError:
+        return None
+
+
+def _record(
+    opened: OpenedRequest,
+    row: IntentRow,
+    stored: StoredAnswer | None,
+) -> RequestRecord:
+    return RequestRecord(
+        request=opened.request,
+        digest=row.digest,
+        runner=row.runner,
+        repeatable=False,
+        state=RecordState.SETTLED if stored else RecordState.DISPATCHED,
+        stored=stored,
+        settlement=_unnumbered() if stored else None,
+    )
+
+
+def _unnumbered() -> Settlement:
+    return Settlement(holder='', sequence=0, budgets=(), used_tokens=0)
--- /dev/null
+++ b/teaseldale/requests/_intents.py
@@ -0,0 +1,163 @@
+"""Rows in the table service for requests that may not run twice."""
+
+from collections.abc import Sequence
+
+import attrs
+import msgspec
+
+from teaseldale.answers import StoredAnswer
+from teaseldale.platform import (
+    BaseTableService,
+    Committed,
+    Conflicted,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+from teaseldale.requests._group_commit import BaseBatchSender, GroupCommit
+from teaseldale.requests._identity import RequestIdentity
+
+INTENTS_TABLE = 'intents'
+
+
+@attrs.frozen(kw_only=True)
+class IntentRow:
+    """A request that may run, runs or has run."""
+
+    digest: str  # hash of the body
+    runner: str  # key of the VM that runs it
+    attempt: str  # names one opening of the request
+    created_wall_ms: int  # used by the removal of old rows only
+    in_doubt: bool = False  # the runner does not know the outcome
+    stored: StoredAnswer | None = None  # outcome, once known
+
+
+@attrs.frozen(kw_only=True)
+class ReadIntent:
+    """An intent and the revision that a change of it must check."""
+
+    request: RequestIdentity
+    row: IntentRow | None  # None when there is no intent
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class IntentChange:
+    """Outcome of a conditional write."""
+
+    written: bool
+    current: ReadIntent  # as written, or as found instead
+
+
+class IntentTable(BaseBatchSender[ReadIntent, IntentChange]):
+    """Conditional writes of intents, grouped over waiting requests."""
+
+    def __init__(self, *, table: BaseTableService) -> None:
+        """Creates a client of the intents in ``table``."""
+        self._table = table
+        self._writes: GroupCommit[ReadIntent, IntentChange] = GroupCommit(
+            sender=self,
+        )
+
+    async def read(self, request: RequestIdentity) -> ReadIntent:
+        """Reads an intent; raises ``PlatformError``."""
+        row = await self._table.read(table=INTENTS_TABLE, key=request.text)
+        return _decode(request, row)
+
+    async def replace(
+        self,
+        found: ReadIntent,
+        row: IntentRow | None,
+    ) -> IntentChange:
+        """Writes ``row`` if the intent is as ``found``.
+
+        After a ``PlatformError`` the write may still take effect.
+        """
+        return await self._writes.submit(attrs.evolve(found, row=row))
+
+    async def send_batch(
+        self,
+        batch: Sequence[ReadIntent],
+    ) -> list[IntentChange]:
+        """Writes in one transaction what does not conflict."""
+        outcomes: dict[str, IntentChange] = {}
+        pending = list(batch)
+        while pending:
+            outcome = await self._commit_once(pending)
+            if isinstance(outcome, Committed):
+                outcomes.update(_written(pending, outcome.revision))
+            else:
+                outcomes.update(_conflicts(pending, outcome.rows))
+            pending = [
+                change
+                for change in pending
+                if change.request.text not in outcomes
+            ]
+        return [outcomes[change.request.text] for change in batch]
+
+    async def _commit_once(
+        self,
+        changes: Sequence[ReadIntent],
+    ) -> Committed | Conflicted:
+        return await self._table.commit(
+            make_transaction(
+                checks=[
+                    RowCheck(
+                        table=INTENTS_TABLE,
+                        key=change.request.text,
+                        revision=change.revision,
+                    )
+                    for change in changes
+                ],
+                writes=[
+                    RowWrite(
+                        table=INTENTS_TABLE,
+                        key=change.request.text,
+                        value=_encode(change.row),
+                    )
+                    for change in changes
+                ],
+            ),
+        )
+
+
+def _written(
+    changes: Sequence[ReadIntent],
+    revision: int,
+) -> dict[str, IntentChange]:
+    return {
+        change.request.text: IntentChange(
+            written=True,
+            current=attrs.evolve(change, revision=revision),
+        )
+        for change in changes
+    }
+
+
+def _conflicts(
+    changes: Sequence[ReadIntent],
+    rows: Sequence[Row],
+) -> dict[str, IntentChange]:
+    requests = {change.request.text: change.request for change in changes}
+    return {
+        row.key: IntentChange(
+            written=False,
+            current=_decode(requests[row.key], row),
+        )
+        for row in rows
+    }
+
+
+def _encode(row: IntentRow | None) -> bytes | None:
+    return None if row is None else msgspec.msgpack.encode(row)
+
+
+def _decode(request: RequestIdentity, row: Row | None) -> ReadIntent:
+    if row is None or row.value is None:
+        return ReadIntent(request=request, row=None, revision=0)
+    return ReadIntent(
+        request=request,
+        row=msgspec.msgpack.decode(row.value, type=IntentRow),
+        revision=row.revision,
+    )
--- /dev/null
+++ b/teaseldale/requests/_records.py
@@ -0,0 +1,167 @@
+"""Records of requests that a VM runs or is witness of."""
+
+import enum
+from collections import deque
+
+import attrs
+
+from teaseldale.answers import StoredAnswer
+from teaseldale.clock import BaseClock
+from teaseldale.requests._holder import Settlement
+from teaseldale.requests._identity import RequestIdentity
+
+RECORD_RETENTION_MS = 600_000
+_RECORD_LIMIT = 100_000
+
+
+@enum.unique
+class RecordState(enum.StrEnum):
+    """How far a request has come."""
+
+    CLAIMED = 'claimed'
+    DISPATCHED = 'dispatched'
+    SETTLED = 'settled'
+    NOT_RUN = 'not_run'
+
+
+@attrs.frozen(kw_only=True)
+class RequestRecord:
+    """What a runner and its witnesses know of one run of a request."""
+
+    request: RequestIdentity
+    digest: str  # hash of the body
+    runner: str  # key of the VM that runs it
+    state: RecordState
+    repeatable: bool = True
+    takeover_of: str = ''  # key of a runner that was found dead
+    budgets: tuple[str, ...] = ()
+    reserved_tokens: int = 0
+    holder: str = ''  # whose grant pays for the run
+    settlement: Settlement | None = None  # set once settled
+    stored: StoredAnswer | None = None  # set once settled with an answer
+
+
+@attrs.frozen(kw_only=True)
+class HolderSpending:
+    """Spending of a holder that the table service may not yet include."""
+
+    settlements: tuple[Settlement, ...] = ()
+    in_doubt: tuple[RequestRecord, ...] = ()  # may have run, not repeatable
+
+
+class RecordStore:
+    """Records by request and by holder, kept for a limited time."""
+
+    def __init__(
+        self,
+        *,
+        clock: BaseClock,
+        retention_ms: int = RECORD_RETENTION_MS,
+    ) -> None:
+        """Creates a store without records."""
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._records: dict[RequestIdentity, RequestRecord] = {}
+        self._order: deque[tuple[int, RequestIdentity]] = deque()
+        self._unsettled: dict[str, dict[RequestIdentity, RequestRecord]] = {}
+        self._unflushed: dict[str, dict[int, Settlement]] = {}
+        self._fenced: set[str] = set()
+
+    def __len__(self) -> int:
+        """Number of requests with a record."""
+        return len(self._records)
+
+    def find(self, request: RequestIdentity) -> RequestRecord | None:
+        """Returns the record of a request within its retention."""
+        self._expire()
+        return self._records.get(request)
+
+    def records(self) -> tuple[RequestRecord, ...]:
+        """Returns all records."""
+        return tuple(self._records.values())
+
+    def merge(self, record: RequestRecord) -> RequestRecord | None:
+        """Takes a record in, or returns the one of another run instead."""
+        existing = self.find(record.request)
+        if existing is not None and _is_late(record, existing):
+            return None
+        self._note_spending(record)
+        if existing is not None and not _replaces(record, existing):
+            return existing
+        if record.state is RecordState.NOT_RUN:
+            self._records.pop(record.request, None)
+        else:
+            self._keep(record)
+        return None
+
+    def forget_settled(self, holder: str, through: int) -> None:
+        """Drops settlements that the table service includes by now."""
+        unflushed = self._unflushed.get(holder, {})
+        covered = [sequence for sequence in unflushed if sequence <= through]
+        for sequence in covered:
+            unflushed.pop(sequence)
+
+    def fence(self, holder: str) -> HolderSpending:
+        """Refuses further records of a holder and returns its spending."""
+        self._fenced.add(holder)
+        unsettled = self._unsettled.get(holder, {}).values()
+        return HolderSpending(
+            settlements=tuple(self._unflushed.get(holder, {}).values()),
+            in_doubt=tuple(
+                record for record in unsettled if not record.repeatable
+            ),
+        )
+
+    def is_fenced(self, holder: str) -> bool:
+        """Whether the holder's grants are being recovered."""
+        return holder in self._fenced
+
+    def drop_holder(self, holder: str) -> None:
+        """Forgets the spending of a holder whose grants were recovered."""
+        self._unflushed.pop(holder, None)
+        self._unsettled.pop(holder, None)
+
+    def _note_spending(self, record: RequestRecord) -> None:
+        unsettled = self._unsettled.setdefault(record.holder, {})
+        unsettled.pop(record.request, None)
+        if record.state is RecordState.DISPATCHED:
+            unsettled[record.request] = record
+        if record.settlement is not None:
+            settlement = record.settlement
+            holder = self._unflushed.setdefault(settlement.holder, {})
+            holder[settlement.sequence] = settlement
+
+    def _keep(self, record: RequestRecord) -> None:
+        if record.request not in self._records:
+            until_ms = self._clock.monotonic_ms() + self._retention_ms
+            self._order.append((until_ms, record.request))
+        self._records[record.request] = record
+
+    def _expire(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        while self._order and (
+            self._order[0][0] <= now_ms or len(self._order) > _RECORD_LIMIT
+        ):
+            _until_ms, request = self._order.popleft()
+            self._records.pop(request, None)
+
+
+def _is_late(record: RequestRecord, existing: RequestRecord) -> bool:
+    return (
+        existing.runner == record.runner
+        and existing.state is RecordState.SETTLED
+        and record.state is not RecordState.SETTLED
+    )
+
+
+def _replaces(record: RequestRecord, existing: RequestRecord) -> bool:
+    if record.digest != existing.digest:
+        return False
+    if record.runner == existing.runner:
+        return True
+    if existing.state is RecordState.SETTLED:
+        return False
+    return (
+        record.state is RecordState.SETTLED
+        or record.takeover_of == existing.runner
+    )
--- a/teaseldale/requests/_registry.py
+++ b/teaseldale/requests/_registry.py
@@ -1,11 +1,13 @@
 """Interface of the request registry."""
 
 import abc
+import enum
 
 import attrs
 
 from teaseldale.answers import AnswerLog, StoredAnswer
 from teaseldale.outcomes import Refusal
+from teaseldale.requests._holder import Settlement
 from teaseldale.requests._identity import RequestIdentity
 
 
@@ -17,6 +19,26 @@
     digest: str  # hash of the body, to find a key used twice
     answer: AnswerLog  # written by the run, read by callers
     repeatable: bool  # whether it may run again after an unknown outcome
+    attempt: str = ''  # names this opening of the request
+
+
+@attrs.frozen(kw_only=True)
+class ReservedFunds:
+    """What a request that is about to run has reserved."""
+
+    holder: str  # key of the holder that pays, empty without grants
+    budgets: tuple[str, ...]
+    tokens: int  # upper bound of the use
+
+
+@enum.unique
+class RequestStatus(enum.StrEnum):
+    """What is known of a request, for callers that ask later."""
+
+    UNKNOWN = 'unknown'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    IN_DOUBT = 'in_doubt'
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +65,9 @@
     ) -> OpenedRequest | AttachedAnswer | Refusal:
         """Registers a request or finds its earlier run."""
 
+    def record_funds(self, opened: OpenedRequest, funds: ReservedFunds) -> None:
+        """Notes what was reserved, before the dispatch is recorded."""
+
     @abc.abstractmethod
     async def record_dispatch(
         self,
@@ -58,9 +83,23 @@
         self,
         opened: OpenedRequest,
         stored: StoredAnswer,
-    ) -> None:
-        """Records the outcome that retries are given."""
+        settlement: Settlement,
+    ) -> Refusal | None:
+        """Records the outcome that retries are given.
+
+        A refusal forbids the last byte of the answer.
+        """
 
     @abc.abstractmethod
-    async def abandon(self, opened: OpenedRequest, *, not_run: bool) -> None:
+    async def abandon(
+        self,
+        opened: OpenedRequest,
+        *,
+        not_run: bool,
+        settlement: Settlement | None = None,
+    ) -> None:
         """Gives up; if ``not_run`` holds, a retry may run the request."""
+
+    @abc.abstractmethod
+    async def status(self, request: RequestIdentity) -> RequestStatus:
+        """Tells what is known of a request; raises ``PlatformError``."""
--- a/teaseldale/requests/_table_registry.py
+++ b/teaseldale/requests/_table_registry.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from teaseldale.answers import AnswerLog, StoredAnswer
-from teaseldale.outcomes import PlatformError, Refusal, RefusalCode, Step
+from teaseldale.outcomes import PlatformError, Refusal
 from teaseldale.platform import (
     BaseTableService,
     Committed,
@@ -13,15 +13,21 @@
     RowWrite,
     make_transaction,
 )
+from teaseldale.requests._holder import Settlement
 from teaseldale.requests._identity import RequestIdentity
+from teaseldale.requests._refusals import (
+    key_reused,
+    still_running,
+    store_unavailable,
+)
 from teaseldale.requests._registry import (
     AttachedAnswer,
     BaseRequestRegistry,
     OpenedRequest,
+    RequestStatus,
 )
 
 REQUESTS_TABLE = 'requests'
-_RETRY_AFTER_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -53,7 +59,7 @@
         try:
             outcome = await self._write(request, _RequestRow(digest=digest), 0)
         except PlatformError as error:
-            return _store_unavailable(error)
+            return store_unavailable(error.peer)
         if not isinstance(outcome, int):
             return _replayed(outcome, digest)
         opened = OpenedRequest(
@@ -80,12 +86,31 @@
         self,
         opened: OpenedRequest,
         stored: StoredAnswer,
+        settlement: Settlement,
     ) -> None:
         """Stores the outcome in the request's row."""
         row = _RequestRow(digest=opened.digest, stored=stored)
         await self._end(opened, row)
 
-    async def abandon(self, opened: OpenedRequest, *, not_run: bool) -> None:
+    async def status(self, request: RequestIdentity) -> RequestStatus:
+        """Reads the request's row."""
+        if request in self._running:
+            return RequestStatus.RUNNING
+        found = await self._table.read(table=REQUESTS_TABLE, key=request.text)
+        if found is None:
+            return RequestStatus.UNKNOWN
+        row = msgspec.msgpack.decode(found.value or b'', type=_RequestRow)
+        if row.stored is None:
+            return RequestStatus.IN_DOUBT
+        return RequestStatus.FINISHED
+
+    async def abandon(
+        self,
+        opened: OpenedRequest,
+        *,
+        not_run: bool,
+        settlement: Settlement | None = None,
+    ) -> None:
         """Deletes the row of a request that did not run."""
         if not_run:
             await self._end(opened, None)
@@ -133,40 +158,14 @@
     digest: str,
 ) -> AttachedAnswer | Refusal:
     if running.digest != digest:
-        return _key_reused()
+        return key_reused()
     return AttachedAnswer(answer=running.answer)
 
 
 def _replayed(found: Row, digest: str) -> AttachedAnswer | Refusal:
     row = msgspec.msgpack.decode(found.value or b'', type=_RequestRow)
     if row.digest != digest:
-        return _key_reused()
+        return key_reused()
     if row.stored is None:
-        return Refusal(
-            code=RefusalCode.REQUEST_RUNNING,
-            message='The request runs at another VM; ask again later.',
-            not_run=False,
-            step=Step.REGISTER,
-            retry_after_ms=_RETRY_AFTER_MS,
-        )
+        return still_running('local')
     return AttachedAnswer(answer=AnswerLog.replayed(row.stored))
-
-
-def _key_reused() -> Refusal:
-    return Refusal(
-        code=RefusalCode.KEY_REUSED,
-        message='The key was used with another body; choose a new key.',
-        not_run=True,
-        step=Step.REGISTER,
-    )
-
-
-def _store_unavailable(error: PlatformError) -> Refusal:
-    return Refusal(
-        code=RefusalCode.STORE_UNAVAILABLE,
-        message='The table service does not answer; ask again later.',
-        not_run=True,
-        step=error.step,
-        peer=error.peer,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
