--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -78,6 +78,7 @@
         limits=settings.limits,
     )
     return _kernel_of(
+        settings.limits.balancer_grace_ms + settings.limits.drain_timeout_ms,
         operators,
         peers,
         configuration,
@@ -87,8 +88,8 @@
     )
 
 
-def _kernel_of(*services: BaseService) -> Kernel:
-    kernel = Kernel()
+def _kernel_of(end_timeout_ms: int, *services: BaseService) -> Kernel:
+    kernel = Kernel(end_timeout_ms=end_timeout_ms)
     for service in services:
         kernel.register(service)
     return kernel
--- a/teaseldale/kernel/_kernel.py
+++ b/teaseldale/kernel/_kernel.py
@@ -8,6 +8,8 @@
 from teaseldale.kernel._service import BaseService
 from teaseldale.logs import StateLog
 
+_END_TIMEOUT_MS = 120_000
+_MS_PER_SECOND = 1000
 _ServiceT = TypeVar('_ServiceT')
 
 
@@ -18,8 +20,12 @@
 class Kernel:
     """Starts services in order of registration, stops them in reverse."""
 
-    def __init__(self) -> None:
-        """Creates an empty registry."""
+    def __init__(self, *, end_timeout_ms: int = _END_TIMEOUT_MS) -> None:
+        """Creates an empty registry.
+
+        Each service has ``end_timeout_ms`` to drain, and again to stop.
+        """
+        self._end_timeout_ms = end_timeout_ms
         self._services: dict[str, BaseService] = {}
         self._log = StateLog(channel='kernel')
 
@@ -67,11 +73,12 @@
         step: Callable[[], Awaitable[None]],
     ) -> None:
         try:
-            await step()
+            with anyio.fail_after(self._end_timeout_ms / _MS_PER_SECOND):
+                await step()
         except Exception as error:
             self._log.changed(
                 'service_failed_to_end',
                 service=service.name,
                 step=step.__name__,
-                reason=str(error),
+                reason=str(error) or type(error).__name__,
             )
--- a/teaseldale/kernel/tests/steps_kernel.py
+++ b/teaseldale/kernel/tests/steps_kernel.py
@@ -32,6 +32,22 @@
             raise ConnectionError('the platform is down')
 
 
+class _Endless(_Recorded):
+    async def drain(self):
+        self._end('drain')
+        await anyio.sleep_forever()
+
+
+@given('services a and b of which b never ends its drain')
+def make_endless(context):
+    context.steps = []
+    context.kernel = Kernel(end_timeout_ms=5_000)
+    for name, kind in (('a', _Recorded), ('b', _Endless)):
+        context.kernel.register(
+            kind(name=name, steps=context.steps, fails=False)
+        )
+
+
 @given('services a, b and c of which b fails to drain and to stop')
 def make_services(context):
     context.steps = []
@@ -50,6 +66,8 @@
             tasks.start_soon(context.kernel.run, shutdown)
             await anyio.sleep(1)
             shutdown.set()
+            started = anyio.current_time()
+        context.shutdown_seconds = anyio.current_time() - started
 
     run_in_virtual_time(main)
 
@@ -59,6 +77,11 @@
     assert context.steps == expected.split(), context.steps
 
 
+@then('the shutdown took the time-out of one drain')
+def took_timeout(context):
+    assert context.shutdown_seconds == 5, context.shutdown_seconds
+
+
 @then('b is found by its name and kind')
 def found(context):
     assert context.kernel.find('b', _Recorded).name == 'b'
