Wait for the last settlement in features, and stop VMs before stand-ins

Cause: grants settle by the second, so a bill read at once was too early; the fleet of the features ended its platform first and each drain then waited 30 s. Change: Fleet.billed_tokens reads until the bill is quiet; VMs end first.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -24,6 +24,7 @@
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
 _STOP_TIMEOUT_SECONDS = 30
+_SETTLED_AFTER_SECONDS = 3
 
 
 def free_port() -> int:
@@ -250,6 +251,19 @@
             return response.content.decode()
         return msgspec.json.decode(response.content)
 
+    def billed_tokens(self, budget: str = 'drafting') -> int:
+        """Returns what is billed once no settlement has come for a while."""
+        path = f'/budget?name={budget}'
+        billed = -1
+        quiet_since = time.monotonic()
+        while time.monotonic() - quiet_since < _SETTLED_AFTER_SECONDS:
+            state = self.operate(self.vms[0], 'GET', path)
+            if state['billed_tokens'] != billed:
+                billed = state['billed_tokens']
+                quiet_since = time.monotonic()
+            time.sleep(0.1)
+        return billed
+
     def set_faults(self, address: str, **faults: object) -> None:
         """Switches faults of a stand-in; all others are switched off."""
         response = httpcore.request(
@@ -287,18 +301,24 @@
 
     def stop(self) -> None:
         """Ends all processes started here."""
-        for process in self.processes.values():
+        vm_names = {vm.name for vm in self.vms}
+        self._end({name for name in self.processes if name in vm_names})
+        self._end(set(self.processes))
+        self._folder.cleanup()
+
+    def _end(self, names: set[str]) -> None:
+        ending = [self.processes[name] for name in names]
+        for process in ending:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.terminate()
         deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
-        for process in self.processes.values():
+        for process in ending:
             try:
                 process.wait(max(0.1, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
-        self._folder.cleanup()
 
     def _spawn(self, name: str, *arguments: str) -> None:
         log = (self.path / f'{name}.log').open('wb')
--- a/features/steps/openai_client.py
+++ b/features/steps/openai_client.py
@@ -87,10 +87,7 @@
 
 
 def _billed(context):
-    state = context.fleet.operate(
-        context.fleet.vms[0], 'GET', '/budget?name=drafting'
-    )
-    return state['billed_tokens']
+    return context.fleet.billed_tokens()
 
 
 def _wrong_request(context, kind):
--- a/teaseldale/entry/tests/steps_wrong_input.py
+++ b/teaseldale/entry/tests/steps_wrong_input.py
@@ -132,9 +132,7 @@
 
 
 def _billed(context):
-    return context.fleet.operate(
-        context.fleet.vms[0], 'GET', '/budget?name=drafting'
-    )['billed_tokens']
+    return context.fleet.billed_tokens()
 
 
 @then(
