Work out the capacity page and hold the pages against the program

Cause: no page said what the target costs, and nothing checked that printed commands run, that promises have scenarios and that refusal codes are explained. Change: make capacity fits lines to the measured slopes and writes docs/CAPACITY.md; features run each sh block as printed, check the promise table against the features and the refusal codes against the operators' page; free ports come from below the outgoing range, once each; a large fleet reads the membership list rarely, a new VM is found by its first heartbeat.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON = $(VENV)/bin/python
 BENCH_FLAGS ?=
 
-.PHONY: setup test demo dist bench lint format
+.PHONY: setup test demo dist bench capacity lint format
 
 setup: $(VENV)/.installed
 
@@ -32,5 +32,8 @@
 bench: setup
 	$(PYTHON) -m benchmarks $(BENCH_FLAGS)
 
+capacity: setup
+	$(PYTHON) -m benchmarks.capacity
+
 dist: setup
 	bash scripts/build_dist
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,14 +24,33 @@
 ACCOUNT_KEY = 'account-key'
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
+_PORT_RANGE = (10_240, 32_768)
+_port_source = random.SystemRandom()
+_ports_given: set[int] = set()
 _STOP_TIMEOUT_SECONDS = 30
 
 
 def free_port() -> int:
-    """Returns a TCP port of loopback that nothing listens on now."""
+    """Returns a TCP port of loopback that nothing listens on now.
+
+    It lies below the range from which the system takes ports for outgoing
+    connections, and is given out once in a process.
+    """
+    while True:
+        port = _port_source.randrange(*_PORT_RANGE)
+        if port not in _ports_given and _can_listen(port):
+            _ports_given.add(port)
+            return port
+
+
+def _can_listen(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen(kw_only=True)
--- a/benchmarks/measure_peers.py
+++ b/benchmarks/measure_peers.py
@@ -1,6 +1,7 @@
 """Calls between VMs: cost of a message, control traffic, rolling upgrades."""
 
 from benchmarks.peers_links import link_rows, link_slopes
+from benchmarks.peers_membership import membership_slopes
 from benchmarks.peers_versions import version_rows
 from benchmarks.rows import BenchmarkRow, Slope
 
@@ -17,4 +18,4 @@
 
 def slopes(quick: bool) -> list[Slope]:
     """Returns costs of one VM against the size of its cell."""
-    return link_slopes(quick)
+    return [*link_slopes(quick), *membership_slopes()]
--- /dev/null
+++ b/benchmarks/pages.py
@@ -0,0 +1,142 @@
+"""Pages of the documentation as data: commands, tables and scenarios."""
+
+import os
+import pathlib
+import re
+import subprocess
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+_FENCE = '```'
+_TIMEOUT_SECONDS = 300
+_SCENARIO = re.compile(r'^\s*Scenario(?: Outline)?:\s*(.+?)\s*$')
+_NAMED = re.compile(r'`([^`]+\.feature): ([^`]+)`')
+_STATE_COLUMN = -1
+# These run the tests or last as long: only their rule is looked up here.
+_LONG_TARGETS = frozenset(('test', 'bench', 'capacity', 'setup'))
+
+
+@attrs.frozen(kw_only=True)
+class Block:
+    """One fenced block of commands."""
+
+    page: pathlib.Path
+    line: int  # of the opening fence
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class PromiseLine:
+    """One row of a promise table."""
+
+    promise: str
+    scenarios: tuple[tuple[str, str], ...]  # feature file and scenario
+    state: str  # "held" or "red"
+
+
+def sh_blocks(page: pathlib.Path) -> list[Block]:
+    """Returns the blocks fenced as ``sh`` in order."""
+    blocks: list[Block] = []
+    opened: list[str] | None = None
+    for number, line in enumerate(page.read_text().splitlines(), start=1):
+        if opened is not None and line.startswith(_FENCE):
+            start = number - len(opened) - 1
+            blocks.append(
+                Block(page=page, line=start, text='\n'.join(opened) + '\n')
+            )
+            opened = None
+        elif opened is not None:
+            opened.append(line)
+        elif line.rstrip() == f'{_FENCE}sh':
+            opened = []
+    return blocks
+
+
+def run_block(
+    block: Block,
+    *,
+    root: pathlib.Path,
+    folder: pathlib.Path,
+    environment: Mapping[str, str],
+) -> str:
+    """Runs a block in ``folder``, make in ``root``; returns what failed."""
+    commands = block.text
+    is_make = commands.startswith('make ')
+    if is_make:
+        commands = _shortened(commands)
+    outcome = subprocess.run(
+        ('bash', '-euo', 'pipefail', '-c', commands),
+        cwd=root if is_make else folder,
+        env={**os.environ, **environment},
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_SECONDS,
+    )
+    if outcome.returncode == 0:
+        return ''
+    return (
+        f'{block.page}:{block.line}: status {outcome.returncode}\n'
+        f'{commands}{outcome.stdout[-2000:]}{outcome.stderr[-2000:]}'
+    )
+
+
+def scenarios_of(root: pathlib.Path) -> set[tuple[str, str]]:
+    """Returns all scenarios as pairs of feature file and name."""
+    found: set[tuple[str, str]] = set()
+    for folder in (root / 'features', root / 'teaseldale'):
+        for path in folder.rglob('*.feature'):
+            for line in path.read_text().splitlines():
+                match = _SCENARIO.match(line)
+                if match is not None:
+                    found.add((str(path.relative_to(root)), match[1]))
+    return found
+
+
+def promise_lines(text: str) -> Iterator[PromiseLine]:
+    """Yields the rows of all promise tables of a page."""
+    for line in text.splitlines():
+        cells = [cell.strip() for cell in line.strip('|').split('|')]
+        if not line.startswith('|') or cells[_STATE_COLUMN] == 'state':
+            continue
+        if set(cells[0]) <= set('- '):
+            continue
+        yield PromiseLine(
+            promise=cells[0],
+            scenarios=tuple(_NAMED.findall(line)),
+            state=cells[_STATE_COLUMN],
+        )
+
+
+def mistakes_of(
+    lines: list[PromiseLine],
+    scenarios: set[tuple[str, str]],
+    known_red: str,
+) -> list[str]:
+    """Returns what is wrong with a promise table; nothing if it is right."""
+    mistakes: list[str] = []
+    for line in lines:
+        mistakes.extend(
+            f'{line.promise}: no scenario {named}'
+            for named in line.scenarios
+            if named not in scenarios
+        )
+        if line.state not in {'held', 'red'}:
+            mistakes.append(f'{line.promise}: state {line.state!r}')
+        if line.state == 'held' and not line.scenarios:
+            mistakes.append(f'{line.promise}: held without a scenario')
+        if line.state == 'red' and line.promise not in known_red:
+            mistakes.append(f'{line.promise}: red but not in KNOWN-RED.txt')
+    return mistakes
+
+
+def _shortened(commands: str) -> str:
+    """Turns long or recursive targets into a look-up of their rules."""
+    shortened: list[str] = []
+    for line in commands.splitlines():
+        words = line.split()
+        if words[1:2] and words[1] in _LONG_TARGETS:
+            print(f'{line}: its rule is looked up, it is not run in a test')
+            line = f'{line.replace("make ", "make --dry-run ", 1)} > /dev/null'
+        shortened.append(line)
+    return '\n'.join(shortened) + '\n'
--- a/benchmarks/peers_process.py
+++ b/benchmarks/peers_process.py
@@ -4,10 +4,12 @@
 process's divided by their number.
 """
 
+import contextlib
 import os
 import subprocess
 import sys
 import time
+from collections.abc import AsyncIterator
 
 import anyio
 import attrs
@@ -24,20 +26,37 @@
 _SEQUENTIAL_CALLS = 1000
 _CONCURRENT_TASKS = 50
 _CALLS_PER_TASK = 40
+_PACED_RATES = (25, 50, 100)
+_PACED_SECONDS = 2
 _TEXT = 'x' * 200
+_RECORD = 'x' * 60  # size of a key, a budget's name and a figure
 _BYTES_PER_MB = 1_048_576
 
 
-class LinkMeasures(msgspec.Struct, frozen=True, kw_only=True):
-    """Costs of one VM; CPU includes the library's own threads."""
+class PacedMeasure(msgspec.Struct, frozen=True, kw_only=True):
+    """Costs of one VM that makes and answers calls at a steady rate."""
 
-    idle_bytes_per_second: float  # payload sent, without TCP headers
-    idle_cpu_percent: float
+    calls_per_second: int
+    cpu_percent: float
+    bytes_per_second: float  # payload sent, without TCP headers
+
+
+class IdleMeasures(msgspec.Struct, frozen=True, kw_only=True):
+    """Costs of one VM without calls; CPU includes native threads."""
+
+    bytes_per_second: float  # payload sent, without TCP headers
+    cpu_percent: float
     memory_mb: float  # growth of the process by each VM
     thread_count: int
+
+
+class CallMeasures(msgspec.Struct, frozen=True, kw_only=True):
+    """Costs of calls between two VMs."""
+
     naive_thread_count: int
     sequential_per_second: float
     batched_cpu_us: float  # both ends
+    paced: tuple['PacedMeasure', ...]
     frames_per_thousand: float
     naive_per_second: float
     naive_cpu_us: float  # both ends
@@ -101,13 +120,31 @@
         for network in self.networks:
             network.handle(Ask, kind='ask', reply_type=Answer, handler=_echo)
 
-    async def wait_for_all(self) -> None:
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        async with anyio.create_task_group() as tasks:
+            for network in self.networks:
+                await network.start(tasks)
+            await self._wait_for_all()
+            yield
+            for network in self.networks:
+                await network.stop()
+            tasks.cancel_scope.cancel()
+
+    async def _wait_for_all(self) -> None:
         wanted = len(self.networks) - 1
         while any(
             len(network.reachable_peers()) < wanted for network in self.networks
         ):
             await anyio.sleep(0.05)
 
+    async def tell(self) -> None:
+        await self.networks[0].request(
+            self.networks[1].identity,
+            Ask(text=_RECORD),
+            timeout_ms=30_000,
+        )
+
     async def ask(self) -> None:
         await self.networks[0].request(
             self.networks[1].identity,
@@ -119,27 +156,29 @@
         return sum(metrics.count_of(counter) for metrics in self.metrics)
 
 
-async def _measure(vm_count: int, idle_seconds: float) -> LinkMeasures:
+async def _measure_idle(vm_count: int, idle_seconds: float) -> IdleMeasures:
     memory_before = psutil.Process().memory_info().rss
     run = _Run(vm_count)
-    async with anyio.create_task_group() as tasks:
-        for network in run.networks:
-            await network.start(tasks)
-        await run.wait_for_all()
+    async with run.running():
         memory = psutil.Process().memory_info().rss - memory_before
         idle_bytes, idle_cpu = await _idle(run, idle_seconds)
+        return IdleMeasures(
+            bytes_per_second=idle_bytes / vm_count,
+            cpu_percent=idle_cpu * 100 / vm_count,
+            memory_mb=memory / vm_count / _BYTES_PER_MB,
+            thread_count=len(os.listdir('/proc/self/task')),
+        )
+
+
+async def _measure_calls() -> CallMeasures:
+    run = _Run(2)
+    async with run.running():
+        paced = [await _paced(run, rate) for rate in _PACED_RATES]
         sequential = await _sequential(run.ask)
         batched_cpu, frames = await _concurrent(run)
-        threads = len(os.listdir('/proc/self/task'))
-        for network in run.networks:
-            await network.stop()
-        tasks.cancel_scope.cancel()
     naive_rate, naive_cpu = await _naive()
-    return LinkMeasures(
-        idle_bytes_per_second=idle_bytes / vm_count,
-        idle_cpu_percent=idle_cpu * 100 / vm_count,
-        memory_mb=memory / vm_count / _BYTES_PER_MB,
-        thread_count=threads,
+    return CallMeasures(
+        paced=tuple(paced),
         naive_thread_count=_naive_thread_count(),
         sequential_per_second=sequential,
         batched_cpu_us=batched_cpu,
@@ -159,6 +198,26 @@
     )
 
 
+async def _paced(run: _Run, calls_per_second: int) -> PacedMeasure:
+    """Calls from VM 0 to VM 1: together they cost what one such VM does."""
+    bytes_before = run.sent('peer_bytes_sent')
+    cpu_before = time.process_time()
+    started = time.perf_counter()
+    async with anyio.create_task_group() as tasks:
+        for number in range(calls_per_second * _PACED_SECONDS):
+            due = started + number / calls_per_second
+            await anyio.sleep(max(0, due - time.perf_counter()))
+            tasks.start_soon(run.tell)
+    took_seconds = time.perf_counter() - started
+    cpu_seconds = time.process_time() - cpu_before
+    return PacedMeasure(
+        calls_per_second=calls_per_second,
+        cpu_percent=100 * cpu_seconds / took_seconds,
+        bytes_per_second=(run.sent('peer_bytes_sent') - bytes_before)
+        / took_seconds,
+    )
+
+
 async def _sequential(ask) -> float:
     started = time.perf_counter()
     for _ in range(_SEQUENTIAL_CALLS):
@@ -261,13 +320,14 @@
 
 
 def main() -> None:
-    """Prints the measures for the number of VMs given."""
-    vm_count, idle_seconds = int(sys.argv[1]), float(sys.argv[2])
+    """Prints the measures of "calls", or of "idle" VMs and seconds."""
+    if sys.argv[1] == 'calls':
+        function, arguments = _measure_calls, ()
+    else:
+        function = _measure_idle
+        arguments = (int(sys.argv[2]), float(sys.argv[3]))
     measured = anyio.run(
-        _measure,
-        vm_count,
-        idle_seconds,
-        backend_options={'use_uvloop': True},
+        function, *arguments, backend_options={'use_uvloop': True}
     )
     sys.stdout.buffer.write(msgspec.json.encode(measured))
     sys.stdout.flush()
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -2,7 +2,7 @@
 
 import pathlib
 
-import cattrs
+import attrs
 import msgspec
 
 from benchmarks.collect import Measured, MeasuredModule
@@ -13,6 +13,20 @@
 _RIGHT_ALIGNED = frozenset(('ours', 'naive', 'ratio', 'bound'))
 
 
+@attrs.frozen(kw_only=True)
+class ModuleResult:
+    """What is written for one module."""
+
+    module: MeasuredModule
+    quick: bool  # fewer sizes were measured
+    verdicts: dict[str, str]  # by the name of the row
+
+
+def verdict_of(row: BenchmarkRow) -> str:
+    """Returns "held" or "not held"."""
+    return 'held' if row.held else 'not held'
+
+
 def print_table(measured: Measured) -> None:
     """Prints one line for each row, ending in "held" or "not held"."""
     lines = [_HEADINGS]
@@ -31,21 +45,19 @@
     """Writes ``build/bench/<module>.json`` for each module."""
     RESULTS_FOLDER.mkdir(parents=True, exist_ok=True)
     for module in measured.modules:
-        document = cattrs.unstructure(module) | {
-            'quick': measured.quick,
-            'verdicts': {
-                row.name: 'held' if row.held else 'not held'
-                for row in module.rows
-            },
-        }
-        encoded = msgspec.json.format(msgspec.json.encode(document))
+        result = ModuleResult(
+            module=module,
+            quick=measured.quick,
+            verdicts={row.name: verdict_of(row) for row in module.rows},
+        )
+        encoded = msgspec.json.format(msgspec.json.encode(result))
         _path_of(module.name).write_bytes(encoded + b'\n')
 
 
 def read_results() -> tuple[MeasuredModule, ...]:
     """Returns what the last runs have written."""
     return tuple(
-        cattrs.structure(msgspec.json.decode(path.read_bytes()), MeasuredModule)
+        msgspec.json.decode(path.read_bytes(), type=ModuleResult).module
         for path in sorted(RESULTS_FOLDER.glob('*.json'))
     )
 
@@ -74,7 +86,7 @@
         figure(row.naive),
         figure(row.ours / row.naive if row.naive else None),
         f'{sign} {figure(row.bound)}',
-        'held' if row.held else 'not held',
+        verdict_of(row),
     )
 
 
--- /dev/null
+++ b/features/steps/documentation.py
@@ -0,0 +1,159 @@
+"""Steps that hold the pages against the program and its features."""
+
+import pathlib
+import socket
+import sys
+import time
+
+import attrs
+from behave import given, then, when
+
+from benchmarks.fleet import ACCOUNT_KEY, OPERATORS_KEY, Fleet
+from benchmarks.pages import (
+    Block,
+    PromiseLine,
+    mistakes_of,
+    promise_lines,
+    run_block,
+    scenarios_of,
+    sh_blocks,
+)
+from teaseldale.outcomes import RefusalCode
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_PAGE_ADDRESSES = {
+    'callers': '127.0.0.1:7201',
+    'operators': '127.0.0.1:7301',
+}
+_PORTS_BUSY_SECONDS = 240
+
+
+class _PageFleet(Fleet):
+    """A fleet whose first VM is where the pages say."""
+
+    def __init__(self):
+        super().__init__(vm_count=3)
+        self.vms[0] = attrs.evolve(self.vms[0], **_PAGE_ADDRESSES)
+
+    def revive(self):
+        """Starts the first VM again if a command has drained it."""
+        first = self.vms[0]
+        process = self.processes[first.name]
+        if process.poll() is not None:
+            self.start_vm(first)
+        self.wait_until_ready(first)
+
+
+def _wait_for_page_ports():
+    """Waits while another run on this machine uses the same addresses."""
+    deadline = time.monotonic() + _PORTS_BUSY_SECONDS
+    for address in _PAGE_ADDRESSES.values():
+        host, _, port = address.rpartition(':')
+        while time.monotonic() < deadline:
+            with socket.socket() as probe:
+                if probe.connect_ex((host, int(port))) != 0:
+                    break
+            time.sleep(0.5)
+
+
+@given('a fleet whose first VM has the addresses that the pages name')
+def start_page_fleet(context):
+    _wait_for_page_ports()
+    context.fleet = context.cleanup.enter_context(_PageFleet())
+    folder = context.fleet.path / 'pages'
+    folder.mkdir()
+    (folder / 'operators.key').write_text(OPERATORS_KEY)
+    (folder / 'account.key').write_text(ACCOUNT_KEY)
+    first = context.fleet.vms[0]
+    (folder / 'vm.toml').write_text(context.fleet.settings_of(first))
+    (folder / 'first.toml').write_text(context.fleet.first_note())
+    context.folder = folder
+
+
+@when('every sh block of {pages} runs')
+def run_pages(context, pages):
+    paths = [
+        _ROOT / page
+        for page in pages.replace(' and ', ', ').split(', ')
+        if (_ROOT / page).exists()
+    ]
+    context.blocks = [block for path in paths for block in sh_blocks(path)]
+    context.pages = {block.page.name for block in context.blocks}
+    binaries = str(pathlib.Path(sys.executable).parent)
+    environment = {
+        'PATH': f'{binaries}:/usr/local/bin:/usr/bin:/bin',
+        'ACCOUNT_KEY': ACCOUNT_KEY,
+        'OPERATORS_KEY': OPERATORS_KEY,
+    }
+    context.failures = []
+    for block in context.blocks:
+        context.fleet.revive()
+        failure = run_block(
+            block, root=_ROOT, folder=context.folder, environment=environment
+        )
+        context.failures.extend([failure] if failure else [])
+
+
+@then('each has ended with status 0 and none was left out')
+def all_ran(context):
+    assert not context.failures, '\n'.join(context.failures)
+    assert {'README.md', 'OPERATORS.md'} <= context.pages, context.pages
+
+
+@given('a page with a command that fails')
+def failing_page(context):
+    context.block = Block(
+        page=pathlib.Path('page.md'),
+        line=1,
+        text='echo before\nfalse\necho after\n',
+    )
+
+
+@then('running its blocks reports that command')
+def reported(context):
+    failure = run_block(context.block, root=_ROOT, folder=_ROOT, environment={})
+    assert 'page.md:1: status 1' in failure, failure
+    assert 'after\n' not in failure.partition('echo after\n')[2], failure
+
+
+@when('docs/PROMISES.md is read beside all features')
+def read_promises(context):
+    text = (_ROOT / 'docs/PROMISES.md').read_text()
+    context.lines = list(promise_lines(text))
+    context.scenarios = scenarios_of(_ROOT)
+    context.known_red = (_ROOT / 'KNOWN-RED.txt').read_text()
+
+
+@then('each line names scenarios that exist or is listed in KNOWN-RED.txt')
+def promises_right(context):
+    assert len(context.lines) >= 16, len(context.lines)
+    mistakes = mistakes_of(context.lines, context.scenarios, context.known_red)
+    assert not mistakes, '\n'.join(mistakes)
+
+
+@then('a line without a scenario and one with a wrong name would be seen')
+def mistakes_seen(context):
+    wrong = [
+        PromiseLine(promise='a', scenarios=(), state='held'),
+        PromiseLine(promise='b', scenarios=(('x', 'y'),), state='held'),
+        PromiseLine(promise='not listed', scenarios=(), state='red'),
+        PromiseLine(promise='d', scenarios=(), state=''),
+    ]
+    assert len(mistakes_of(wrong, context.scenarios, '')) == len(wrong)
+
+
+@when('docs/OPERATORS.md is read beside the refusal codes')
+def read_operators(context):
+    context.page_text = (_ROOT / 'docs/OPERATORS.md').read_text()
+
+
+@then('each refusal code has a line that says what to do')
+def codes_described(context):
+    lines = [
+        line
+        for line in context.page_text.splitlines()
+        if line.startswith('| `')
+    ]
+    described = {line.split('`')[1] for line in lines}
+    missing = [code.value for code in RefusalCode if code not in described]
+    assert not missing, missing
--- a/teaseldale/peers/_directory.py
+++ b/teaseldale/peers/_directory.py
@@ -1,5 +1,7 @@
 """Who the other VMs are, by the platform's membership list."""
 
+import anyio
+
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
@@ -9,8 +11,9 @@
 from teaseldale.platform import BaseMembershipList, MemberState, VmMember
 
 _INTERVAL_MS = 1000
-_INTERVAL_PER_VM_MS = 10  # keeps a large fleet from asking too often
+_INTERVAL_PER_VM_MS = 25  # keeps a large fleet from asking too often
 _LEARNED_LIMIT = 1024
+_MS_PER_SECOND = 1000
 
 
 class PeerDirectory:
@@ -34,6 +37,7 @@
         self._by_tag: dict[int, VmIdentity] = {}
         self._learned: dict[int, VmIdentity] = {}  # not on the list yet
         self._cell: tuple[VmIdentity, ...] = ()
+        self._stranger_met = anyio.Event()
 
     def peers(self) -> tuple[VmIdentity, ...]:
         """Returns all other VMs on the list."""
@@ -48,7 +52,8 @@
         return self._by_tag.get(tag) or self._learned.get(tag)
 
     def learn(self, sender: VmIdentity) -> None:
-        """Remembers the sender of a frame that is not on the list yet."""
+        """Remembers a sender not listed yet and has the list read soon."""
+        self._stranger_met.set()
         self._learned[tag_of(sender)] = sender
         if len(self._learned) > _LEARNED_LIMIT:
             self._learned.pop(next(iter(self._learned)))
@@ -69,9 +74,16 @@
         return bool(members) and self._replace(members)
 
     async def wait(self) -> None:
-        """Waits until the list should be read again."""
-        scaled_ms = _INTERVAL_PER_VM_MS * len(self._peers)
-        await self._clock.sleep_ms(max(_INTERVAL_MS, scaled_ms))
+        """Waits until the list should be read again.
+
+        A large fleet reads it rarely; a new VM is found by its own first
+        heartbeat, which has the others read the list.
+        """
+        await self._clock.sleep_ms(_INTERVAL_MS)
+        longest_ms = refresh_interval_ms(len(self._peers)) - _INTERVAL_MS
+        with anyio.move_on_after(longest_ms / _MS_PER_SECOND):
+            await self._stranger_met.wait()
+        self._stranger_met = anyio.Event()
 
     async def _announce(self) -> None:
         await self._membership.announce(
@@ -103,6 +115,11 @@
         return True
 
 
+def refresh_interval_ms(vm_count: int) -> int:
+    """Returns how long a VM waits between two readings of the list."""
+    return max(_INTERVAL_MS, _INTERVAL_PER_VM_MS * vm_count)
+
+
 def _identity_of(member: VmMember) -> VmIdentity:
     return VmIdentity(
         name=member.name,
--- a/teaseldale/peers/tests/links.feature
+++ b/teaseldale/peers/tests/links.feature
@@ -47,3 +47,8 @@
   Scenario: Threads of the messaging library are bounded
     When a process opens a listener and links to 16 VMs
     Then it runs at most 8 threads
+
+  Scenario: A VM that the list does not show yet is found by its heartbeat
+    Given a fleet so large that its list is read once a minute
+    When a VM joins that lists and greets the others
+    Then the others reach it before the next regular reading
--- a/teaseldale/peers/tests/steps_links.py
+++ b/teaseldale/peers/tests/steps_links.py
@@ -338,3 +338,39 @@
 @then('it runs at most {limit:d} threads')
 def few_threads(context, limit):
     assert context.thread_count <= limit, context.thread_count
+
+
+@given('a fleet so large that its list is read once a minute')
+def large_fleet(context):
+    context.members = MemberList()
+    for index in range(2400):  # 2,400 VMs make an interval of a minute
+        list_other(context.members, f'other-{index}', 'port')
+    context.first = make_node(context.members, 'a', port=free_port())
+
+
+@when('a VM joins that lists and greets the others')
+def join(context):
+    async def main():
+        reads = 0
+        read = context.members.members
+
+        async def counted_read():
+            nonlocal reads
+            reads += 1
+            return await read()
+
+        context.members.members = counted_read
+        async with running(context.first):
+            await wait_until(lambda: context.first.network.known_peers())
+            joining = make_node(context.members, 'b', port=free_port())
+            async with running(joining):
+                await wait_until(lambda: context.first.reaches(joining))
+        context.reads = reads
+
+    anyio.run(main)
+
+
+@then('the others reach it before the next regular reading')
+def found_early(context):
+    # Two readings by the first VM and one or two by the one that joined.
+    assert context.reads in {3, 4}, context.reads
