Renew the platform's connections after a call without answer

Cause: each silent connection of a pool cost a call of its own, up to 16. Change: after a time-out later calls use a fresh pool; the old one is closed when its last call has ended, so that slow answers are not cut; counters by reason; a scenario shows that a link without renewal fails its calls.

--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -28,6 +28,7 @@
     table = HttpTableService(
         base_url=settings.platform.table_url,
         timeout_ms=settings.platform.timeout_ms,
+        metrics=metrics,
     )
     peers = _peer_network(settings, clock, metrics)
     configuration = TableConfiguration(table=table, clock=clock)
@@ -81,6 +82,7 @@
         membership=HttpMembershipList(
             base_url=settings.platform.membership_url,
             timeout_ms=settings.platform.timeout_ms,
+            metrics=metrics,
         ),
         clock=clock,
         metrics=metrics,
--- a/teaseldale/peers/tests/links.feature
+++ b/teaseldale/peers/tests/links.feature
@@ -6,6 +6,12 @@
     Then a call of VM a is answered within its time limit
     And VM a has replaced its link and never held VM b unreachable
 
+  Scenario: Without a fresh connection the same call would fail
+    Given VM b that VM a reaches through a relay
+    And links that keep their sockets for good
+    When the relay's open connections go silent
+    Then a call of VM a fails because of its time limit
+
   Scenario: Replies whose connection went silent come over a fresh one
     Given VM a that VM b reaches through a relay
     When the relay's open connections go silent
--- a/teaseldale/peers/tests/relay.py
+++ b/teaseldale/peers/tests/relay.py
@@ -7,7 +7,7 @@
     """Passes bytes on; connections open at a fault stay faulty for good."""
 
     def __init__(self, *, listen_port, target_port):
-        self._listen_port = listen_port
+        self.listen_port = listen_port
         self._target_port = target_port
         self._connections = []
         self.down = False  # no bytes pass on any connection
@@ -16,7 +16,7 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         listener = await anyio.create_tcp_listener(
             local_host='127.0.0.1',
-            local_port=self._listen_port,
+            local_port=self.listen_port,
         )
         task_status.started()
         await listener.serve(self._pass)
--- a/teaseldale/peers/tests/steps_links.py
+++ b/teaseldale/peers/tests/steps_links.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from unittest import mock
 
 import anyio
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from benchmarks.fleet import free_port
 from teaseldale.outcomes import PeerUnreachableError
 from teaseldale.peers import CellMap, VmIdentity, _links
+from teaseldale.peers._link import PeerLink
 from teaseldale.peers.tests.network import (
     Answer,
     MemberList,
@@ -374,3 +376,27 @@
 def found_early(context):
     # Two readings by the first VM and one or two by the one that joined.
     assert context.reads in {3, 4}, context.reads
+
+
+@given('links that keep their sockets for good')
+def keep_sockets(context):
+    context.cleanup.enter_context(
+        mock.patch.object(PeerLink, 'replace_socket', _keep_socket)
+    )
+
+
+def _keep_socket(_link, _reason):
+    """Leaves the socket as it is."""
+
+
+@then('a call of VM a fails because of its time limit')
+def call_times_out(context):
+    async def act():
+        try:
+            await context.pair.a.ask(context.pair.b, timeout_ms=4000)
+        except PeerUnreachableError as error:
+            context.error = error
+
+    context.story.append(act)
+    _play(context)
+    assert context.error.reason == 'timeout', context.error
--- a/teaseldale/platform/_http_client.py
+++ b/teaseldale/platform/_http_client.py
@@ -1,20 +1,42 @@
 """HTTP exchange with the platform, shared by its clients."""
 
+import attrs
 import httpcore
 import msgspec
 
+from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError, Step
 
 _MS_PER_SECOND = 1000
 _STATUS_OK = 200
+_CONNECTION_LIMIT = 16
+
+
+@attrs.define(kw_only=True)
+class _CountedPool:
+    pool: httpcore.AsyncConnectionPool
+    running_count: int = 0  # calls that use the pool now
+    retired: bool = False  # to be closed once no call uses it
 
 
 class PlatformHttpClient:
-    """Sends JSON to one platform service over pooled connections."""
+    """Sends JSON to one platform service over pooled connections.
+
+    A call without answer in time may have met a connection that something on
+    the way has forgotten. Later calls then use fresh connections, so that
+    each further one of the pool does not cost a call as well.
+    """
 
-    def __init__(self, *, base_url: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        timeout_ms: int,
+        metrics: Metrics | None = None,
+    ) -> None:
         """Creates a client for ``base_url``, such as ``http://10.0.0.1:80``."""
         self._base_url = base_url
+        self._metrics = metrics or Metrics()
         timeout_seconds = timeout_ms / _MS_PER_SECOND
         self._extensions = {
             'timeout': {
@@ -24,7 +46,7 @@
                 'pool': timeout_seconds,
             },
         }
-        self._pool = httpcore.AsyncConnectionPool(max_connections=16)
+        self._current = _new_pool()
 
     async def call(
         self,
@@ -35,14 +57,9 @@
         body: object = None,
     ) -> bytes:
         """Returns the body of a 200 answer, or raises ``PlatformError``."""
+        content = b'' if body is None else msgspec.json.encode(body)
         try:
-            response = await self._pool.request(
-                method,
-                self._base_url + path,
-                headers={'content-type': 'application/json'},
-                content=b'' if body is None else msgspec.json.encode(body),
-                extensions=self._extensions,
-            )
+            response = await self._request(method, path, content)
         except (
             httpcore.TimeoutException,
             httpcore.NetworkError,
@@ -55,7 +72,47 @@
 
     async def close(self) -> None:
         """Closes all pooled connections."""
-        await self._pool.aclose()
+        await self._current.pool.aclose()
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        content: bytes,
+    ) -> httpcore.Response:
+        used = self._current
+        used.running_count += 1
+        try:
+            return await used.pool.request(
+                method,
+                self._base_url + path,
+                headers={'content-type': 'application/json'},
+                content=content,
+                extensions=self._extensions,
+            )
+        except httpcore.TimeoutException:
+            self._retire(used)
+            raise
+        finally:
+            await self._release(used)
+
+    def _retire(self, used: _CountedPool) -> None:
+        if used is self._current:
+            self._metrics.increment('platform_connections_renewed')
+            used.retired = True
+            self._current = _new_pool()
+
+    async def _release(self, used: _CountedPool) -> None:
+        used.running_count -= 1
+        if used.retired and not used.running_count:
+            await used.pool.aclose()
 
     def _error(self, step: Step, reason: str) -> PlatformError:
+        self._metrics.increment('platform_call_failed', reason)
         return PlatformError(step=step, peer=self._base_url, reason=reason)
+
+
+def _new_pool() -> _CountedPool:
+    return _CountedPool(
+        pool=httpcore.AsyncConnectionPool(max_connections=_CONNECTION_LIMIT),
+    )
--- a/teaseldale/platform/_http_membership.py
+++ b/teaseldale/platform/_http_membership.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.platform._http_client import PlatformHttpClient
 from teaseldale.platform._membership import BaseMembershipList, VmMember
@@ -10,11 +11,18 @@
 class HttpMembershipList(BaseMembershipList):
     """Client of the platform's membership list."""
 
-    def __init__(self, *, base_url: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        timeout_ms: int,
+        metrics: Metrics | None = None,
+    ) -> None:
         """Creates a client; each call ends within ``timeout_ms``."""
         self._client = PlatformHttpClient(
             base_url=base_url,
             timeout_ms=timeout_ms,
+            metrics=metrics,
         )
 
     async def announce(self, member: VmMember) -> None:
--- a/teaseldale/platform/_http_table.py
+++ b/teaseldale/platform/_http_table.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.platform._http_client import PlatformHttpClient
 from teaseldale.platform._table import (
@@ -27,11 +28,18 @@
 class HttpTableService(BaseTableService):
     """Client of the platform's table service."""
 
-    def __init__(self, *, base_url: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        timeout_ms: int,
+        metrics: Metrics | None = None,
+    ) -> None:
         """Creates a client; each call ends within ``timeout_ms``."""
         self._client = PlatformHttpClient(
             base_url=base_url,
             timeout_ms=timeout_ms,
+            metrics=metrics,
         )
 
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
