--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,23 +1,24 @@
 """Assembly of one VM's services."""
 
-import pathlib
+import random
 import uuid
 
 import anyio
 
-from teaseldale.budgets import TableLedger, TransactionalSpending
+from teaseldale.budgets import GrantedSpending, TableLedger
 from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
-from teaseldale.kernel import Kernel
+from teaseldale.kernel import BaseService, Kernel
 from teaseldale.metrics import Metrics
 from teaseldale.moves import InForceVersion
 from teaseldale.notes import TableConfiguration
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
-from teaseldale.requests import TableRequestRegistry
+from teaseldale.requests import HolderParts, WitnessedRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
-from teaseldale.settings import Settings
+from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
 
 
@@ -32,23 +33,39 @@
     )
     peers = _peer_network(settings, clock, metrics)
     configuration = TableConfiguration(table=table, clock=clock)
+    holder_parts = HolderParts.build(
+        table=table,
+        peers=peers,
+        clock=clock,
+        metrics=metrics,
+        random_source=random.Random(),
+    )
+    spending = GrantedSpending(parts=holder_parts)
+    registry = WitnessedRegistry(parts=holder_parts)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
-            configuration=configuration,
-            ledger=TableLedger(table=table),
-            peers=peers,
+            is_ready=lambda: configuration.current().revision > 0,
             metrics=metrics,
             shutdown=shutdown,
-            operators_key=_read_secret(settings.vm.operators_key_file),
+            operators_key=read_secret(
+                settings.vm.operators_key_file,
+                field='vm.operators_key_file',
+            ),
         ),
     )
+    add_endpoints(
+        operators,
+        configuration=configuration,
+        ledger=TableLedger(table=table),
+        peers=peers,
+    )
     callers = CallersInterface(
         address=settings.vm.callers_address,
         parts=RequestParts(
             configuration=configuration,
-            registry=TableRequestRegistry(table=table),
-            spending=TransactionalSpending(table=table),
+            registry=registry,
+            spending=spending,
             versions=InForceVersion(),
             router=LocalRouter(
                 configuration=configuration,
@@ -61,8 +78,19 @@
         ),
         limits=settings.limits,
     )
+    return _kernel_of(
+        operators,
+        peers,
+        configuration,
+        spending,
+        registry,
+        callers,
+    )
+
+
+def _kernel_of(*services: BaseService) -> Kernel:
     kernel = Kernel()
-    for service in (operators, peers, configuration, callers):
+    for service in services:
         kernel.register(service)
     return kernel
 
@@ -87,7 +115,3 @@
         clock=clock,
         metrics=metrics,
     )
-
-
-def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text('utf-8').strip()
