--- a/teaseldale/peers/tests/links.feature
+++ b/teaseldale/peers/tests/links.feature
@@ -6,6 +6,12 @@
     Then a call of VM a is answered within its time limit
     And VM a has replaced its link and never held VM b unreachable
 
+  Scenario: Without a fresh connection the same call would fail
+    Given VM b that VM a reaches through a relay
+    And links that keep their sockets for good
+    When the relay's open connections go silent
+    Then a call of VM a fails because of its time limit
+
   Scenario: Replies whose connection went silent come over a fresh one
     Given VM a that VM b reaches through a relay
     When the relay's open connections go silent
@@ -47,3 +53,8 @@
   Scenario: Threads of the messaging library are bounded
     When a process opens a listener and links to 16 VMs
     Then it runs at most 8 threads
+
+  Scenario: A VM that the list does not show yet is found by its heartbeat
+    Given a fleet so large that its list is read once a minute
+    When a VM joins that lists and greets the others
+    Then the others reach it before the next regular reading
