--- a/teaseldale/answers/__init__.py
+++ b/teaseldale/answers/__init__.py
@@ -1,6 +1,25 @@
 """Answers while they are produced and read, and as they are stored."""
 
-from teaseldale.answers._answer_log import AnswerLog, AnswerPart
+from teaseldale.answers._answer_log import (
+    WINDOW_BYTES,
+    AnswerLog,
+    AnswerPart,
+)
+from teaseldale.answers._answer_memory import (
+    ANSWER_LIMIT_BYTES,
+    AnswerMemory,
+    AnswerRoom,
+)
+from teaseldale.answers._answer_text import AnswerText
 from teaseldale.answers._stored_answer import StoredAnswer
 
-__all__ = ('AnswerLog', 'AnswerPart', 'StoredAnswer')
+__all__ = (
+    'ANSWER_LIMIT_BYTES',
+    'WINDOW_BYTES',
+    'AnswerLog',
+    'AnswerMemory',
+    'AnswerPart',
+    'AnswerRoom',
+    'AnswerText',
+    'StoredAnswer',
+)
--- /dev/null
+++ b/teaseldale/answers/_answer_memory.py
@@ -0,0 +1,44 @@
+"""Memory of one VM that answers may take."""
+
+import attrs
+
+ANSWER_LIMIT_BYTES = 65_536
+_BYTES_PER_TOKEN = 16
+_TOTAL_LIMIT_BYTES = 150_994_944
+
+
+@attrs.frozen(kw_only=True)
+class AnswerRoom:
+    """Bytes set aside for one answer, until they are released."""
+
+    size_bytes: int
+
+
+class AnswerMemory:
+    """Sets aside the longest length of each answer before it runs."""
+
+    def __init__(
+        self,
+        *,
+        total_limit_bytes: int = _TOTAL_LIMIT_BYTES,
+        answer_limit_bytes: int = ANSWER_LIMIT_BYTES,
+    ) -> None:
+        """Creates an empty memory."""
+        self._total_limit_bytes = total_limit_bytes
+        self._answer_limit_bytes = answer_limit_bytes
+        self.reserved_bytes = 0
+
+    def reserve(self, output_tokens: int) -> AnswerRoom | None:
+        """Returns room for an answer, or None if there is none now."""
+        size_bytes = min(
+            output_tokens * _BYTES_PER_TOKEN,
+            self._answer_limit_bytes,
+        )
+        if self.reserved_bytes + size_bytes > self._total_limit_bytes:
+            return None
+        self.reserved_bytes += size_bytes
+        return AnswerRoom(size_bytes=size_bytes)
+
+    def release(self, room: AnswerRoom) -> None:
+        """Gives the room of an ended answer back."""
+        self.reserved_bytes -= room.size_bytes
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,6 +1,7 @@
 """Assembly of one VM's services."""
 
 import pathlib
+import random
 import uuid
 
 import anyio
@@ -8,7 +9,7 @@
 from teaseldale.budgets import TableLedger, TransactionalSpending
 from teaseldale.clock import BaseClock, SystemClock
 from teaseldale.entry import CallersInterface, RequestParts
-from teaseldale.kernel import Kernel
+from teaseldale.kernel import BaseService, Kernel
 from teaseldale.metrics import Metrics
 from teaseldale.moves import InForceVersion
 from teaseldale.notes import TableConfiguration
@@ -16,9 +17,19 @@
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
 from teaseldale.requests import TableRequestRegistry
-from teaseldale.routing import LeastInFlightChoice, LocalRouter
+from teaseldale.routing import (
+    AffinityChoice,
+    FleetRouter,
+    PrefixIndex,
+    RunnerWatch,
+)
 from teaseldale.settings import Settings
-from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
+from teaseldale.upstreams import (
+    CrashQuarantine,
+    HttpEngineClient,
+    HttpRunnerReports,
+    HttpServiceClient,
+)
 
 
 def build_kernel(settings: Settings, shutdown: anyio.Event) -> Kernel:
@@ -31,6 +42,8 @@
     )
     peers = _peer_network(settings, clock)
     configuration = TableConfiguration(table=table, clock=clock)
+    watch = _runner_watch(settings, configuration, peers, clock, metrics)
+    quarantine = CrashQuarantine(network=peers, clock=clock, metrics=metrics)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
@@ -49,23 +62,70 @@
             registry=TableRequestRegistry(table=table),
             spending=TransactionalSpending(table=table),
             versions=InForceVersion(),
-            router=LocalRouter(
-                configuration=configuration,
-                choice=LeastInFlightChoice(),
-            ),
+            router=watch.router,
             engines=HttpEngineClient(),
             services=HttpServiceClient(),
             clock=clock,
             metrics=metrics,
+            quarantine=quarantine,
         ),
         limits=settings.limits,
     )
+    return _kernel_of(
+        operators,
+        peers,
+        configuration,
+        quarantine,
+        watch.router,
+        watch,
+        callers,
+    )
+
+
+def _kernel_of(*services: BaseService) -> Kernel:
     kernel = Kernel()
-    for service in (operators, peers, configuration, callers):
+    for service in services:
         kernel.register(service)
     return kernel
 
 
+def _runner_watch(
+    settings: Settings,
+    configuration: TableConfiguration,
+    peers: PynngPeerNetwork,
+    clock: BaseClock,
+    metrics: Metrics,
+) -> RunnerWatch:
+    index = PrefixIndex()
+    router = FleetRouter(
+        configuration=configuration,
+        choice=AffinityChoice(
+            index=index,
+            clock=clock,
+            zone=settings.vm.availability_zone,
+            random_source=random.Random(),
+        ),
+        network=peers,
+        clock=clock,
+        metrics=metrics,
+    )
+    return RunnerWatch(
+        router=router,
+        index=index,
+        reports=HttpRunnerReports(),
+        membership=_membership_list(settings),
+        clock=clock,
+        metrics=metrics,
+    )
+
+
+def _membership_list(settings: Settings) -> HttpMembershipList:
+    return HttpMembershipList(
+        base_url=settings.platform.membership_url,
+        timeout_ms=settings.platform.timeout_ms,
+    )
+
+
 def _peer_network(settings: Settings, clock: BaseClock) -> PynngPeerNetwork:
     return PynngPeerNetwork(
         identity=VmIdentity(
@@ -74,10 +134,7 @@
             availability_zone=settings.vm.availability_zone,
             address=settings.vm.peer_address,
         ),
-        membership=HttpMembershipList(
-            base_url=settings.platform.membership_url,
-            timeout_ms=settings.platform.timeout_ms,
-        ),
+        membership=_membership_list(settings),
         clock=clock,
     )
 
--- /dev/null
+++ b/teaseldale/entry/_attempts.py
@@ -0,0 +1,162 @@
+"""What is common to attempts of completions and of service calls."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import attrs
+
+from teaseldale.entry._parts import RequestParts
+from teaseldale.entry._upstream_refusals import (
+    blames_upstream,
+    keep_run,
+    suspect_waits,
+)
+from teaseldale.notes import Route
+from teaseldale.outcomes import Refusal
+from teaseldale.routing import Placement, RoutingRequest
+from teaseldale.upstreams import FailureKind, UpstreamError
+
+_ATTEMPTS = 3
+_TRIAL_WAIT_MS = 5000
+
+
+@attrs.define(kw_only=True)
+class Attempts:
+    """Attempts of one request so far."""
+
+    route: Route
+    fingerprint: str
+    excluded: frozenset[str] = frozenset()
+    failure_count: int = 0
+    last: Refusal | None = None
+    fresh_connection: bool = False  # after a connection went silent
+    trial_upstream: str = ''  # right to a trial that is held now
+
+    def note_failure(self, refusal: Refusal, upstream: str) -> None:
+        """Takes a failed attempt into account."""
+        self.failure_count += 1
+        self.excluded |= {upstream}
+        self.last = keep_run(self.last, refusal)
+
+
+class AttemptPlacer:
+    """Places attempts, keeps suspects apart and decides about retries."""
+
+    def __init__(self, *, parts: RequestParts) -> None:
+        """Uses the given parts."""
+        self._parts = parts
+
+    async def place(
+        self,
+        request: RoutingRequest,
+        attempts: Attempts,
+    ) -> Placement | Refusal:
+        """Returns a placement, or the refusal to give the caller."""
+        quarantined = self._parts.quarantine.refusal_for(attempts.fingerprint)
+        if quarantined is not None:
+            return quarantined
+        usable = self._parts.router.usable_upstreams(
+            request.route,
+            request.version,
+        )
+        if self._parts.quarantine.is_suspect(attempts.fingerprint):
+            refusal = await self._start_trial(request, attempts, usable)
+            if refusal is not None:
+                return keep_run(attempts.last, refusal)
+        placed = await self._parts.router.place(
+            attrs.evolve(
+                request,
+                excluded=_still_excluded(attempts, usable),
+                only_upstream=attempts.trial_upstream,
+                first_attempt=not attempts.failure_count,
+            ),
+        )
+        if isinstance(placed, Refusal):
+            await self.end_trial(attempts, succeeded=False)
+            return keep_run(attempts.last, placed)
+        return placed
+
+    async def end_trial(self, attempts: Attempts, *, succeeded: bool) -> None:
+        """Gives a right to a trial back, if one is held."""
+        if attempts.trial_upstream:
+            await self._parts.quarantine.end_trial(
+                attempts.fingerprint,
+                attempts.trial_upstream,
+                succeeded=succeeded,
+            )
+            attempts.trial_upstream = ''
+
+    async def note_error(
+        self,
+        error: UpstreamError,
+        placed: Placement,
+        attempts: Attempts,
+    ) -> None:
+        """Counts an upstream's failure; a break makes a suspect."""
+        self._parts.metrics.increment('upstream_failures', error.kind)
+        if error.kind is FailureKind.SILENT:
+            attempts.fresh_connection = True
+        if error.kind is FailureKind.BROKEN:
+            await self._parts.quarantine.report_crash(
+                attempts.fingerprint,
+                placed.upstream.name,
+            )
+
+    def may_retry(self, attempts: Attempts, refusal: Refusal) -> bool:
+        """Takes a retry from the route's budget if another may help."""
+        if attempts.failure_count >= _ATTEMPTS:
+            return False
+        if not self._parts.router.take_retry(attempts.route):
+            return False
+        self._parts.metrics.increment('retries', refusal.code)
+        return True
+
+    @contextmanager
+    def released(self, placed: Placement) -> Iterator['AttemptOutcome']:
+        """Releases the placement at the end, also when cancelled."""
+        outcome = AttemptOutcome()
+        try:
+            yield outcome
+        finally:
+            self._parts.router.release(placed, failed=outcome.failed)
+
+    async def _start_trial(
+        self,
+        request: RoutingRequest,
+        attempts: Attempts,
+        usable: tuple[str, ...],
+    ) -> Refusal | None:
+        now_ms = self._parts.clock.monotonic_ms()
+        upstream = await self._parts.quarantine.start_trial(
+            attempts.fingerprint,
+            usable,
+            deadline_ms=min(request.deadline_ms, now_ms + _TRIAL_WAIT_MS),
+        )
+        quarantined = self._parts.quarantine.refusal_for(attempts.fingerprint)
+        attempts.trial_upstream = upstream or ''
+        if quarantined is not None:
+            await self.end_trial(attempts, succeeded=False)
+            return quarantined
+        if upstream is None:
+            return suspect_waits()
+        return None
+
+
+@attrs.define(kw_only=True)
+class AttemptOutcome:
+    """Whether an attempt counts against its upstream."""
+
+    failed: bool = False
+
+    def blame(self, error: UpstreamError) -> None:
+        """Takes the failure of the attempt."""
+        self.failed = blames_upstream(error)
+
+
+def _still_excluded(
+    attempts: Attempts,
+    usable: tuple[str, ...],
+) -> frozenset[str]:
+    if attempts.excluded.issuperset(usable):
+        return frozenset()
+    return attempts.excluded
--- a/teaseldale/entry/_completion.py
+++ b/teaseldale/entry/_completion.py
@@ -1,28 +1,45 @@
 """Running of one completion: reserve, place, dispatch, stream, settle."""
 
 import functools
+import weakref
 
+import anyio
 import attrs
 
-from teaseldale.answers import AnswerLog, StoredAnswer
+from teaseldale.answers import AnswerLog, AnswerRoom, StoredAnswer
 from teaseldale.budgets import Reservation
+from teaseldale.entry._attempts import (
+    AttemptOutcome,
+    AttemptPlacer,
+    Attempts,
+)
+from teaseldale.entry._engine_stream import (
+    EngineStream,
+    StreamBounds,
+    StreamEnd,
+)
+from teaseldale.entry._evidence import RunEvidence
 from teaseldale.entry._lifecycle import (
     RequestLifecycle,
     WorkOutcome,
     charged_budgets,
 )
 from teaseldale.entry._parts import RequestParts
-from teaseldale.moves import EvidenceSample
+from teaseldale.entry._upstream_refusals import memory_full, upstream_failed
 from teaseldale.notes import ClientAccount, Route
-from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.outcomes import Refusal
 from teaseldale.requests import OpenedRequest
 from teaseldale.routing import Placement, RoutingRequest
-from teaseldale.upstreams import EngineCall, EngineFinished, UpstreamError
+from teaseldale.upstreams import (
+    EngineCall,
+    EngineFinished,
+    FailureKind,
+    UpstreamError,
+    fingerprint_of,
+)
 
-_ATTEMPTS = 3
-_PROGRESS_TIMEOUT_MS = 10_000
+_PROGRESS_TIMEOUT_MS = 4000
 _STATUS_OK = 200
-_RETRY_AFTER_MS = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +57,22 @@
     deadline_ms: int  # monotonic
 
 
+@attrs.frozen(kw_only=True)
+class _Run:
+    """A job with what stays the same over its attempts."""
+
+    job: CompletionJob
+    reserved: Reservation
+    version: str
+    attempts: Attempts
+    room: AnswerRoom
+
+    @property
+    def answer(self) -> AnswerLog:
+        """Answer that is written."""
+        return self.job.opened.answer
+
+
 class CompletionRunner:
     """Runs completions; each answer is written to its request's log."""
 
@@ -47,6 +80,7 @@
         """Uses the given parts."""
         self._parts = parts
         self._lifecycle = RequestLifecycle(parts=parts)
+        self._placer = AttemptPlacer(parts=parts)
 
     async def run(self, job: CompletionJob) -> None:
         """Runs a job to its end; the outcome is in the answer log."""
@@ -62,145 +96,161 @@
         job: CompletionJob,
         reserved: Reservation,
     ) -> WorkOutcome:
-        excluded: frozenset[str] = frozenset()
+        room = self._reserve_room(job)
+        if room is None:
+            return WorkOutcome(answer=memory_full())
         version = self._parts.versions.version_for(
             job.route,
             job.opened.request,
         )
-        last: Refusal | None = None
-        for _ in range(_ATTEMPTS):
-            placed = await self._parts.router.place(
-                _routing_request(job, version, excluded),
-            )
-            if isinstance(placed, Refusal):
-                return WorkOutcome(answer=_keep_run(last, placed))
-            outcome = await self._run_at(job, reserved, placed)
-            if not isinstance(outcome, Refusal):
-                return _whole(job, outcome)
-            last = _keep_run(last, outcome)
-            excluded |= {placed.upstream.name}
-            self._parts.metrics.increment('retries', outcome.code)
-        return WorkOutcome(answer=last or _no_attempt())
+        run = _Run(
+            job=job,
+            reserved=reserved,
+            version=version,
+            attempts=Attempts(
+                route=job.route,
+                fingerprint=fingerprint_of(job.route.name, job.engine_body),
+            ),
+            room=room,
+        )
+        while True:
+            outcome = await self._attempt(run)
+            if isinstance(outcome, WorkOutcome):
+                return outcome
+
+    def _reserve_room(self, job: CompletionJob) -> AnswerRoom | None:
+        memory = self._parts.answer_memory
+        room = memory.reserve(job.output_limit_tokens)
+        if room is not None:
+            # Readers and stores hold the answer longer than the run does.
+            weakref.finalize(job.opened.answer, memory.release, room)
+        return room
+
+    async def _attempt(self, run: _Run) -> WorkOutcome | None:
+        placed = await self._placer.place(_routing_request(run), run.attempts)
+        if isinstance(placed, Refusal):
+            return _given_up(run, placed)
+        outcome = await self._run_at(run, placed)
+        await self._placer.end_trial(
+            run.attempts,
+            succeeded=not isinstance(outcome, Refusal),
+        )
+        if isinstance(outcome, EngineFinished):
+            return _whole(run, outcome)
+        if isinstance(outcome, Refusal):
+            return self._after_failure(run, placed, outcome)
+        self._parts.metrics.increment('streams_resumed', 'reader_slow')
+        await run.answer.wait_for_room()
+        return None
+
+    def _after_failure(
+        self,
+        run: _Run,
+        placed: Placement,
+        refusal: Refusal,
+    ) -> WorkOutcome | None:
+        run.attempts.note_failure(refusal, placed.upstream.name)
+        if self._placer.may_retry(run.attempts, refusal):
+            return None
+        return _given_up(run, run.attempts.last or refusal)
 
     async def _run_at(
         self,
-        job: CompletionJob,
-        reserved: Reservation,
+        run: _Run,
         placed: Placement,
-    ) -> EngineFinished | Refusal:
-        refused = await self._parts.registry.record_dispatch(
-            job.opened,
-            upstream=placed.upstream.name,
-            reserved_tokens=reserved.tokens,
-        )
-        if refused is not None:
-            self._parts.router.release(placed, failed=False)
-            return refused
-        started_ms = self._parts.clock.monotonic_ms()
-        outcome: EngineFinished | Refusal
-        try:
-            outcome = await self._stream(job, placed)
-        except UpstreamError as error:
-            outcome = _upstream_failed(error)
-        failed = isinstance(outcome, Refusal)
-        self._parts.router.release(placed, failed=failed)
-        self._parts.versions.record(
-            EvidenceSample(
-                route=job.route.name,
-                version=placed.upstream.version,
-                failed=failed,
-                first_token_ms=self._parts.clock.monotonic_ms() - started_ms,
-                largest_gap_ms=None,
-            ),
-        )
-        return outcome
+    ) -> EngineFinished | StreamEnd | Refusal:
+        with self._placer.released(placed) as outcome:
+            refused = await self._parts.registry.record_dispatch(
+                run.job.opened,
+                upstream=placed.upstream.name,
+                reserved_tokens=run.reserved.tokens,
+            )
+            if refused is not None:
+                return refused
+            try:
+                return await self._stream(run, placed, outcome)
+            except UpstreamError as error:
+                failure = error
+        await self._placer.note_error(failure, placed, run.attempts)
+        if failure.kind is FailureKind.SILENT:
+            await self._parts.engines.cancel(
+                placed.upstream,
+                run.job.opened.request.text,
+            )
+        return upstream_failed(failure, repeatable=True)
 
     async def _stream(
         self,
-        job: CompletionJob,
+        run: _Run,
         placed: Placement,
-    ) -> EngineFinished:
-        answer = job.opened.answer
-        call = EngineCall(
-            request_id=job.opened.request.text,
-            body=job.engine_body,
-            offset=answer.output_tokens,
-            progress_timeout_ms=_PROGRESS_TIMEOUT_MS,
+        outcome: AttemptOutcome,
+    ) -> EngineFinished | StreamEnd:
+        evidence = RunEvidence(
+            versions=self._parts.versions,
+            clock=self._parts.clock,
+            route=run.job.route.name,
+            version=placed.upstream.version,
         )
-        async with self._parts.engines.stream(placed.upstream, call) as events:
-            async for event in events:
-                if isinstance(event, EngineFinished):
-                    return event
-                total = event.offset + event.token_count
-                if total > job.output_limit_tokens:
-                    return _cut(job, answer)
-                answer.append(event)
-        raise UpstreamError(
-            step=Step.STREAM,
-            peer=placed.upstream.name,
-            reason='the stream ended without usage',
-            may_have_run=True,
+        stream = EngineStream(
+            parts=self._parts,
+            answer=run.answer,
+            bounds=StreamBounds(
+                output_limit_tokens=run.job.output_limit_tokens,
+                room=run.room,
+            ),
+            evidence=evidence,
         )
+        ended: EngineFinished | StreamEnd | UpstreamError
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(evidence.watch)
+            try:
+                ended = await stream.read(placed.upstream, _call(run))
+            except UpstreamError as error:
+                ended = error
+            tasks.cancel_scope.cancel()
+        failed = isinstance(ended, UpstreamError)
+        evidence.end(failed=failed)
+        if isinstance(ended, UpstreamError):
+            outcome.blame(ended)
+            raise ended
+        return ended
+
+
+def _call(run: _Run) -> EngineCall:
+    return EngineCall(
+        request_id=run.job.opened.request.text,
+        body=run.job.engine_body,
+        offset=run.answer.output_tokens,
+        progress_timeout_ms=_PROGRESS_TIMEOUT_MS,
+        fresh_connection=run.attempts.fresh_connection,
+    )
 
 
-def _whole(job: CompletionJob, finished: EngineFinished) -> WorkOutcome:
-    text = ''.join(part.text for part in job.opened.answer.parts)
+def _whole(run: _Run, finished: EngineFinished) -> WorkOutcome:
+    was_cut = finished.prompt_tokens == 0
     stored = StoredAnswer(
         status=_STATUS_OK,
-        body=text.encode(),
+        body=run.answer.text(),
         content_type='text/plain',
-        prompt_tokens=finished.prompt_tokens,
+        prompt_tokens=(
+            run.job.prompt_bound_tokens if was_cut else finished.prompt_tokens
+        ),
         output_tokens=finished.output_tokens,
         finish_reason=finished.finish_reason,
     )
     return WorkOutcome(answer=stored, used_tokens=stored.used_tokens)
 
 
-def _routing_request(
-    job: CompletionJob,
-    version: str,
-    excluded: frozenset[str],
-) -> RoutingRequest:
+def _routing_request(run: _Run) -> RoutingRequest:
     return RoutingRequest(
-        route=job.route.name,
-        version=version,
-        prompt=job.prompt,
-        priority=job.priority,
-        deadline_ms=job.deadline_ms,
-        excluded=excluded,
+        route=run.job.route.name,
+        version=run.version,
+        prompt=run.job.prompt,
+        priority=run.job.priority,
+        deadline_ms=run.job.deadline_ms,
+        client_account=run.job.account.name,
     )
 
 
-def _keep_run(earlier: Refusal | None, later: Refusal) -> Refusal:
-    if earlier is not None and not earlier.not_run:
-        return earlier
-    return later
-
-
-def _cut(job: CompletionJob, answer: AnswerLog) -> EngineFinished:
-    return EngineFinished(
-        prompt_tokens=job.prompt_bound_tokens,
-        output_tokens=answer.output_tokens,
-        finish_reason='length',
-    )
-
-
-def _upstream_failed(error: UpstreamError) -> Refusal:
-    return Refusal(
-        code=RefusalCode.UPSTREAM_FAILED,
-        message='The upstream failed; send the request again with its key.',
-        not_run=not error.may_have_run,
-        step=error.step,
-        peer=error.peer,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
-
-
-def _no_attempt() -> Refusal:
-    return Refusal(
-        code=RefusalCode.NO_UPSTREAM,
-        message='No upstream was tried; ask again later.',
-        not_run=True,
-        step=Step.CHOOSE_UPSTREAM,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
+def _given_up(run: _Run, refusal: Refusal) -> WorkOutcome:
+    return WorkOutcome(answer=refusal)
--- /dev/null
+++ b/teaseldale/entry/_engine_stream.py
@@ -0,0 +1,138 @@
+"""One run at an engine, read into the answer log."""
+
+import enum
+
+import anyio
+import attrs
+import msgspec
+
+from teaseldale.answers import AnswerLog, AnswerPart, AnswerRoom
+from teaseldale.entry._evidence import RunEvidence
+from teaseldale.entry._parts import RequestParts
+from teaseldale.notes import Upstream
+from teaseldale.outcomes import Step
+from teaseldale.upstreams import (
+    EngineCall,
+    EngineEvents,
+    EngineFinished,
+    FailureKind,
+    UpstreamError,
+)
+
+_PAUSE_LIMIT_MS = 1000
+_MS_PER_SECOND = 1000
+_LENGTH = 'length'
+
+
+@enum.unique
+class StreamEnd(enum.Enum):
+    """Ends of a stream other than the engine's own."""
+
+    READER_SLOW = enum.auto()  # to be resumed once the caller has read on
+
+
+@attrs.frozen(kw_only=True)
+class StreamBounds:
+    """Where an answer is cut."""
+
+    output_limit_tokens: int
+    room: AnswerRoom
+
+
+class EngineStream:
+    """Reads one run of one request; keeps the reader within the window."""
+
+    def __init__(
+        self,
+        *,
+        parts: RequestParts,
+        answer: AnswerLog,
+        bounds: StreamBounds,
+        evidence: RunEvidence,
+    ) -> None:
+        """Writes to ``answer``, which may hold earlier runs' text."""
+        self._parts = parts
+        self._answer = answer
+        self._bounds = bounds
+        self._evidence = evidence
+
+    async def read(
+        self,
+        upstream: Upstream,
+        call: EngineCall,
+    ) -> EngineFinished | StreamEnd:
+        """Reads to the end of the stream, a bound, or a slow reader."""
+        try:
+            async with self._parts.engines.stream(upstream, call) as events:
+                return await self._follow(upstream, events)
+        except msgspec.MsgspecError as error:
+            raise _not_readable(upstream, str(error)) from error
+
+    async def _follow(
+        self,
+        upstream: Upstream,
+        events: EngineEvents,
+    ) -> EngineFinished | StreamEnd:
+        async for event in events:
+            ended = await self._take(upstream, event)
+            if ended is not None:
+                return ended
+        raise UpstreamError(
+            step=Step.STREAM,
+            peer=upstream.name,
+            reason='the stream ended without usage',
+            may_have_run=True,
+        )
+
+    async def _take(
+        self,
+        upstream: Upstream,
+        event: AnswerPart | EngineFinished,
+    ) -> EngineFinished | StreamEnd | None:
+        if isinstance(event, EngineFinished):
+            return event
+        self._evidence.note_token()
+        end_tokens = event.offset + event.token_count
+        if end_tokens > self._bounds.output_limit_tokens:
+            return self._cut()
+        if end_tokens <= self._answer.output_tokens:
+            return None  # resent by an engine that resumed earlier
+        if event.offset != self._answer.output_tokens:
+            raise _not_readable(upstream, 'tokens are missing in the stream')
+        if self._exceeds_room(event):
+            return self._cut()
+        self._answer.append(event)
+        if self._answer.has_room:
+            return None
+        return await self._pause()
+
+    async def _pause(self) -> StreamEnd | None:
+        self._parts.metrics.increment('streams_paused')
+        self._evidence.pause()
+        with anyio.move_on_after(_PAUSE_LIMIT_MS / _MS_PER_SECOND):
+            await self._answer.wait_for_room()
+            self._evidence.resume()
+            return None
+        return StreamEnd.READER_SLOW
+
+    def _exceeds_room(self, part: AnswerPart) -> bool:
+        size_bytes = self._answer.size_bytes + len(part.text.encode())
+        return size_bytes > self._bounds.room.size_bytes
+
+    def _cut(self) -> EngineFinished:
+        self._parts.metrics.increment('answers_cut', _LENGTH)
+        return EngineFinished(
+            prompt_tokens=0,
+            output_tokens=self._answer.output_tokens,
+            finish_reason=_LENGTH,
+        )
+
+
+def _not_readable(upstream: Upstream, reason: str) -> UpstreamError:
+    return UpstreamError(
+        step=Step.STREAM,
+        peer=upstream.name,
+        reason=reason,
+        may_have_run=True,
+        kind=FailureKind.CROSSED,
+    )
--- /dev/null
+++ b/teaseldale/entry/_evidence.py
@@ -0,0 +1,93 @@
+"""Evidence about a version from one run, also before the run ends."""
+
+from teaseldale.clock import BaseClock
+from teaseldale.moves import BaseVersionAssignment, EvidenceSample
+
+OVERDUE_MS = 2000
+
+
+class RunEvidence:
+    """Measures one run and records one sample; two if an overdue run fails."""
+
+    def __init__(
+        self,
+        *,
+        versions: BaseVersionAssignment,
+        clock: BaseClock,
+        route: str,
+        version: str,
+    ) -> None:
+        """Starts the run now."""
+        self._versions = versions
+        self._clock = clock
+        self._route = route
+        self._version = version
+        self._last_ms = clock.monotonic_ms()
+        self._first_token_ms: int | None = None
+        self._largest_gap_ms: int | None = None
+        self._paused = False
+        self._was_overdue = False
+
+    def note_token(self) -> None:
+        """Notes that tokens came now."""
+        now_ms = self._clock.monotonic_ms()
+        gap_ms = now_ms - self._last_ms
+        self._last_ms = now_ms
+        if self._first_token_ms is None:
+            self._first_token_ms = gap_ms
+        elif self._largest_gap_ms is None or gap_ms > self._largest_gap_ms:
+            self._largest_gap_ms = gap_ms
+
+    def pause(self) -> None:
+        """Stops measuring while the caller reads too slowly."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Measures again from now."""
+        self._paused = False
+        self._last_ms = self._clock.monotonic_ms()
+
+    async def watch(self) -> None:
+        """Records a sample as soon as tokens are overdue; never ends."""
+        while True:
+            silent_ms = self._clock.monotonic_ms() - self._last_ms
+            overdue = silent_ms >= OVERDUE_MS and not self._paused
+            if overdue and not self._was_overdue:
+                self._was_overdue = True
+                self._record_overdue(silent_ms)
+            await self._clock.sleep_ms(max(OVERDUE_MS - silent_ms, OVERDUE_MS))
+
+    def end(self, *, failed: bool) -> None:
+        """Records the run, unless an overdue sample stands for it."""
+        if failed or not self._was_overdue:
+            self._record(
+                failed=failed,
+                first_token_ms=self._first_token_ms,
+                largest_gap_ms=self._largest_gap_ms,
+            )
+
+    def _record_overdue(self, silent_ms: int) -> None:
+        if self._first_token_ms is None:
+            self._record(first_token_ms=silent_ms, largest_gap_ms=None)
+        else:
+            self._record(
+                first_token_ms=self._first_token_ms,
+                largest_gap_ms=silent_ms,
+            )
+
+    def _record(
+        self,
+        *,
+        first_token_ms: int | None,
+        largest_gap_ms: int | None,
+        failed: bool = False,
+    ) -> None:
+        self._versions.record(
+            EvidenceSample(
+                route=self._route,
+                version=self._version,
+                failed=failed,
+                first_token_ms=first_token_ms,
+                largest_gap_ms=largest_gap_ms,
+            ),
+        )
--- a/teaseldale/entry/_parts.py
+++ b/teaseldale/entry/_parts.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from teaseldale.answers import AnswerMemory
 from teaseldale.budgets import BaseSpending
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
@@ -9,7 +10,12 @@
 from teaseldale.notes import BaseConfigurationSource
 from teaseldale.requests import BaseRequestRegistry
 from teaseldale.routing import BaseRouter
-from teaseldale.upstreams import BaseEngineClient, BaseServiceClient
+from teaseldale.upstreams import (
+    BaseEngineClient,
+    BaseQuarantine,
+    BaseServiceClient,
+    NoQuarantine,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -25,3 +31,5 @@
     services: BaseServiceClient
     clock: BaseClock
     metrics: Metrics
+    quarantine: BaseQuarantine = attrs.field(factory=NoQuarantine)
+    answer_memory: AnswerMemory = attrs.field(factory=AnswerMemory)
--- a/teaseldale/entry/_service_call.py
+++ b/teaseldale/entry/_service_call.py
@@ -6,19 +6,24 @@
 
 from teaseldale.answers import StoredAnswer
 from teaseldale.budgets import Reservation
+from teaseldale.entry._attempts import AttemptPlacer, Attempts
 from teaseldale.entry._lifecycle import (
     RequestLifecycle,
     WorkOutcome,
     charged_budgets,
 )
 from teaseldale.entry._parts import RequestParts
-from teaseldale.notes import ClientAccount, Route, Upstream
-from teaseldale.outcomes import Refusal, RefusalCode
+from teaseldale.entry._upstream_refusals import upstream_failed
+from teaseldale.notes import ClientAccount, Route
+from teaseldale.outcomes import Refusal
 from teaseldale.requests import OpenedRequest
-from teaseldale.routing import RoutingRequest
-from teaseldale.upstreams import ServiceAnswer, ServiceCall, UpstreamError
-
-_RETRY_AFTER_MS = 500
+from teaseldale.routing import Placement, RoutingRequest
+from teaseldale.upstreams import (
+    ServiceAnswer,
+    ServiceCall,
+    UpstreamError,
+    fingerprint_of,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +45,7 @@
         """Uses the given parts."""
         self._parts = parts
         self._lifecycle = RequestLifecycle(parts=parts)
+        self._placer = AttemptPlacer(parts=parts)
 
     async def run(self, job: ServiceJob) -> None:
         """Runs a job to its end; the outcome is in the answer log."""
@@ -47,37 +53,77 @@
             job.opened,
             budgets=charged_budgets(job.account, job.route),
             tokens=job.route.tokens_per_call,
-            work=functools.partial(self._dispatch, job),
+            work=functools.partial(self._try_upstreams, job),
         )
 
-    async def _dispatch(
+    async def _try_upstreams(
         self,
         job: ServiceJob,
         reserved: Reservation,
     ) -> WorkOutcome:
-        placed = await self._parts.router.place(_routing_request(job))
-        if isinstance(placed, Refusal):
-            return WorkOutcome(answer=placed)
-        refused = await self._parts.registry.record_dispatch(
-            job.opened,
-            upstream=placed.upstream.name,
-            reserved_tokens=reserved.tokens,
+        attempts = Attempts(
+            route=job.route,
+            fingerprint=_fingerprint(job),
         )
-        outcome = refused or await self._call(job, placed.upstream)
-        failed = isinstance(outcome, Refusal)
-        self._parts.router.release(placed, failed=failed)
-        return _priced(outcome, reserved.tokens)
-
-    async def _call(
+        while True:
+            placed = await self._placer.place(_routing_request(job), attempts)
+            if isinstance(placed, Refusal):
+                return _priced(placed, reserved.tokens)
+            outcome = await self._run_at(job, reserved, placed, attempts)
+            await self._placer.end_trial(
+                attempts,
+                succeeded=not isinstance(outcome, Refusal),
+            )
+            if not isinstance(outcome, Refusal):
+                return _priced(outcome, reserved.tokens)
+            attempts.note_failure(outcome, placed.upstream.name)
+            if not self._may_repeat(job, attempts, outcome):
+                return _priced(attempts.last or outcome, reserved.tokens)
+
+    def _may_repeat(
+        self,
+        job: ServiceJob,
+        attempts: Attempts,
+        refusal: Refusal,
+    ) -> bool:
+        if not refusal.not_run and not job.opened.repeatable:
+            return False
+        return self._placer.may_retry(attempts, refusal)
+
+    async def _run_at(
         self,
         job: ServiceJob,
-        upstream: Upstream,
+        reserved: Reservation,
+        placed: Placement,
+        attempts: Attempts,
     ) -> StoredAnswer | Refusal:
-        try:
-            answer = await self._parts.services.call(upstream, job.call)
-        except UpstreamError as error:
-            return _failed(error, repeatable=job.opened.repeatable)
-        return _stored(answer, job.route.tokens_per_call)
+        with self._placer.released(placed) as outcome:
+            refused = await self._parts.registry.record_dispatch(
+                job.opened,
+                upstream=placed.upstream.name,
+                reserved_tokens=reserved.tokens,
+            )
+            if refused is not None:
+                return refused
+            call = attrs.evolve(
+                job.call,
+                fresh_connection=attempts.fresh_connection,
+            )
+            try:
+                answer = await self._parts.services.call(placed.upstream, call)
+            except UpstreamError as error:
+                failure = error
+                outcome.blame(error)
+            else:
+                return _stored(answer, job.route.tokens_per_call)
+        await self._placer.note_error(failure, placed, attempts)
+        return upstream_failed(failure, repeatable=job.opened.repeatable)
+
+
+def _fingerprint(job: ServiceJob) -> str:
+    call = job.call
+    content = b'\0'.join((call.method.encode(), call.path.encode(), call.body))
+    return fingerprint_of(job.route.name, content)
 
 
 def _priced(outcome: StoredAnswer | Refusal, tokens: int) -> WorkOutcome:
@@ -92,6 +138,7 @@
         prompt='',
         priority=job.priority,
         deadline_ms=job.deadline_ms,
+        client_account=job.account.name,
     )
 
 
@@ -103,15 +150,3 @@
         prompt_tokens=0,
         output_tokens=used_tokens,
     )
-
-
-def _failed(error: UpstreamError, *, repeatable: bool) -> Refusal:
-    in_doubt = error.may_have_run and not repeatable
-    return Refusal(
-        code=RefusalCode.IN_DOUBT if in_doubt else RefusalCode.UPSTREAM_FAILED,
-        message=f'The service did not answer: {error.reason}.',
-        not_run=not error.may_have_run,
-        step=error.step,
-        peer=error.peer,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
--- /dev/null
+++ b/teaseldale/entry/_upstream_refusals.py
@@ -0,0 +1,61 @@
+"""Refusals that arise while upstreams run a request."""
+
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.upstreams import FailureKind, UpstreamError
+
+RETRY_AFTER_MS = 500
+
+
+def upstream_failed(error: UpstreamError, *, repeatable: bool) -> Refusal:
+    """Returns the refusal of a request whose upstream failed."""
+    in_doubt = error.may_have_run and not repeatable
+    return Refusal(
+        code=RefusalCode.IN_DOUBT if in_doubt else RefusalCode.UPSTREAM_FAILED,
+        message=_message(error, in_doubt=in_doubt),
+        not_run=not error.may_have_run,
+        step=error.step,
+        peer=error.peer,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def memory_full() -> Refusal:
+    """Returns the refusal when answers take all memory set aside."""
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        message='Answers that callers have not read fill the memory of this '
+        'VM; send the request again.',
+        not_run=True,
+        step=Step.ADMIT,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def suspect_waits() -> Refusal:
+    """Returns the refusal of a suspect that cannot be tried now."""
+    return Refusal(
+        code=RefusalCode.UPSTREAM_FAILED,
+        message='An upstream broke off while running this request; it can be '
+        'tried again later.',
+        not_run=False,
+        step=Step.ADMIT,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def keep_run(earlier: Refusal | None, later: Refusal) -> Refusal:
+    """Returns the later refusal unless it hides that the request ran."""
+    if earlier is not None and not earlier.not_run and later.not_run:
+        return earlier
+    return later
+
+
+def blames_upstream(error: UpstreamError) -> bool:
+    """Whether the failure counts against the upstream."""
+    return error.kind is not FailureKind.CROSSED
+
+
+def _message(error: UpstreamError, *, in_doubt: bool) -> str:
+    if in_doubt:
+        return f'The upstream did not answer ({error.reason}); it may have run.'
+    return f'The upstream failed ({error.reason}); send the request again.'
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -1,19 +1,50 @@
 """Choice of the upstream that runs a request."""
 
+from teaseldale.routing._affinity import AffinityChoice
 from teaseldale.routing._choice import (
     BaseUpstreamChoice,
     LeastInFlightChoice,
+    LeastReportedChoice,
+    PrefixHashChoice,
     RandomChoice,
-    RoutingRequest,
+    RoundRobinChoice,
 )
-from teaseldale.routing._router import BaseRouter, LocalRouter, Placement
+from teaseldale.routing._fleet_router import FleetRouter
+from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._prefix_index import (
+    BLOCK_CHARACTERS,
+    CacheAction,
+    CacheEvent,
+    PrefixIndex,
+    prefix_hashes,
+)
+from teaseldale.routing._request import Placement, RoutingRequest
+from teaseldale.routing._retries import RetryBudget
+from teaseldale.routing._router import BaseRouter, LocalRouter
+from teaseldale.routing._runner_watch import RunnerWatch
+from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
 
 __all__ = (
+    'BLOCK_CHARACTERS',
+    'LEASE_VALIDITY_MS',
+    'AffinityChoice',
     'BaseRouter',
     'BaseUpstreamChoice',
+    'CacheAction',
+    'CacheEvent',
+    'FleetRouter',
     'LeastInFlightChoice',
+    'LeastReportedChoice',
     'LocalRouter',
     'Placement',
+    'PrefixHashChoice',
+    'PrefixIndex',
     'RandomChoice',
+    'RetryBudget',
+    'RoundRobinChoice',
     'RoutingRequest',
+    'Runner',
+    'RunnerWatch',
+    'UpstreamPool',
+    'prefix_hashes',
 )
--- a/teaseldale/routing/_choice.py
+++ b/teaseldale/routing/_choice.py
@@ -1,37 +1,27 @@
-"""Ways of choosing among the upstreams that could run a request."""
+"""Ways of choosing among the upstreams that have a free slot."""
 
 import abc
 import random
-from collections.abc import Mapping, Sequence
 
-import attrs
+import xxhash
 
-from teaseldale.notes import Upstream
+from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._request import RoutingRequest
 
-
-@attrs.frozen(kw_only=True)
-class RoutingRequest:
-    """What the choice of an upstream depends on."""
-
-    route: str
-    version: str  # only upstreams of this version may run the request
-    prompt: str  # prefix decides about cache affinity
-    priority: int  # 0 is the highest
-    deadline_ms: int  # monotonic time by which the answer is wanted
-    excluded: frozenset[str] = frozenset()  # upstreams tried already
+_ATTEMPTS = 4
+_PURE_HASH_BYTES = 256
 
 
 class BaseUpstreamChoice(abc.ABC):
-    """Picks one of several upstreams that may run a request."""
+    """Picks one of the free runners of a pool."""
 
     @abc.abstractmethod
     def choose(
         self,
         request: RoutingRequest,
-        candidates: Sequence[Upstream],
-        in_flight: Mapping[str, int],
-    ) -> Upstream:
-        """Returns one of ``candidates``, of which there is at least one."""
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns a runner with a free slot, or None if none is allowed."""
 
 
 class RandomChoice(BaseUpstreamChoice):
@@ -44,11 +34,56 @@
     def choose(
         self,
         request: RoutingRequest,
-        candidates: Sequence[Upstream],
-        in_flight: Mapping[str, int],
-    ) -> Upstream:
-        """Returns a random candidate."""
-        return self._random.choice(candidates)
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns a random free runner."""
+        for _ in range(_ATTEMPTS):
+            if not pool.free:
+                return None
+            runner = self._random.choice(pool.free.members)
+            if request.allows(runner.name):
+                return runner
+        return _first_allowed(request, pool)
+
+
+class RoundRobinChoice(BaseUpstreamChoice):
+    """Picks the free runners in turn."""
+
+    def __init__(self) -> None:
+        """Starts with the first runner."""
+        self._turn = 0
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the next runner by name that is free."""
+        for _ in pool.names:
+            self._turn += 1
+            name = pool.names[self._turn % len(pool.names)]
+            runner = pool.runners[name]
+            if runner.has_free_slot and request.allows(name):
+                return runner
+        return None
+
+
+class LeastReportedChoice(BaseUpstreamChoice):
+    """Picks the runner with the least load by its lagging report."""
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the free runner that reported the least."""
+        return min(
+            _allowed(request, pool),
+            key=lambda runner: (
+                runner.reported_running / runner.upstream.slot_count
+            ),
+            default=None,
+        )
 
 
 class LeastInFlightChoice(BaseUpstreamChoice):
@@ -57,11 +92,41 @@
     def choose(
         self,
         request: RoutingRequest,
-        candidates: Sequence[Upstream],
-        in_flight: Mapping[str, int],
-    ) -> Upstream:
-        """Returns the candidate least used by this VM."""
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the free runner least used by this VM."""
         return min(
-            candidates,
-            key=lambda upstream: in_flight.get(upstream.name, 0),
+            _allowed(request, pool),
+            key=lambda runner: runner.in_flight,
+            default=None,
         )
+
+
+class PrefixHashChoice(BaseUpstreamChoice):
+    """Picks by the hash of the prompt's first bytes, whatever the load."""
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the hashed runner if it has a slot, else the next one."""
+        start = request.prompt.encode()[:_PURE_HASH_BYTES]
+        first = xxhash.xxh3_64_intdigest(start) % len(pool.names)
+        for name in (*pool.names[first:], *pool.names[:first]):
+            if pool.runners[name].has_free_slot and request.allows(name):
+                return pool.runners[name]
+        return None
+
+
+def _allowed(request: RoutingRequest, pool: UpstreamPool) -> list[Runner]:
+    return [
+        runner for runner in pool.free.members if request.allows(runner.name)
+    ]
+
+
+def _first_allowed(
+    request: RoutingRequest,
+    pool: UpstreamPool,
+) -> Runner | None:
+    return next(iter(_allowed(request, pool)), None)
--- /dev/null
+++ b/teaseldale/routing/_fleet_router.py
@@ -0,0 +1,233 @@
+"""Router of one VM of a fleet that shares the upstreams' slots."""
+
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.metrics import Metrics
+from teaseldale.notes import BaseConfigurationSource, Route
+from teaseldale.outcomes import Refusal
+from teaseldale.peers import BasePeerNetwork
+from teaseldale.routing._admission import Admission, any_allowed, note_hold
+from teaseldale.routing._choice import BaseUpstreamChoice
+from teaseldale.routing._pool import Runner
+from teaseldale.routing._request import Placement, RoutingRequest
+from teaseldale.routing._retries import RetryBudget
+from teaseldale.routing._router import BaseRouter, no_upstream
+from teaseldale.routing._runner_table import RoutePool, RunnerTable
+from teaseldale.routing._slot_holder import SlotDemand, SlotHolder
+from teaseldale.routing._suspensions import Suspensions
+from teaseldale.routing._waiting import WaitingRequest
+
+_TICK_MS = 50
+_RESERVE_FROM_SLOTS = 8  # pools this large keep a slot for high priority
+_RESERVED_SLOTS = 1
+_RESERVE_LIFETIME_MS = 10_000  # after the last request of high priority
+
+
+class FleetRouter(BaseRouter, BaseService):
+    """Places requests within the slots that this VM holds."""
+
+    def __init__(
+        self,
+        *,
+        configuration: BaseConfigurationSource,
+        choice: BaseUpstreamChoice,
+        network: BasePeerNetwork,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Chooses among the configured upstreams by ``choice``."""
+        self._choice = choice
+        self._clock = clock
+        self._metrics = metrics
+        self._retries = RetryBudget()
+        self.table = RunnerTable(configuration=configuration)
+        self._admission = Admission(clock=clock)
+        self._suspensions = Suspensions(clock=clock, metrics=metrics)
+        self._configuration = configuration
+        self.slots = SlotHolder(
+            network=network,
+            clock=clock,
+            metrics=metrics,
+            demand=self._slot_demand,
+            changed=self._limits_changed,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'routing'
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts renewing slots and looking after queues."""
+        await self.slots.start(tasks)
+        tasks.start_soon(self._tick_forever)
+
+    async def drain(self) -> None:
+        """Hands slots back."""
+        await self.slots.drain()
+
+    async def place(self, request: RoutingRequest) -> Placement | Refusal:
+        """Takes a slot, waiting in the bounded queue if that can help."""
+        self.table.follow()
+        found = self.table.pool(request.route, request.version)
+        if found is None or not any_allowed(request, found.pool):
+            return self._refused(no_upstream(request))
+        self._note_arrival(request, found)
+        if not found.queue.count_ahead(request.priority):
+            runner = self._choose(request, found)
+            if runner is not None:
+                return self._placed(request, runner)
+        refusal = self._admission.refusal_on_arrival(request, found)
+        if refusal is not None:
+            return self._refused(refusal)
+        return await self._wait(request, found)
+
+    def release(self, placement: Placement, *, failed: bool) -> None:
+        """Gives the slot back; failures suspend the upstream for a while."""
+        runner = self.table.runner(placement.upstream.name)
+        if runner is None:
+            raise LookupError(f'{placement} was released before.')
+        runner.in_flight -= 1
+        self._suspensions.note_outcome(runner, failed=failed)
+        self.table.update(runner)
+        found = self.table.pool_of(runner)
+        if found is None:
+            return
+        if not failed:
+            held_ms = self._clock.monotonic_ms() - placement.placed_ms
+            note_hold(found.pool, held_ms)
+        self._serve_queue(found)
+
+    def usable_upstreams(self, route: str, version: str) -> tuple[str, ...]:
+        """Names of the upstreams that take new work."""
+        self.table.follow()
+        found = self.table.pool(route, version)
+        if found is None:
+            return ()
+        return tuple(runner.name for runner in found.pool if not runner.leaving)
+
+    def take_retry(self, route: Route) -> bool:
+        """Takes a retry from the route's budget, if one is left."""
+        taken = self._retries.take_retry(route.name)
+        if not taken:
+            self._metrics.increment('retries_refused', route.name)
+        return taken
+
+    def tick(self) -> None:
+        """Ends suspensions; refuses requests that would wait too long."""
+        self.table.follow()
+        for runner in self._suspensions.ended():
+            self.table.update(runner)
+        for found in self.table.pools():
+            self._serve_queue(found)
+            self._admission.refuse_hopeless(found)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_TICK_MS)
+            self.tick()
+
+    def _note_arrival(self, request: RoutingRequest, found: RoutePool) -> None:
+        if not request.priority:
+            now_ms = self._clock.monotonic_ms()
+            found.reserve_until_ms = now_ms + _RESERVE_LIFETIME_MS
+        if request.first_attempt:
+            route = self._configuration.current().routes.get(request.route)
+            share_percent = route.retry_share_percent if route else 0
+            self._retries.note_request(request.route, share_percent)
+
+    def _choose(
+        self,
+        request: RoutingRequest,
+        found: RoutePool,
+    ) -> Runner | None:
+        if request.priority and self._only_reserve_left(found):
+            return None
+        runner = self._choice.choose(request, found.pool)
+        if runner is not None:
+            runner.in_flight += 1
+            found.pool.update(runner)
+        return runner
+
+    def _only_reserve_left(self, found: RoutePool) -> bool:
+        return (
+            found.pool.free_slots <= _RESERVED_SLOTS
+            and found.pool.limit_slots >= _RESERVE_FROM_SLOTS
+            and self._clock.monotonic_ms() < found.reserve_until_ms
+        )
+
+    def _placed(self, request: RoutingRequest, runner: Runner) -> Placement:
+        return Placement(
+            upstream=runner.upstream,
+            request=request,
+            placed_ms=self._clock.monotonic_ms(),
+        )
+
+    async def _wait(
+        self,
+        request: RoutingRequest,
+        found: RoutePool,
+    ) -> Placement | Refusal:
+        waiting = WaitingRequest(
+            request=request,
+            queued_ms=self._clock.monotonic_ms(),
+        )
+        found.queue.add(waiting)
+        self.slots.hurry()
+        with self._withdrawn_on_cancel(waiting, found):
+            await waiting.settled.wait()
+        waited_ms = self._clock.monotonic_ms() - waiting.queued_ms
+        self._metrics.record_ms('queue_wait', waited_ms)
+        if isinstance(waiting.outcome, Runner):
+            return self._placed(request, waiting.outcome)
+        return self._refused(waiting.outcome or no_upstream(request))
+
+    @contextmanager
+    def _withdrawn_on_cancel(
+        self,
+        waiting: WaitingRequest,
+        found: RoutePool,
+    ) -> Iterator[None]:
+        try:
+            yield
+        except BaseException:
+            if waiting.outcome is None:
+                found.queue.remove(waiting)
+            elif isinstance(waiting.outcome, Runner):
+                placed = self._placed(waiting.request, waiting.outcome)
+                self.release(placed, failed=False)
+            raise
+
+    def _serve_queue(self, found: RoutePool) -> None:
+        if not found.pool.free:
+            return
+        for waiting in tuple(found.queue):
+            runner = self._choose(waiting.request, found)
+            if runner is not None:
+                found.queue.remove(waiting)
+                waiting.settle(runner)
+            if not found.pool.free:
+                return
+
+    def _refused(self, refusal: Refusal) -> Refusal:
+        self._metrics.increment('placements_refused', refusal.code)
+        return refusal
+
+    def _slot_demand(self) -> SlotDemand:
+        self.table.follow()
+        return SlotDemand(
+            runners=tuple(self.table),
+            waiting=sum(len(found.queue) for found in self.table.pools()),
+        )
+
+    def _limits_changed(self, runners: Iterable[Runner]) -> None:
+        changed = tuple(runners)
+        for runner in changed:
+            self.table.update(runner)
+        if changed:
+            self.tick()
--- /dev/null
+++ b/teaseldale/routing/_pool.py
@@ -0,0 +1,127 @@
+"""Upstreams of one version of a route, indexed by what is free."""
+
+from collections.abc import Iterable, Iterator, Sequence
+
+import attrs
+
+from teaseldale.notes import Upstream
+
+FAILURES_TO_SUSPEND = 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class Runner:
+    """What this VM knows of one upstream."""
+
+    upstream: Upstream
+    limit: int = 0  # requests that this VM may run there now
+    in_flight: int = 0  # requests that this VM runs there
+    demand: int = 0  # requests that wanted a slot and found none
+    reported_running: int = 0  # requests of all VMs, by the last report
+    own_at_report: int = 0  # requests of this VM when the report was made
+    suspended_until_ms: int = 0  # monotonic; after failures
+    failure_count: int = 0  # since the last success
+    leaving: bool = False  # gets no new work
+
+    @property
+    def name(self) -> str:
+        """Name of the upstream."""
+        return self.upstream.name
+
+    @property
+    def load(self) -> float:
+        """Used part of the upstream, the report corrected by own requests."""
+        others = max(self.reported_running - self.own_at_report, 0)
+        return (others + self.in_flight) / self.upstream.slot_count
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether this VM may start a request there now."""
+        return (
+            self.in_flight < self._allowed
+            and not self.leaving
+            and not self.suspended_until_ms
+        )
+
+    @property
+    def _allowed(self) -> int:
+        if self.failure_count >= FAILURES_TO_SUSPEND:
+            return min(self.limit, 1)
+        return self.limit
+
+
+class RunnerSet:
+    """Set of runners with removal and random access in constant time."""
+
+    def __init__(self) -> None:
+        """Creates an empty set."""
+        self.members: list[Runner] = []
+        self._positions: dict[str, int] = {}
+
+    def __contains__(self, runner: Runner) -> bool:
+        """Whether the runner is a member."""
+        return runner.name in self._positions
+
+    def __len__(self) -> int:
+        """Number of members."""
+        return len(self.members)
+
+    def add(self, runner: Runner) -> None:
+        """Adds a runner that is no member."""
+        self._positions[runner.name] = len(self.members)
+        self.members.append(runner)
+
+    def remove(self, runner: Runner) -> None:
+        """Removes a member; the last member takes its place."""
+        position = self._positions.pop(runner.name)
+        last = self.members.pop()
+        if last is not runner:
+            self.members[position] = last
+            self._positions[last.name] = position
+
+
+class UpstreamPool:
+    """Runners of one version of one route."""
+
+    def __init__(self, *, runners: Iterable[Runner]) -> None:
+        """Indexes ``runners``."""
+        self.runners = {runner.name: runner for runner in runners}
+        self.names: Sequence[str] = sorted(self.runners)
+        self.free = RunnerSet()
+        self._free_by_zone: dict[str, RunnerSet] = {}
+        self.limit_slots = 0  # sum of the runners' limits
+        self.free_slots = 0  # slots of free runners
+        self.mean_hold_ms: float = 0  # moving mean of a slot's use
+        self._counted: dict[str, tuple[int, int]] = {}
+        for runner in self.runners.values():
+            self.update(runner)
+
+    def __iter__(self) -> Iterator[Runner]:
+        """Iterates over all runners."""
+        return iter(self.runners.values())
+
+    def free_in(self, zone: str) -> RunnerSet:
+        """Free runners of an availability zone."""
+        return self._free_by_zone.setdefault(zone, RunnerSet())
+
+    def update(self, runner: Runner) -> None:
+        """Takes a changed runner into the indexes."""
+        is_free = runner.has_free_slot
+        if is_free != (runner in self.free):
+            self._move(runner, is_free=is_free)
+        free = runner.limit - runner.in_flight if is_free else 0
+        limit = 0 if runner.leaving else runner.limit
+        counted_limit, counted_free = self._counted.get(runner.name, (0, 0))
+        self.limit_slots += limit - counted_limit
+        self.free_slots += free - counted_free
+        self._counted[runner.name] = (limit, free)
+
+    def _move(self, runner: Runner, *, is_free: bool) -> None:
+        for members in (
+            self.free,
+            self.free_in(runner.upstream.availability_zone),
+        ):
+            if is_free:
+                members.add(runner)
+            else:
+                members.remove(runner)
--- /dev/null
+++ b/teaseldale/routing/_prefix_index.py
@@ -0,0 +1,114 @@
+"""Which runners hold which prompt prefixes in their caches.
+
+Prefixes are whole blocks of the prompt. Cache events come late and some are
+lost: a prefix is also assumed where a request was sent, entries expire, and
+after a gap in a runner's events all its entries expire early.
+"""
+
+import enum
+
+import attrs
+import xxhash
+
+BLOCK_CHARACTERS = 64
+_BLOCK_LIMIT = 64
+_RUNNERS_PER_PREFIX = 4
+_ENTRY_LIMIT = 200_000
+_ENTRY_LIFETIME_MS = 120_000
+_LIFETIME_AFTER_GAP_MS = 15_000
+
+
+@enum.unique
+class CacheAction(enum.StrEnum):
+    """What happened to a block of a prompt."""
+
+    STORED = 'stored'
+    EVICTED = 'evicted'
+
+
+@attrs.frozen(kw_only=True)
+class CacheEvent:
+    """A change of an engine's cache."""
+
+    sequence: int  # grows by one with each event; a gap is a lost event
+    action: CacheAction
+    block_hash: int  # as given by ``prefix_hashes``
+
+
+def prefix_hashes(prompt: str) -> list[int]:
+    """Returns the hashes of the whole blocks, the shortest prefix first.
+
+    Each hash is seeded with that of the block before, as engines do it, and
+    so stands for the whole prefix.
+    """
+    hashes = []
+    previous = 0
+    length = min(len(prompt), BLOCK_CHARACTERS * _BLOCK_LIMIT)
+    for end in range(BLOCK_CHARACTERS, length + 1, BLOCK_CHARACTERS):
+        block = prompt[end - BLOCK_CHARACTERS : end]
+        previous = xxhash.xxh3_64_intdigest(block.encode(), seed=previous)
+        hashes.append(previous)
+    return hashes
+
+
+class PrefixIndex:
+    """Runners by prefix, bounded and with expiry."""
+
+    def __init__(self) -> None:
+        """Creates an empty index."""
+        self.gap_count = 0
+        self._entries: dict[int, dict[str, int]] = {}
+        self._sequences: dict[str, int] = {}
+        self._gaps_ms: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Number of prefixes."""
+        return len(self._entries)
+
+    def last_sequence(self, runner: str) -> int:
+        """Sequence of the last event taken from a runner."""
+        return self._sequences.get(runner, 0)
+
+    def assume(self, runner: str, hashes: list[int], now_ms: int) -> None:
+        """Notes that a request with these prefixes was sent to a runner."""
+        for prefix_hash in hashes:
+            self._store(runner, prefix_hash, now_ms)
+
+    def take(self, runner: str, event: CacheEvent, now_ms: int) -> None:
+        """Takes one event; events come in order, with gaps."""
+        if event.sequence != self.last_sequence(runner) + 1:
+            self._gaps_ms[runner] = now_ms
+            self.gap_count += 1
+        self._sequences[runner] = event.sequence
+        if event.action is CacheAction.STORED:
+            self._store(runner, event.block_hash, now_ms)
+        else:
+            self._entries.get(event.block_hash, {}).pop(runner, None)
+
+    def runners_of(self, prefix_hash: int, now_ms: int) -> list[str]:
+        """Runners that probably hold a prefix, the latest first."""
+        runners = self._entries.get(prefix_hash)
+        if not runners:
+            return []
+        return [
+            runner
+            for runner, stored_ms in reversed(runners.items())
+            if now_ms - stored_ms < self._lifetime_ms(runner, stored_ms)
+        ]
+
+    def _store(self, runner: str, prefix_hash: int, now_ms: int) -> None:
+        runners = self._entries.get(prefix_hash)
+        if runners is None:
+            if len(self._entries) >= _ENTRY_LIMIT:
+                self._entries.pop(next(iter(self._entries)))
+            runners = {}
+            self._entries[prefix_hash] = runners
+        runners.pop(runner, None)
+        runners[runner] = now_ms
+        if len(runners) > _RUNNERS_PER_PREFIX:
+            runners.pop(next(iter(runners)))
+
+    def _lifetime_ms(self, runner: str, stored_ms: int) -> int:
+        if stored_ms < self._gaps_ms.get(runner, 0):
+            return _LIFETIME_AFTER_GAP_MS
+        return _ENTRY_LIFETIME_MS
--- a/teaseldale/routing/_router.py
+++ b/teaseldale/routing/_router.py
@@ -1,23 +1,15 @@
-"""Placement of requests on upstreams within their slots."""
+"""Interface of routers, and the naive router that knows only its own VM."""
 
 import abc
 from collections import Counter
 
-import attrs
-
-from teaseldale.notes import BaseConfigurationSource, Upstream
+from teaseldale.notes import BaseConfigurationSource, Route
 from teaseldale.outcomes import Refusal, RefusalCode, Step
-from teaseldale.routing._choice import BaseUpstreamChoice, RoutingRequest
-
-_RETRY_AFTER_MS = 500
-
+from teaseldale.routing._choice import BaseUpstreamChoice
+from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._request import Placement, RoutingRequest
 
-@attrs.frozen(kw_only=True)
-class Placement:
-    """A slot of an upstream, held until it is released."""
-
-    upstream: Upstream
-    request: RoutingRequest
+RETRY_AFTER_MS = 500
 
 
 class BaseRouter(abc.ABC):
@@ -31,9 +23,17 @@
     def release(self, placement: Placement, *, failed: bool) -> None:
         """Gives the slot back and tells whether the upstream failed."""
 
+    @abc.abstractmethod
+    def usable_upstreams(self, route: str, version: str) -> tuple[str, ...]:
+        """Names of the upstreams that take new work."""
+
+    @abc.abstractmethod
+    def take_retry(self, route: Route) -> bool:
+        """Takes a retry from the route's budget, if one is left."""
+
 
 class LocalRouter(BaseRouter):
-    """Counts only this VM's requests; full upstreams are skipped."""
+    """Counts only this VM's requests and never waits."""
 
     def __init__(
         self,
@@ -48,46 +48,71 @@
 
     async def place(self, request: RoutingRequest) -> Placement | Refusal:
         """Takes a slot at once or refuses."""
-        members = self._configuration.current().upstreams_by_route
-        usable = [
-            upstream
-            for upstream in members.get(request.route, ())
-            if upstream.version == request.version
-            and upstream.name not in request.excluded
-        ]
-        if not usable:
-            return _no_upstream(request)
-        free = [
-            upstream
-            for upstream in usable
-            if self._in_flight[upstream.name] < upstream.slot_count
-        ]
-        if not free:
-            return _overloaded(request)
-        chosen = self._choice.choose(request, free, self._in_flight)
+        pool = self._pool_of(request.route, request.version)
+        if not any(request.allows(name) for name in pool.names):
+            return no_upstream(request)
+        chosen = self._choice.choose(request, pool)
+        if chosen is None:
+            return overloaded(request, RETRY_AFTER_MS)
         self._in_flight[chosen.name] += 1
-        return Placement(upstream=chosen, request=request)
+        return Placement(upstream=chosen.upstream, request=request)
 
     def release(self, placement: Placement, *, failed: bool) -> None:
         """Gives the slot back."""
         self._in_flight[placement.upstream.name] -= 1
 
+    def usable_upstreams(self, route: str, version: str) -> tuple[str, ...]:
+        """Names of all upstreams of the version."""
+        return tuple(self._pool_of(route, version).names)
 
-def _no_upstream(request: RoutingRequest) -> Refusal:
+    def take_retry(self, route: Route) -> bool:
+        """Allows every retry."""
+        return True
+
+    def _pool_of(self, route: str, version: str) -> UpstreamPool:
+        members = self._configuration.current().upstreams_by_route
+        return UpstreamPool(
+            runners=[
+                Runner(
+                    upstream=upstream,
+                    limit=upstream.slot_count,
+                    in_flight=self._in_flight[upstream.name],
+                )
+                for upstream in members.get(route, ())
+                if upstream.version == version
+            ],
+        )
+
+
+def no_upstream(request: RoutingRequest) -> Refusal:
+    """Returns the refusal of a request that nothing can run."""
     return Refusal(
         code=RefusalCode.NO_UPSTREAM,
         message=f'No upstream of route {request.route!r} is usable now.',
         not_run=True,
         step=Step.CHOOSE_UPSTREAM,
-        retry_after_ms=_RETRY_AFTER_MS,
+        retry_after_ms=RETRY_AFTER_MS,
     )
 
 
-def _overloaded(request: RoutingRequest) -> Refusal:
+def overloaded(request: RoutingRequest, retry_after_ms: int) -> Refusal:
+    """Returns the refusal of a request that would wait too long."""
     return Refusal(
         code=RefusalCode.OVERLOADED,
         message=f'All upstreams of route {request.route!r} are full.',
         not_run=True,
-        step=Step.CHOOSE_UPSTREAM,
-        retry_after_ms=_RETRY_AFTER_MS,
+        step=Step.ADMIT,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def too_late(request: RoutingRequest, retry_after_ms: int) -> Refusal:
+    """Returns the refusal of a request that cannot make its deadline."""
+    return Refusal(
+        code=RefusalCode.DEADLINE_EXCEEDED,
+        message='The request cannot be run before its deadline; send it '
+        'again later, or with a later deadline.',
+        not_run=True,
+        step=Step.ADMIT,
+        retry_after_ms=retry_after_ms,
     )
--- /dev/null
+++ b/teaseldale/routing/_runner_table.py
@@ -0,0 +1,139 @@
+"""Runners and pools that follow the configuration in force."""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from teaseldale.logs import StateLog
+from teaseldale.notes import (
+    BaseConfigurationSource,
+    Configuration,
+    Upstream,
+)
+from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._waiting import WaitingQueue
+
+_QUEUE_LIMIT = 256
+_PoolKey = tuple[str, str]
+
+
+@attrs.define(kw_only=True, eq=False)
+class RoutePool:
+    """Runners of one version of a route and the requests that wait."""
+
+    pool: UpstreamPool
+    queue: WaitingQueue
+    reserve_until_ms: int = 0  # monotonic; a slot is kept for priority 0
+
+
+class RunnerTable:
+    """All runners by name, and pools by route and version."""
+
+    def __init__(self, *, configuration: BaseConfigurationSource) -> None:
+        """Creates a table that is filled by ``follow``."""
+        self._configuration = configuration
+        self._seen: Configuration | None = None
+        self._runners: dict[str, Runner] = {}
+        self._pools: dict[_PoolKey, RoutePool] = {}
+        self._log = StateLog(channel='routing')
+
+    def __iter__(self) -> Iterator[Runner]:
+        """Iterates over all runners; withdrawn ones while they are used."""
+        return iter(tuple(self._runners.values()))
+
+    def pools(self) -> tuple[RoutePool, ...]:
+        """Returns all pools."""
+        return tuple(self._pools.values())
+
+    def pool(self, route: str, version: str) -> RoutePool | None:
+        """Returns the pool of a version of a route."""
+        return self._pools.get((route, version))
+
+    def runner(self, name: str) -> Runner | None:
+        """Returns a runner by name."""
+        return self._runners.get(name)
+
+    def pool_of(self, runner: Runner) -> RoutePool | None:
+        """Returns a runner's pool; None once it has been withdrawn."""
+        found = self.pool(runner.upstream.route, runner.upstream.version)
+        if found is None or runner.name not in found.pool.runners:
+            return None
+        return found
+
+    def update(self, runner: Runner) -> None:
+        """Takes a changed runner into its pool's indexes."""
+        found = self.pool_of(runner)
+        if found is not None:
+            found.pool.update(runner)
+        elif not runner.in_flight:
+            self._runners.pop(runner.name, None)
+
+    def set_leaving(self, names: Iterable[str]) -> None:
+        """Marks the runners in ``names``, and only these, as leaving."""
+        leaving = frozenset(names)
+        for runner in self:
+            if runner.leaving != (runner.name in leaving):
+                runner.leaving = runner.name in leaving
+                self._log.changed(
+                    'upstream leaves' if runner.leaving else 'upstream stays',
+                    upstream=runner.name,
+                )
+                self.update(runner)
+
+    def take_report(
+        self,
+        name: str,
+        *,
+        running: int,
+        own_at_report: int,
+    ) -> None:
+        """Takes a runner's lagging load report."""
+        runner = self._runners.get(name)
+        if runner is not None:
+            runner.reported_running = running
+            runner.own_at_report = own_at_report
+
+    def follow(self) -> None:
+        """Rebuilds runners and pools if the configuration has changed."""
+        configuration = self._configuration.current()
+        if configuration is self._seen:
+            return
+        self._seen = configuration
+        runners = {
+            upstream.name: self._runner_for(upstream)
+            for upstream in configuration.upstreams.values()
+        }
+        used = {runner.name: runner for runner in self if runner.in_flight}
+        self._runners = {**used, **runners}
+        self._rebuild_pools(runners.values())
+
+    def _runner_for(self, upstream: Upstream) -> Runner:
+        runner = self._runners.get(upstream.name)
+        if runner is None:
+            return Runner(upstream=upstream)
+        runner.upstream = upstream
+        return runner
+
+    def _rebuild_pools(self, runners: Iterable[Runner]) -> None:
+        members: dict[_PoolKey, list[Runner]] = {}
+        for runner in runners:
+            key = (runner.upstream.route, runner.upstream.version)
+            members.setdefault(key, []).append(runner)
+        earlier = self._pools
+        waited_for = {key for key, found in earlier.items() if found.queue}
+        self._pools = {
+            key: _rebuilt(earlier.get(key), members.get(key, []))
+            for key in (*members, *waited_for)
+        }
+
+
+def _rebuilt(earlier: RoutePool | None, runners: list[Runner]) -> RoutePool:
+    pool = UpstreamPool(runners=runners)
+    if earlier is None:
+        return RoutePool(pool=pool, queue=WaitingQueue(limit=_QUEUE_LIMIT))
+    pool.mean_hold_ms = earlier.pool.mean_hold_ms
+    return RoutePool(
+        pool=pool,
+        queue=earlier.queue,
+        reserve_until_ms=earlier.reserve_until_ms,
+    )
--- /dev/null
+++ b/teaseldale/routing/_slot_holder.py
@@ -0,0 +1,271 @@
+"""This VM's slots: leases from slot owners, or its fixed share."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.routing._pool import Runner
+from teaseldale.routing._slot_messages import (
+    SlotLease,
+    SlotLeases,
+    SlotRenewal,
+    SlotWant,
+)
+from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS, SlotOwner
+from teaseldale.routing._slot_shares import SlotShares
+
+_RENEWAL_INTERVAL_MS = 500
+_LEAST_INTERVAL_MS = 25
+_RENEWAL_TIMEOUT_MS = 400
+_FALLBACK_DELAY_MS = 2 * LEASE_VALIDITY_MS
+_HEADROOM_SLOTS = 2
+_MS_PER_SECOND = 1000
+
+
+@attrs.frozen(kw_only=True)
+class _HeldLease:
+    slots: int
+    until_ms: int  # monotonic, counted from before the renewal was sent
+
+
+@attrs.frozen(kw_only=True)
+class SlotDemand:
+    """What the router wants slots for."""
+
+    runners: tuple[Runner, ...]
+    waiting: int  # requests in queues
+
+
+class SlotHolder(BaseService):
+    """Keeps ``Runner.limit`` of all runners up to date."""
+
+    def __init__(
+        self,
+        *,
+        network: BasePeerNetwork,
+        clock: BaseClock,
+        metrics: Metrics,
+        demand: Callable[[], SlotDemand],
+        changed: Callable[[Iterable[Runner]], None],
+    ) -> None:
+        """Asks ``demand`` before each renewal, tells ``changed`` after."""
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        self._demand = demand
+        self._changed = changed
+        self._identity = network.identity
+        self._owner = SlotOwner(clock=clock, identity=self._identity.key)
+        self._leases: dict[str, _HeldLease] = {}
+        self._started_ms = clock.monotonic_ms()
+        self._shares = SlotShares(members=(self._identity.key,))
+        self._earlier_shares = self._shares
+        self._members_changed_ms = self._started_ms
+        self._hurry = anyio.Event()
+        self._interval_ms = _LEAST_INTERVAL_MS
+        self._sequence = 0
+        self._draining = False
+        network.handle(
+            SlotRenewal,
+            kind='slot_renewal',
+            reply_type=SlotLeases,
+            handler=self._take_renewal,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'slots'
+
+    @property
+    def owner(self) -> SlotOwner:
+        """The books of runners whose slots this VM lends."""
+        return self._owner
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts renewing leases."""
+        tasks.start_soon(self._renew_forever)
+
+    async def drain(self) -> None:
+        """Hands all slots back, once running requests have ended."""
+        self._draining = True
+        self.apply_limits(self._demand().runners)
+        await self.renew()
+
+    def hurry(self) -> None:
+        """Asks for a renewal now, since requests wait for slots."""
+        self._hurry.set()
+
+    async def renew(self) -> None:
+        """Renews all leases once and sets the runners' limits."""
+        self._update_members()
+        demand = self._demand()
+        wants = self._wants_by_owner(demand)
+        async with anyio.create_task_group() as tasks:
+            for owner, owned in wants.items():
+                tasks.start_soon(self._renew_at, owner, owned)
+        self.apply_limits(demand.runners)
+
+    def apply_limits(self, runners: Iterable[Runner]) -> None:
+        """Sets the limits that hold now and tells the router of changes."""
+        changed = []
+        for runner in runners:
+            limit = 0 if self._draining else self._limit_of(runner)
+            if limit > runner.limit:
+                self._interval_ms = _LEAST_INTERVAL_MS
+            if limit != runner.limit:
+                runner.limit = limit
+                changed.append(runner)
+        self._changed(changed)
+
+    async def _renew_forever(self) -> None:
+        while True:
+            await self.renew()
+            await self._clock.sleep_ms(self._interval_ms)
+            rest_ms = _RENEWAL_INTERVAL_MS - self._interval_ms
+            with anyio.move_on_after(rest_ms / _MS_PER_SECOND):
+                await self._hurry.wait()
+            if self._hurry.is_set():
+                self._interval_ms = min(
+                    2 * self._interval_ms,
+                    _RENEWAL_INTERVAL_MS,
+                )
+            self._hurry = anyio.Event()
+
+    async def _renew_at(self, owner: str, wants: list[SlotWant]) -> None:
+        self._sequence += 1
+        renewal = SlotRenewal(sequence=self._sequence, wants=tuple(wants))
+        sent_ms = self._clock.monotonic_ms()
+        reply = await self._reply_of(owner, renewal)
+        if reply is None:
+            self._metrics.increment('slot_renewals', 'unreachable')
+            return
+        self._metrics.increment('slot_renewals', 'renewed')
+        self._take_leases(reply.leases, sent_ms)
+
+    async def _reply_of(
+        self,
+        owner: str,
+        renewal: SlotRenewal,
+    ) -> SlotLeases | None:
+        if owner == self._identity.key:
+            return self._owner.renew(owner, renewal, self._shares)
+        peer = self._peer_called(owner)
+        if peer is None:
+            return None
+        try:
+            reply: SlotLeases = await self._network.request(
+                peer,
+                renewal,
+                timeout_ms=_RENEWAL_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            return None
+        return reply
+
+    def _take_leases(
+        self,
+        leases: tuple[SlotLease, ...],
+        sent_ms: int,
+    ) -> None:
+        for lease in leases:
+            self._leases[lease.upstream] = _HeldLease(
+                slots=lease.slots,
+                until_ms=sent_ms + LEASE_VALIDITY_MS,
+            )
+
+    async def _take_renewal(
+        self,
+        sender: VmIdentity,
+        renewal: SlotRenewal,
+    ) -> SlotLeases:
+        self._update_members()
+        return self._owner.renew(sender.key, renewal, self._shares)
+
+    def _wants_by_owner(self, demand: SlotDemand) -> dict[str, list[SlotWant]]:
+        wants: dict[str, list[SlotWant]] = defaultdict(list)
+        queued = _queue_part(demand)
+        for runner in demand.runners:
+            want = self._want_of(runner, queued)
+            if want is not None:
+                owner = self._shares.owner_of(runner.name)
+                wants[owner].append(want)
+        return wants
+
+    def _want_of(self, runner: Runner, queued: int) -> SlotWant | None:
+        limit_slots = runner.upstream.slot_count
+        share = self._share_of(runner)
+        used = runner.in_flight or runner.limit or runner.demand
+        if not used and not share:
+            return None
+        wanted = runner.in_flight + runner.demand + queued + _HEADROOM_SLOTS
+        runner.demand = 0
+        if runner.leaving or self._draining:
+            wanted = runner.in_flight
+        return SlotWant(
+            upstream=runner.name,
+            limit_slots=limit_slots,
+            wanted=min(wanted, limit_slots),
+            in_use=runner.in_flight,
+            held=runner.limit,
+        )
+
+    def _limit_of(self, runner: Runner) -> int:
+        now_ms = self._clock.monotonic_ms()
+        lease = self._leases.get(runner.name)
+        if lease is not None and now_ms < lease.until_ms:
+            return lease.slots
+        share = self._share_of(runner)
+        contact_ms = self._started_ms if lease is None else lease.until_ms
+        if now_ms - contact_ms < _FALLBACK_DELAY_MS:
+            return min(share, 0 if lease is None else lease.slots)
+        return share
+
+    def _share_of(self, runner: Runner) -> int:
+        share = self._shares.share_of(
+            self._identity.key,
+            runner.name,
+            runner.upstream.slot_count,
+        )
+        age_ms = self._clock.monotonic_ms() - self._members_changed_ms
+        if age_ms >= _FALLBACK_DELAY_MS:
+            return share
+        earlier = self._earlier_shares.share_of(
+            self._identity.key,
+            runner.name,
+            runner.upstream.slot_count,
+        )
+        return min(share, earlier)
+
+    def _update_members(self) -> None:
+        keys = [peer.key for peer in self._network.known_peers()]
+        members = tuple(sorted((*keys, self._identity.key)))
+        if members == self._shares.members:
+            return
+        self._earlier_shares = self._shares
+        self._shares = SlotShares(members=members)
+        self._members_changed_ms = self._clock.monotonic_ms()
+        self._owner.retain(
+            self._shares,
+            was_alone=len(self._earlier_shares.members) == 1,
+        )
+
+    def _peer_called(self, key: str) -> VmIdentity | None:
+        for peer in self._network.known_peers():
+            if peer.key == key:
+                return peer
+        return None
+
+
+def _queue_part(demand: SlotDemand) -> int:
+    if not demand.waiting:
+        return 0
+    return -(-demand.waiting // max(len(demand.runners), 1))
--- /dev/null
+++ b/teaseldale/routing/_slot_shares.py
@@ -0,0 +1,60 @@
+"""Division of a runner's slots that every VM works out alike."""
+
+from collections.abc import Sequence
+
+import xxhash
+
+
+class SlotShares:
+    """Fixed shares and slot owners for one list of live VMs."""
+
+    def __init__(self, *, members: Sequence[str]) -> None:
+        """Divides among ``members``, given in a fixed order."""
+        self.members = tuple(sorted(members))
+        self._positions = {
+            member: position for position, member in enumerate(self.members)
+        }
+        self._owners: dict[str, str] = {}
+
+    def __contains__(self, member: str) -> bool:
+        """Whether the VM is on the list."""
+        return member in self._positions
+
+    def owner_of(self, upstream: str) -> str:
+        """Returns the VM that lends the runner's slots."""
+        owner = self._owners.get(upstream)
+        if owner is None:
+            owner = max(
+                self.members,
+                key=lambda member: _weight(upstream, member),
+            )
+            self._owners[upstream] = owner
+        return owner
+
+    def share_of(self, member: str, upstream: str, limit_slots: int) -> int:
+        """Slots that a VM without contact may use; they add up to the limit."""
+        position = self._positions.get(member)
+        if position is None:
+            return 0
+        count = len(self.members)
+        whole, extra = divmod(limit_slots, count)
+        distance = (position - _first_position(upstream)) % count
+        return whole + 1 if distance < extra else whole
+
+    def sharers(self, upstream: str, limit_slots: int) -> Sequence[str]:
+        """Returns the VMs whose share is at least one slot."""
+        count = len(self.members)
+        if limit_slots >= count:
+            return self.members
+        first = _first_position(upstream)
+        return [
+            self.members[(first + step) % count] for step in range(limit_slots)
+        ]
+
+
+def _first_position(upstream: str) -> int:
+    return xxhash.xxh3_64_intdigest(upstream.encode())
+
+
+def _weight(upstream: str, member: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{upstream}\0{member}'.encode())
--- /dev/null
+++ b/teaseldale/routing/_suspensions.py
@@ -0,0 +1,47 @@
+"""Suspension of runners that fail again and again."""
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.routing._pool import FAILURES_TO_SUSPEND, Runner
+
+_SHORTEST_MS = 250
+_LONGEST_MS = 8000
+
+
+class Suspensions:
+    """Gives failing runners no work for a while, then one request."""
+
+    def __init__(self, *, clock: BaseClock, metrics: Metrics) -> None:
+        """Creates a set without suspended runners."""
+        self._clock = clock
+        self._metrics = metrics
+        self._suspended: dict[str, Runner] = {}
+
+    def note_outcome(self, runner: Runner, *, failed: bool) -> None:
+        """Takes the outcome of one request at a runner."""
+        if not failed:
+            runner.failure_count = 0
+        elif not runner.suspended_until_ms:
+            runner.failure_count += 1
+            if runner.failure_count >= FAILURES_TO_SUSPEND:
+                self._suspend(runner)
+
+    def ended(self) -> list[Runner]:
+        """Ends the suspensions whose time is over; returns the runners."""
+        now_ms = self._clock.monotonic_ms()
+        over = [
+            runner
+            for runner in self._suspended.values()
+            if now_ms >= runner.suspended_until_ms
+        ]
+        for runner in over:
+            self._suspended.pop(runner.name)
+            runner.suspended_until_ms = 0
+        return over
+
+    def _suspend(self, runner: Runner) -> None:
+        repeated = runner.failure_count - FAILURES_TO_SUSPEND
+        duration_ms = min(_SHORTEST_MS * 2**repeated, _LONGEST_MS)
+        runner.suspended_until_ms = self._clock.monotonic_ms() + duration_ms
+        self._suspended[runner.name] = runner
+        self._metrics.increment('upstream_suspensions', runner.name)
--- /dev/null
+++ b/teaseldale/routing/_waiting.py
@@ -0,0 +1,98 @@
+"""Bounded queue by priority, fair between client accounts."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from itertools import chain, zip_longest
+
+import anyio
+import attrs
+
+from teaseldale.outcomes import Refusal
+from teaseldale.routing._pool import Runner
+from teaseldale.routing._request import RoutingRequest
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingRequest:
+    """A request in the queue; ``settled`` is set with its outcome."""
+
+    request: RoutingRequest
+    queued_ms: int  # monotonic
+    outcome: Runner | Refusal | None = None
+    settled: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def settle(self, outcome: Runner | Refusal) -> None:
+        """Gives the request a runner or a refusal."""
+        self.outcome = outcome
+        self.settled.set()
+
+
+_Accounts = OrderedDict[str, deque[WaitingRequest]]
+
+
+class WaitingQueue:
+    """Requests that wait for a slot of one pool."""
+
+    def __init__(self, *, limit: int) -> None:
+        """Creates an empty queue of at most ``limit`` requests."""
+        self._limit = limit
+        self._levels: dict[int, _Accounts] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Number of waiting requests."""
+        return self._count
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        """Iterates by priority, within it by turns of the accounts."""
+        for priority in sorted(self._levels):
+            turns = zip_longest(*self._levels[priority].values())
+            for waiting in chain.from_iterable(tuple(turns)):
+                if waiting is not None:
+                    yield waiting
+
+    @property
+    def is_full(self) -> bool:
+        """Whether another request may only wait in place of one."""
+        return self._count >= self._limit
+
+    def count_ahead(self, priority: int) -> int:
+        """Requests of this or a higher priority."""
+        return sum(
+            len(requests)
+            for level, accounts in self._levels.items()
+            if level <= priority
+            for requests in accounts.values()
+        )
+
+    def add(self, waiting: WaitingRequest) -> None:
+        """Adds a request at the end of its account's turn."""
+        accounts = self._levels.setdefault(
+            waiting.request.priority,
+            OrderedDict(),
+        )
+        account = waiting.request.client_account
+        accounts.setdefault(account, deque()).append(waiting)
+        self._count += 1
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Removes a request; its account goes to the end of the turns."""
+        priority = waiting.request.priority
+        accounts = self._levels[priority]
+        account = waiting.request.client_account
+        requests = accounts[account]
+        requests.remove(waiting)
+        self._count -= 1
+        accounts.move_to_end(account)
+        if not requests:
+            accounts.pop(account)
+        if not accounts:
+            self._levels.pop(priority)
+
+    def least_important(self, than_priority: int) -> WaitingRequest | None:
+        """Returns the last request of the lowest priority, if lower."""
+        lowest = max(self._levels, default=than_priority)
+        if lowest <= than_priority:
+            return None
+        longest = max(self._levels[lowest].values(), key=len)
+        return longest[-1]
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -1,10 +1,12 @@
-"""Clients of model engines and plain services."""
+"""Clients of model engines and plain services, and quarantine."""
 
 from teaseldale.upstreams._clients import (
     BaseEngineClient,
     BaseServiceClient,
     EngineCall,
+    EngineEvents,
     EngineFinished,
+    FailureKind,
     ServiceAnswer,
     ServiceCall,
     UpstreamError,
@@ -12,16 +14,44 @@
 from teaseldale.upstreams._http_engine import HttpEngineClient
 from teaseldale.upstreams._http_service import HttpServiceClient
 from teaseldale.upstreams._network_backend import StreamNetworkBackend
+from teaseldale.upstreams._quarantine import (
+    CrashQuarantine,
+    SuspectState,
+    fingerprint_of,
+)
+from teaseldale.upstreams._quarantine_interface import (
+    BaseQuarantine,
+    NoQuarantine,
+)
+from teaseldale.upstreams._reports import (
+    BaseRunnerReports,
+    CacheChange,
+    CacheChanges,
+    HttpRunnerReports,
+    LoadReport,
+)
 
 __all__ = (
     'BaseEngineClient',
+    'BaseQuarantine',
+    'BaseRunnerReports',
     'BaseServiceClient',
+    'CacheChange',
+    'CacheChanges',
+    'CrashQuarantine',
     'EngineCall',
+    'EngineEvents',
     'EngineFinished',
+    'FailureKind',
     'HttpEngineClient',
+    'HttpRunnerReports',
     'HttpServiceClient',
+    'LoadReport',
+    'NoQuarantine',
     'ServiceAnswer',
     'ServiceCall',
     'StreamNetworkBackend',
+    'SuspectState',
     'UpstreamError',
+    'fingerprint_of',
 )
--- a/teaseldale/upstreams/_clients.py
+++ b/teaseldale/upstreams/_clients.py
@@ -1,6 +1,7 @@
 """Interfaces of the clients of upstreams."""
 
 import abc
+import enum
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 
@@ -11,6 +12,16 @@
 from teaseldale.outcomes import Step
 
 
+@enum.unique
+class FailureKind(enum.StrEnum):
+    """How an upstream failed; decides what is done next."""
+
+    REFUSED = 'refused'  # nothing ran
+    BROKEN = 'broken'  # the connection broke: the upstream may have crashed
+    SILENT = 'silent'  # nothing came for longer than the limit
+    CROSSED = 'crossed'  # the answer belongs to another request
+
+
 class UpstreamError(Exception):
     """An upstream failed; ``may_have_run`` tells what a retry risks."""
 
@@ -21,13 +32,15 @@
         peer: str,
         reason: str,
         may_have_run: bool,
+        kind: FailureKind | None = None,
     ) -> None:
-        """Records where the error arose."""
+        """Records where the error arose; ``kind`` is guessed if absent."""
         super().__init__(f'{step} at {peer}: {reason}')
         self.step = step
         self.peer = peer
         self.reason = reason
         self.may_have_run = may_have_run
+        self.kind = kind or _likely_kind(may_have_run=may_have_run)
 
 
 @attrs.frozen(kw_only=True)
@@ -38,6 +51,7 @@
     body: bytes  # chat-completions JSON with stream set
     offset: int = 0  # tokens already received; the engine resumes there
     progress_timeout_ms: int = 10_000  # longest silence within the stream
+    fresh_connection: bool = False  # an open one may have gone silent
 
 
 @attrs.frozen(kw_only=True)
@@ -59,6 +73,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     timeout_ms: int
+    fresh_connection: bool = False  # an open one may have gone silent
 
 
 @attrs.frozen(kw_only=True)
@@ -97,3 +112,7 @@
         self, upstream: Upstream, call: ServiceCall
     ) -> ServiceAnswer:
         """Sends the call once."""
+
+
+def _likely_kind(*, may_have_run: bool) -> FailureKind:
+    return FailureKind.BROKEN if may_have_run else FailureKind.REFUSED
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -15,6 +15,7 @@
     EngineCall,
     EngineEvents,
     EngineFinished,
+    FailureKind,
     UpstreamError,
 )
 from teaseldale.upstreams._network_backend import StreamNetworkBackend
@@ -67,6 +68,11 @@
             max_connections=_MAX_CONNECTIONS,
             network_backend=StreamNetworkBackend(),
         )
+        self._fresh_pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=StreamNetworkBackend(),
+        )
 
     @asynccontextmanager
     async def stream(
@@ -75,8 +81,9 @@
         call: EngineCall,
     ) -> AsyncIterator[EngineEvents]:
         """Opens a stream; a refusal before running is told as such."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            async with self._pool.stream(
+            async with pool.stream(
                 'POST',
                 f'{upstream.url}/v1/chat/completions',
                 headers=_headers(call),
@@ -98,7 +105,7 @@
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Asks the engine to stop a run."""
         try:
-            await self._pool.request(
+            await self._fresh_pool.request(
                 'DELETE',
                 f'{upstream.url}/v1/requests/{request_id}',
                 extensions={'timeout': _timeouts(_CANCEL_TIMEOUT_MS)},
@@ -139,6 +146,7 @@
             peer=upstream.name,
             reason=f'answer of another request: {event.id}',
             may_have_run=True,
+            kind=FailureKind.CROSSED,
         )
     if event.usage is not None:
         return EngineFinished(
@@ -190,4 +198,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
--- a/teaseldale/upstreams/_http_service.py
+++ b/teaseldale/upstreams/_http_service.py
@@ -6,6 +6,7 @@
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._clients import (
     BaseServiceClient,
+    FailureKind,
     ServiceAnswer,
     ServiceCall,
     UpstreamError,
@@ -38,13 +39,19 @@
             max_connections=_MAX_CONNECTIONS,
             network_backend=StreamNetworkBackend(),
         )
+        self._fresh_pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=StreamNetworkBackend(),
+        )
 
     async def call(
         self, upstream: Upstream, call: ServiceCall
     ) -> ServiceAnswer:
         """Sends the call and reads the whole answer."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            response = await self._pool.request(
+            response = await pool.request(
                 call.method,
                 upstream.url + call.path,
                 headers=_headers(call),
@@ -104,4 +111,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
--- /dev/null
+++ b/teaseldale/upstreams/_quarantine.py
@@ -0,0 +1,290 @@
+"""Quarantine of requests that crash the upstreams that run them.
+
+A request whose upstream broke off is a suspect; its fingerprint, which leaves
+the request key out, is told to all reachable VMs before it is tried again. A
+suspect may only be tried at the one upstream that its fingerprint hashes to,
+so that VMs that do not talk choose the same, and one suspect at a time. When a
+second upstream breaks off as well, the fingerprint is quarantined everywhere
+until it expires or an operator releases it.
+"""
+
+from collections.abc import Iterable
+
+import anyio
+import attrs
+import xxhash
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import (
+    PeerUnreachableError,
+    Refusal,
+    RefusalCode,
+    Step,
+)
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.upstreams._quarantine_interface import BaseQuarantine
+from teaseldale.upstreams._trials import TrialLocks
+
+_UPSTREAMS_TO_QUARANTINE = 2
+_EXPIRY_MS = 600_000
+_NOTICE_TIMEOUT_MS = 500
+_SUSPECT_LIMIT = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class CrashNotice:
+    """A request's upstream broke off while running it."""
+
+    fingerprint: str
+    upstreams: tuple[str, ...]  # all that broke off, as the sender knows
+    age_ms: int  # since the last crash
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseNotice:
+    """A fingerprint ran through, or an operator released it."""
+
+    fingerprint: str
+
+
+@attrs.frozen(kw_only=True)
+class NoticeTaken:
+    """Reply to both notices."""
+
+
+@attrs.define(kw_only=True)
+class _Suspect:
+    upstreams: set[str]
+    last_crash_ms: int  # monotonic
+
+
+@attrs.frozen(kw_only=True)
+class SuspectState:
+    """What operators see of a fingerprint."""
+
+    fingerprint: str
+    upstreams: tuple[str, ...]
+    quarantined: bool
+    expires_in_ms: int
+
+
+class CrashQuarantine(BaseQuarantine, BaseService):
+    """Suspects and quarantined fingerprints as this VM knows them."""
+
+    def __init__(
+        self,
+        *,
+        network: BasePeerNetwork,
+        clock: BaseClock,
+        metrics: Metrics,
+        expiry_ms: int = _EXPIRY_MS,
+    ) -> None:
+        """Registers the handlers of both notices."""
+        self._network = network
+        self._clock = clock
+        self._metrics = metrics
+        self._expiry_ms = expiry_ms
+        self._suspects: dict[str, _Suspect] = {}
+        self._trials = TrialLocks(network=network, clock=clock)
+        self._log = StateLog(channel='quarantine')
+        network.handle(
+            CrashNotice,
+            kind='crash_notice',
+            reply_type=NoticeTaken,
+            handler=self._take_crash,
+        )
+        network.handle(
+            ReleaseNotice,
+            kind='release_notice',
+            reply_type=NoticeTaken,
+            handler=self._take_release,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'quarantine'
+
+    def refusal_for(self, fingerprint: str) -> Refusal | None:
+        """Returns the refusal of a quarantined fingerprint."""
+        suspect = self._current(fingerprint)
+        if suspect is None or not _is_quarantined(suspect):
+            return None
+        return Refusal(
+            code=RefusalCode.QUARANTINED,
+            message='This request broke two upstreams that ran it; change it, '
+            'or ask the operators to release it.',
+            not_run=False,
+            step=Step.ADMIT,
+            retry_after_ms=self._expires_in_ms(suspect),
+        )
+
+    async def start_trial(
+        self,
+        fingerprint: str,
+        candidates: Iterable[str],
+        *,
+        deadline_ms: int,
+    ) -> str | None:
+        """Returns the only upstream at which a suspect may run now."""
+        suspect = self._current(fingerprint)
+        crashed = set() if suspect is None else suspect.upstreams
+        upstream = max(
+            (name for name in candidates if name not in crashed),
+            key=lambda name: _weight(fingerprint, name),
+            default=None,
+        )
+        if upstream is None:
+            return None
+        granted = await self._trials.acquire(
+            fingerprint,
+            upstream,
+            deadline_ms=deadline_ms,
+        )
+        return upstream if granted else None
+
+    async def end_trial(
+        self,
+        fingerprint: str,
+        upstream: str,
+        *,
+        succeeded: bool,
+    ) -> None:
+        """Ends a trial; a success clears the suspect everywhere."""
+        if succeeded:
+            await self.release(fingerprint, reason='ran_through')
+        await self._trials.release(fingerprint, upstream)
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether an upstream broke off while running the fingerprint."""
+        return self._current(fingerprint) is not None
+
+    async def report_crash(self, fingerprint: str, upstream: str) -> None:
+        """Returns when all reachable VMs know, or after a time limit."""
+        self._add(fingerprint, (upstream,), age_ms=0)
+        suspect = self._suspects[fingerprint]
+        notice = CrashNotice(
+            fingerprint=fingerprint,
+            upstreams=tuple(sorted(suspect.upstreams)),
+            age_ms=0,
+        )
+        await self._tell_all(notice)
+
+    async def release(self, fingerprint: str, *, reason: str) -> bool:
+        """Forgets a fingerprint everywhere; whether it was known here."""
+        known = self._suspects.pop(fingerprint, None) is not None
+        if known:
+            self._metrics.increment('quarantine_releases', reason)
+        await self._tell_all(ReleaseNotice(fingerprint=fingerprint))
+        return known
+
+    def states(self) -> tuple[SuspectState, ...]:
+        """Returns all that is known, for operators."""
+        current = [
+            (fingerprint, self._current(fingerprint))
+            for fingerprint in tuple(self._suspects)
+        ]
+        return tuple(
+            SuspectState(
+                fingerprint=fingerprint,
+                upstreams=tuple(sorted(suspect.upstreams)),
+                quarantined=_is_quarantined(suspect),
+                expires_in_ms=self._expires_in_ms(suspect),
+            )
+            for fingerprint, suspect in current
+            if suspect is not None
+        )
+
+    async def _tell_all(self, notice: CrashNotice | ReleaseNotice) -> None:
+        async with anyio.create_task_group() as tasks:
+            for peer in self._network.reachable_peers():
+                tasks.start_soon(self._tell, peer, notice)
+
+    async def _tell(
+        self,
+        peer: VmIdentity,
+        notice: CrashNotice | ReleaseNotice,
+    ) -> None:
+        try:
+            await self._network.request(
+                peer,
+                notice,
+                timeout_ms=_NOTICE_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            self._metrics.increment('quarantine_notices_lost')
+
+    async def _take_crash(
+        self,
+        _sender: VmIdentity,
+        notice: CrashNotice,
+    ) -> NoticeTaken:
+        self._add(notice.fingerprint, notice.upstreams, age_ms=notice.age_ms)
+        return NoticeTaken()
+
+    async def _take_release(
+        self,
+        _sender: VmIdentity,
+        notice: ReleaseNotice,
+    ) -> NoticeTaken:
+        self._suspects.pop(notice.fingerprint, None)
+        return NoticeTaken()
+
+    def _add(
+        self,
+        fingerprint: str,
+        upstreams: tuple[str, ...],
+        *,
+        age_ms: int,
+    ) -> None:
+        crash_ms = self._clock.monotonic_ms() - age_ms
+        suspect = self._current(fingerprint)
+        if suspect is None:
+            self._forget_oldest()
+            suspect = _Suspect(upstreams=set(), last_crash_ms=crash_ms)
+            self._suspects[fingerprint] = suspect
+            self._metrics.increment('quarantine_suspects')
+        was_quarantined = _is_quarantined(suspect)
+        suspect.upstreams.update(upstreams)
+        suspect.last_crash_ms = max(suspect.last_crash_ms, crash_ms)
+        if _is_quarantined(suspect) and not was_quarantined:
+            self._metrics.increment('quarantined')
+            self._log.changed(
+                'quarantined',
+                fingerprint=fingerprint,
+                upstreams=sorted(suspect.upstreams),
+            )
+
+    def _current(self, fingerprint: str) -> _Suspect | None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and self._expires_in_ms(suspect) <= 0:
+            self._suspects.pop(fingerprint)
+            return None
+        return suspect
+
+    def _expires_in_ms(self, suspect: _Suspect) -> int:
+        age_ms = self._clock.monotonic_ms() - suspect.last_crash_ms
+        return self._expiry_ms - age_ms
+
+    def _forget_oldest(self) -> None:
+        if len(self._suspects) >= _SUSPECT_LIMIT:
+            self._suspects.pop(next(iter(self._suspects)))
+
+
+def fingerprint_of(route: str, body: bytes) -> str:
+    """Returns the hash of what an upstream is given, without the key."""
+    hashed = xxhash.xxh3_128(route.encode())
+    hashed.update(b'\0')
+    hashed.update(body)
+    return hashed.hexdigest()
+
+
+def _is_quarantined(suspect: _Suspect) -> bool:
+    return len(suspect.upstreams) >= _UPSTREAMS_TO_QUARANTINE
+
+
+def _weight(fingerprint: str, upstream: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{fingerprint}\0{upstream}'.encode())
--- /dev/null
+++ b/teaseldale/upstreams/_quarantine_interface.py
@@ -0,0 +1,80 @@
+"""Interface of the quarantine of requests that crash upstreams."""
+
+import abc
+from collections.abc import Iterable
+
+from teaseldale.outcomes import Refusal
+
+
+class BaseQuarantine(abc.ABC):
+    """Knows fingerprints of requests whose upstreams broke off."""
+
+    @abc.abstractmethod
+    def refusal_for(self, fingerprint: str) -> Refusal | None:
+        """Returns the refusal of a quarantined fingerprint."""
+
+    @abc.abstractmethod
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether an upstream broke off while running the fingerprint."""
+
+    @abc.abstractmethod
+    async def start_trial(
+        self,
+        fingerprint: str,
+        candidates: Iterable[str],
+        *,
+        deadline_ms: int,
+    ) -> str | None:
+        """Returns the only upstream at which a suspect may run now.
+
+        None if there is none, or if another suspect held it until the
+        deadline. Every trial that was given must be ended.
+        """
+
+    @abc.abstractmethod
+    async def end_trial(
+        self,
+        fingerprint: str,
+        upstream: str,
+        *,
+        succeeded: bool,
+    ) -> None:
+        """Ends a trial; a success clears the suspect everywhere."""
+
+    @abc.abstractmethod
+    async def report_crash(self, fingerprint: str, upstream: str) -> None:
+        """Returns when all reachable VMs know, or after a time limit."""
+
+
+class NoQuarantine(BaseQuarantine):
+    """Suspects nothing; for embedding without peers."""
+
+    def refusal_for(self, fingerprint: str) -> Refusal | None:
+        """Refuses nothing."""
+        return None
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Suspects nothing."""
+        return False
+
+    async def start_trial(
+        self,
+        fingerprint: str,
+        candidates: Iterable[str],
+        *,
+        deadline_ms: int,
+    ) -> str | None:
+        """Gives no trial, since there are no suspects."""
+        return None
+
+    async def end_trial(
+        self,
+        fingerprint: str,
+        upstream: str,
+        *,
+        succeeded: bool,
+    ) -> None:
+        """Does nothing."""
+
+    async def report_crash(self, fingerprint: str, upstream: str) -> None:
+        """Forgets the crash."""
--- /dev/null
+++ b/teaseldale/upstreams/_trials.py
@@ -0,0 +1,130 @@
+"""One suspect at a time at each upstream, across all VMs.
+
+When an upstream breaks off, every request that it ran becomes a suspect. If
+two suspects were tried at the same upstream together, its next crash would
+blame both. The VM that the upstream hashes to lends the right to a trial.
+"""
+
+import attrs
+import xxhash
+
+from teaseldale.clock import BaseClock
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+
+_TRIAL_LIMIT_MS = 120_000
+_REQUEST_TIMEOUT_MS = 500
+_POLL_MS = 100
+
+
+@attrs.frozen(kw_only=True)
+class TrialRequest:
+    """Asks for the right to try a suspect at an upstream, or ends it."""
+
+    upstream: str
+    fingerprint: str
+    ended: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class TrialReply:
+    """Whether the trial may start."""
+
+    granted: bool
+
+
+@attrs.frozen(kw_only=True)
+class _Trial:
+    fingerprint: str
+    holder: str  # key of the VM that tries
+    until_ms: int  # monotonic
+
+
+class TrialLocks:
+    """Rights to trials, lent by and to this VM."""
+
+    def __init__(self, *, network: BasePeerNetwork, clock: BaseClock) -> None:
+        """Registers the handler of trial requests."""
+        self._network = network
+        self._clock = clock
+        self._trials: dict[str, _Trial] = {}
+        network.handle(
+            TrialRequest,
+            kind='trial_request',
+            reply_type=TrialReply,
+            handler=self._take_request,
+        )
+
+    async def acquire(
+        self,
+        fingerprint: str,
+        upstream: str,
+        *,
+        deadline_ms: int,
+    ) -> bool:
+        """Waits for the right until ``deadline_ms``; whether it was given."""
+        request = TrialRequest(upstream=upstream, fingerprint=fingerprint)
+        while self._clock.monotonic_ms() < deadline_ms:
+            if await self._ask(request):
+                return True
+            await self._clock.sleep_ms(_POLL_MS)
+        return False
+
+    async def release(self, fingerprint: str, upstream: str) -> None:
+        """Gives the right back; if that is lost, it expires."""
+        await self._ask(
+            TrialRequest(
+                upstream=upstream,
+                fingerprint=fingerprint,
+                ended=True,
+            ),
+        )
+
+    async def _ask(self, request: TrialRequest) -> bool:
+        identity = self._network.identity
+        vms = (identity, *self._network.known_peers())
+        lender = max(vms, key=lambda vm: _weight(request.upstream, vm.key))
+        if lender.key == identity.key:
+            return (await self._take_request(identity, request)).granted
+        try:
+            reply: TrialReply = await self._network.request(
+                lender,
+                request,
+                timeout_ms=_REQUEST_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            return False
+        return reply.granted
+
+    async def _take_request(
+        self,
+        sender: VmIdentity,
+        request: TrialRequest,
+    ) -> TrialReply:
+        now_ms = self._clock.monotonic_ms()
+        trial = self._trials.get(request.upstream)
+        if trial is not None and now_ms >= trial.until_ms:
+            trial = None
+        mine = trial is not None and _belongs(trial, sender, request)
+        if request.ended:
+            if mine:
+                self._trials.pop(request.upstream)
+            return TrialReply(granted=False)
+        if trial is not None and not mine:
+            return TrialReply(granted=False)
+        self._trials[request.upstream] = _Trial(
+            fingerprint=request.fingerprint,
+            holder=sender.key,
+            until_ms=now_ms + _TRIAL_LIMIT_MS,
+        )
+        return TrialReply(granted=True)
+
+
+def _belongs(trial: _Trial, sender: VmIdentity, request: TrialRequest) -> bool:
+    return (
+        trial.holder == sender.key and trial.fingerprint == request.fingerprint
+    )
+
+
+def _weight(upstream: str, vm_key: str) -> int:
+    return xxhash.xxh3_64_intdigest(f'{upstream}\0{vm_key}'.encode())
