--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -42,7 +42,7 @@
     )
     peers = _peer_network(settings, clock)
     configuration = TableConfiguration(table=table, clock=clock)
-    watch = _runner_watch(settings, configuration, peers, clock, metrics)
+    router, watch = _routing(settings, configuration, peers, clock, metrics)
     quarantine = CrashQuarantine(network=peers, clock=clock, metrics=metrics)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
@@ -62,7 +62,7 @@
             registry=TableRequestRegistry(table=table),
             spending=TransactionalSpending(table=table),
             versions=InForceVersion(),
-            router=watch.router,
+            router=router,
             engines=HttpEngineClient(),
             services=HttpServiceClient(),
             clock=clock,
@@ -76,7 +76,7 @@
         peers,
         configuration,
         quarantine,
-        watch.router,
+        router,
         watch,
         callers,
     )
@@ -89,13 +89,13 @@
     return kernel
 
 
-def _runner_watch(
+def _routing(
     settings: Settings,
     configuration: TableConfiguration,
     peers: PynngPeerNetwork,
     clock: BaseClock,
     metrics: Metrics,
-) -> RunnerWatch:
+) -> tuple[FleetRouter, RunnerWatch]:
     index = PrefixIndex()
     router = FleetRouter(
         configuration=configuration,
@@ -109,14 +109,15 @@
         clock=clock,
         metrics=metrics,
     )
-    return RunnerWatch(
-        router=router,
+    watch = RunnerWatch(
+        table=router.table,
         index=index,
         reports=HttpRunnerReports(),
         membership=_membership_list(settings),
         clock=clock,
         metrics=metrics,
     )
+    return router, watch
 
 
 def _membership_list(settings: Settings) -> HttpMembershipList:
--- a/teaseldale/entry/_attempts.py
+++ b/teaseldale/entry/_attempts.py
@@ -16,8 +16,9 @@
 from teaseldale.routing import Placement, RoutingRequest
 from teaseldale.upstreams import FailureKind, UpstreamError
 
-_ATTEMPTS = 3
-_TRIAL_WAIT_MS = 5000
+_RUNS = 3  # attempts that may have run
+_ATTEMPTS = 6
+_TRIAL_WAIT_MS = 30_000
 
 
 @attrs.define(kw_only=True)
@@ -28,13 +29,16 @@
     fingerprint: str
     excluded: frozenset[str] = frozenset()
     failure_count: int = 0
+    run_count: int = 0  # failures after which the request may have run
     last: Refusal | None = None
     fresh_connection: bool = False  # after a connection went silent
-    trial_upstream: str = ''  # right to a trial that is held now
+    trial_upstream: str = ''  # where a suspect is tried
+    holds_trial: bool = False  # no other suspect is tried there now
 
     def note_failure(self, refusal: Refusal, upstream: str) -> None:
         """Takes a failed attempt into account."""
         self.failure_count += 1
+        self.run_count += not refusal.not_run
         self.excluded |= {upstream}
         self.last = keep_run(self.last, refusal)
 
@@ -60,7 +64,9 @@
             request.version,
         )
         if self._parts.quarantine.is_suspect(attempts.fingerprint):
-            refusal = await self._start_trial(request, attempts, usable)
+            excluded = _still_excluded(attempts, usable)
+            untried = tuple(name for name in usable if name not in excluded)
+            refusal = await self._start_trial(request, attempts, untried)
             if refusal is not None:
                 return keep_run(attempts.last, refusal)
         placed = await self._parts.router.place(
@@ -68,23 +74,28 @@
                 request,
                 excluded=_still_excluded(attempts, usable),
                 only_upstream=attempts.trial_upstream,
-                first_attempt=not attempts.failure_count,
+                first_attempt=not (attempts.failure_count or request.resumed),
             ),
         )
         if isinstance(placed, Refusal):
-            await self.end_trial(attempts, succeeded=False)
+            await self.end_trial(attempts)
             return keep_run(attempts.last, placed)
         return placed
 
-    async def end_trial(self, attempts: Attempts, *, succeeded: bool) -> None:
-        """Gives a right to a trial back, if one is held."""
-        if attempts.trial_upstream:
+    async def end_trial(self, attempts: Attempts) -> None:
+        """Lets other suspects be tried, if this one holds them up."""
+        if attempts.holds_trial:
+            attempts.holds_trial = False
             await self._parts.quarantine.end_trial(
                 attempts.fingerprint,
                 attempts.trial_upstream,
-                succeeded=succeeded,
             )
-            attempts.trial_upstream = ''
+
+    async def note_success(self, attempts: Attempts) -> None:
+        """Clears a suspect that ran through."""
+        await self.end_trial(attempts)
+        if attempts.trial_upstream:
+            await self._parts.quarantine.clear(attempts.fingerprint)
 
     async def note_error(
         self,
@@ -104,7 +115,7 @@
 
     def may_retry(self, attempts: Attempts, refusal: Refusal) -> bool:
         """Takes a retry from the route's budget if another may help."""
-        if attempts.failure_count >= _ATTEMPTS:
+        if attempts.run_count >= _RUNS or attempts.failure_count >= _ATTEMPTS:
             return False
         if not self._parts.router.take_retry(attempts.route):
             return False
@@ -124,18 +135,19 @@
         self,
         request: RoutingRequest,
         attempts: Attempts,
-        usable: tuple[str, ...],
+        candidates: tuple[str, ...],
     ) -> Refusal | None:
         now_ms = self._parts.clock.monotonic_ms()
         upstream = await self._parts.quarantine.start_trial(
             attempts.fingerprint,
-            usable,
+            candidates,
             deadline_ms=min(request.deadline_ms, now_ms + _TRIAL_WAIT_MS),
         )
         quarantined = self._parts.quarantine.refusal_for(attempts.fingerprint)
         attempts.trial_upstream = upstream or ''
+        attempts.holds_trial = upstream is not None
         if quarantined is not None:
-            await self.end_trial(attempts, succeeded=False)
+            await self.end_trial(attempts)
             return quarantined
         if upstream is None:
             return suspect_waits()
--- a/teaseldale/entry/_completion.py
+++ b/teaseldale/entry/_completion.py
@@ -40,6 +40,7 @@
 
 _PROGRESS_TIMEOUT_MS = 4000
 _STATUS_OK = 200
+_TRIAL_PROOF_MS = 500  # of streaming, after which others may be tried
 
 
 @attrs.frozen(kw_only=True)
@@ -131,11 +132,9 @@
         if isinstance(placed, Refusal):
             return _given_up(run, placed)
         outcome = await self._run_at(run, placed)
-        await self._placer.end_trial(
-            run.attempts,
-            succeeded=not isinstance(outcome, Refusal),
-        )
+        await self._placer.end_trial(run.attempts)
         if isinstance(outcome, EngineFinished):
+            await self._placer.note_success(run.attempts)
             return _whole(run, outcome)
         if isinstance(outcome, Refusal):
             return self._after_failure(run, placed, outcome)
@@ -203,6 +202,7 @@
         ended: EngineFinished | StreamEnd | UpstreamError
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(evidence.watch)
+            tasks.start_soon(self._end_trial_early, run, evidence)
             try:
                 ended = await stream.read(placed.upstream, _call(run))
             except UpstreamError as error:
@@ -215,6 +215,12 @@
             raise ended
         return ended
 
+    async def _end_trial_early(self, run: _Run, evidence: RunEvidence) -> None:
+        if run.attempts.holds_trial:
+            await evidence.first_token.wait()
+            await self._parts.clock.sleep_ms(_TRIAL_PROOF_MS)
+            await self._placer.end_trial(run.attempts)
+
 
 def _call(run: _Run) -> EngineCall:
     return EngineCall(
@@ -249,6 +255,7 @@
         priority=run.job.priority,
         deadline_ms=run.job.deadline_ms,
         client_account=run.job.account.name,
+        resumed=bool(run.answer.output_tokens),
     )
 
 
--- a/teaseldale/entry/_evidence.py
+++ b/teaseldale/entry/_evidence.py
@@ -1,5 +1,7 @@
 """Evidence about a version from one run, also before the run ends."""
 
+import anyio
+
 from teaseldale.clock import BaseClock
 from teaseldale.moves import BaseVersionAssignment, EvidenceSample
 
@@ -25,6 +27,7 @@
         self._last_ms = clock.monotonic_ms()
         self._first_token_ms: int | None = None
         self._largest_gap_ms: int | None = None
+        self.first_token = anyio.Event()
         self._paused = False
         self._was_overdue = False
 
@@ -35,6 +38,7 @@
         self._last_ms = now_ms
         if self._first_token_ms is None:
             self._first_token_ms = gap_ms
+            self.first_token.set()
         elif self._largest_gap_ms is None or gap_ms > self._largest_gap_ms:
             self._largest_gap_ms = gap_ms
 
--- a/teaseldale/entry/_service_call.py
+++ b/teaseldale/entry/_service_call.py
@@ -70,11 +70,9 @@
             if isinstance(placed, Refusal):
                 return _priced(placed, reserved.tokens)
             outcome = await self._run_at(job, reserved, placed, attempts)
-            await self._placer.end_trial(
-                attempts,
-                succeeded=not isinstance(outcome, Refusal),
-            )
+            await self._placer.end_trial(attempts)
             if not isinstance(outcome, Refusal):
+                await self._placer.note_success(attempts)
                 return _priced(outcome, reserved.tokens)
             attempts.note_failure(outcome, placed.upstream.name)
             if not self._may_repeat(job, attempts, outcome):
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -21,6 +21,7 @@
 from teaseldale.routing._request import Placement, RoutingRequest
 from teaseldale.routing._retries import RetryBudget
 from teaseldale.routing._router import BaseRouter, LocalRouter
+from teaseldale.routing._runner_table import RunnerTable
 from teaseldale.routing._runner_watch import RunnerWatch
 from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
 
@@ -44,6 +45,7 @@
     'RoundRobinChoice',
     'RoutingRequest',
     'Runner',
+    'RunnerTable',
     'RunnerWatch',
     'UpstreamPool',
     'prefix_hashes',
--- a/teaseldale/routing/_admission.py
+++ b/teaseldale/routing/_admission.py
@@ -11,6 +11,7 @@
     too_late,
 )
 from teaseldale.routing._runner_table import RoutePool
+from teaseldale.routing._waiting import WaitingRequest
 
 _LONGEST_QUEUE_MS = 1000  # expected wait above which nobody may join
 _LONGEST_WAIT_MS = 2000
@@ -31,7 +32,9 @@
         found: RoutePool,
     ) -> Refusal | None:
         """Returns why a request may not join the queue."""
-        ahead = found.queue.count_ahead(request.priority)
+        if request.resumed:
+            return None
+        ahead = found.queue.count_ahead(request.queue_level)
         wait_ms = _expected_wait_ms(found.pool, ahead)
         retry_after_ms = max(round(wait_ms), RETRY_AFTER_MS)
         end_ms = self._clock.monotonic_ms() + wait_ms + found.pool.mean_hold_ms
@@ -46,19 +49,29 @@
     def refuse_hopeless(self, found: RoutePool) -> None:
         """Refuses the waiting requests that cannot be served in time."""
         for position, waiting in enumerate(tuple(found.queue)):
-            wait_ms = _expected_wait_ms(found.pool, position)
-            start_ms = self._clock.monotonic_ms() + wait_ms
-            refusal = None
-            if start_ms > waiting.request.deadline_ms:
-                refusal = too_late(waiting.request, RETRY_AFTER_MS)
-            elif start_ms - waiting.queued_ms > _longest_wait_ms(found):
-                refusal = overloaded(waiting.request, _LONGEST_QUEUE_MS)
-            elif not any_allowed(waiting.request, found.pool):
-                refusal = no_upstream(waiting.request)
+            refusal = self._refusal_in_queue(waiting, position, found)
             if refusal is not None:
                 found.queue.remove(waiting)
                 waiting.settle(refusal)
 
+    def _refusal_in_queue(
+        self,
+        waiting: WaitingRequest,
+        position: int,
+        found: RoutePool,
+    ) -> Refusal | None:
+        if not any_allowed(waiting.request, found.pool):
+            return no_upstream(waiting.request)
+        if waiting.request.resumed:
+            return None
+        wait_ms = _expected_wait_ms(found.pool, position)
+        start_ms = self._clock.monotonic_ms() + wait_ms
+        if start_ms > waiting.request.deadline_ms:
+            return too_late(waiting.request, RETRY_AFTER_MS)
+        if start_ms - waiting.queued_ms > _longest_wait_ms(found):
+            return overloaded(waiting.request, _LONGEST_QUEUE_MS)
+        return None
+
 
 def any_allowed(request: RoutingRequest, pool: UpstreamPool) -> bool:
     """Whether the pool has a runner that may run the request some time."""
@@ -77,7 +90,7 @@
 
 
 def _displace(request: RoutingRequest, found: RoutePool) -> bool:
-    displaced = found.queue.least_important(request.priority)
+    displaced = found.queue.least_important(request.queue_level)
     if displaced is None:
         return False
     found.queue.remove(displaced)
--- a/teaseldale/routing/_affinity.py
+++ b/teaseldale/routing/_affinity.py
@@ -9,7 +9,8 @@
 from teaseldale.routing._request import RoutingRequest
 
 _SAMPLE_SIZE = 4
-_HOME_COUNT = 2
+_HOME_COUNT = 3
+_LEAST_BLOCKS = 4  # of a prompt for which a slot is asked for
 _LOAD_ALLOWANCE = 0.5  # load that a cached prefix is worth
 _OTHER_ZONE_LOAD = 0.05  # load that staying in the zone is worth
 
@@ -30,6 +31,8 @@
         self._clock = clock
         self._zone = zone
         self._random = random_source
+        self._last_prompt = ''
+        self._last_hashes: list[int] = []
 
     def choose(
         self,
@@ -37,19 +40,40 @@
         pool: UpstreamPool,
     ) -> Runner | None:
         """Returns a free runner; notes demand for one that is not free."""
-        hashes = prefix_hashes(request.prompt)
+        hashes = self._hashes_of(request.prompt)
         least = self._least_loaded(request, pool)
-        if least is None:
-            _note_demand(self._preferred(hashes, pool), request)
-            return None
-        bound = self._cost(least) + _LOAD_ALLOWANCE
-        for runner in self._preferred(hashes, pool):
+        preferred = self._preferred(hashes, pool)
+        bound = _LOAD_ALLOWANCE
+        if least is not None:
+            bound += self._cost(least)
+        for runner in preferred:
             if not request.allows(runner.name):
                 continue
-            if runner.has_free_slot and self._cost(runner) <= bound:
+            if not runner.has_free_slot:
+                runner.demand += 1
+            elif self._cost(runner) <= bound:
                 return self._chosen(runner, hashes)
-            runner.demand += 1
-        return self._chosen(least, hashes)
+        return None if least is None else self._chosen(least, hashes)
+
+    def worth_a_slot(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the runner that holds a long prefix but has no slot free."""
+        hashes = self._hashes_of(request.prompt)
+        if len(hashes) < _LEAST_BLOCKS:
+            return None
+        for runner in self._preferred(hashes, pool)[:1]:
+            if runner.lacks_slot and request.allows(runner.name):
+                return runner
+        return None
+
+    def _hashes_of(self, prompt: str) -> list[int]:
+        if self._last_prompt != prompt:
+            self._last_prompt = prompt
+            self._last_hashes = prefix_hashes(prompt)
+        return self._last_hashes
 
     def _chosen(self, runner: Runner, hashes: list[int]) -> Runner:
         self._index.assume(runner.name, hashes, self._clock.monotonic_ms())
@@ -62,6 +86,19 @@
     ) -> list[Runner]:
         if not hashes:
             return []
+        homes = self._homes(hashes[0], pool)
+        holders = self._holders(hashes, pool)
+        ordered = sorted(
+            holders,
+            key=lambda runner: (runner is not homes[0], self._cost(runner)),
+        )
+        return list(dict.fromkeys((*ordered, *homes)))
+
+    def _holders(
+        self,
+        hashes: list[int],
+        pool: UpstreamPool,
+    ) -> list[Runner]:
         now_ms = self._clock.monotonic_ms()
         for prefix_hash in reversed(hashes):
             holders = [
@@ -70,8 +107,8 @@
                 if name in pool.runners
             ]
             if holders:
-                return sorted(holders, key=self._cost)
-        return self._homes(hashes[0], pool)
+                return holders
+        return []
 
     def _homes(self, first_hash: int, pool: UpstreamPool) -> list[Runner]:
         count = len(pool.names)
@@ -113,9 +150,3 @@
         if runner.upstream.availability_zone == self._zone:
             return runner.load
         return runner.load + _OTHER_ZONE_LOAD
-
-
-def _note_demand(runners: list[Runner], request: RoutingRequest) -> None:
-    for runner in runners:
-        if request.allows(runner.name):
-            runner.demand += 1
--- a/teaseldale/routing/_choice.py
+++ b/teaseldale/routing/_choice.py
@@ -23,6 +23,17 @@
     ) -> Runner | None:
         """Returns a runner with a free slot, or None if none is allowed."""
 
+    def worth_a_slot(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns a runner without a free slot that is worth asking for one.
+
+        ``choose`` comes after, whether a slot was lent or not.
+        """
+        return None
+
 
 class RandomChoice(BaseUpstreamChoice):
     """Picks uniformly at random."""
@@ -110,12 +121,13 @@
         request: RoutingRequest,
         pool: UpstreamPool,
     ) -> Runner | None:
-        """Returns the hashed runner if it has a slot, else the next one."""
+        """Returns the hashed runner if it has a free slot."""
         start = request.prompt.encode()[:_PURE_HASH_BYTES]
         first = xxhash.xxh3_64_intdigest(start) % len(pool.names)
         for name in (*pool.names[first:], *pool.names[:first]):
-            if pool.runners[name].has_free_slot and request.allows(name):
-                return pool.runners[name]
+            if request.allows(name):
+                runner = pool.runners[name]
+                return runner if runner.has_free_slot else None
         return None
 
 
--- a/teaseldale/routing/_fleet_router.py
+++ b/teaseldale/routing/_fleet_router.py
@@ -14,11 +14,12 @@
 from teaseldale.routing._admission import Admission, any_allowed, note_hold
 from teaseldale.routing._choice import BaseUpstreamChoice
 from teaseldale.routing._pool import Runner
-from teaseldale.routing._request import Placement, RoutingRequest
+from teaseldale.routing._request import Placement, RoutingRequest, SlotLoan
 from teaseldale.routing._retries import RetryBudget
 from teaseldale.routing._router import BaseRouter, no_upstream
 from teaseldale.routing._runner_table import RoutePool, RunnerTable
 from teaseldale.routing._slot_holder import SlotDemand, SlotHolder
+from teaseldale.routing._slot_loans import SlotLoans
 from teaseldale.routing._suspensions import Suspensions
 from teaseldale.routing._waiting import WaitingRequest
 
@@ -49,6 +50,12 @@
         self._admission = Admission(clock=clock)
         self._suspensions = Suspensions(clock=clock, metrics=metrics)
         self._configuration = configuration
+        self._loans = SlotLoans(
+            network=network,
+            table=self.table,
+            clock=clock,
+            metrics=metrics,
+        )
         self.slots = SlotHolder(
             network=network,
             clock=clock,
@@ -65,10 +72,12 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Starts renewing slots and looking after queues."""
         await self.slots.start(tasks)
+        await self._loans.start(tasks)
         tasks.start_soon(self._tick_forever)
 
     async def drain(self) -> None:
         """Hands slots back."""
+        await self._loans.drain()
         await self.slots.drain()
 
     async def place(self, request: RoutingRequest) -> Placement | Refusal:
@@ -78,10 +87,17 @@
         if found is None or not any_allowed(request, found.pool):
             return self._refused(no_upstream(request))
         self._note_arrival(request, found)
-        if not found.queue.count_ahead(request.priority):
+        wished = self._choice.worth_a_slot(request, found.pool)
+        if wished is not None:
+            await self.slots.ask_now(wished)
+        if not found.queue.count_ahead(request.queue_level):
             runner = self._choose(request, found)
             if runner is not None:
                 return self._placed(request, runner)
+        if not request.priority:
+            loan = await self._loans.borrow(request)
+            if loan is not None:
+                return self._placed(request, loan.runner, loan.slot)
         refusal = self._admission.refusal_on_arrival(request, found)
         if refusal is not None:
             return self._refused(refusal)
@@ -92,7 +108,11 @@
         runner = self.table.runner(placement.upstream.name)
         if runner is None:
             raise LookupError(f'{placement} was released before.')
-        runner.in_flight -= 1
+        if placement.loan is None:
+            runner.in_flight -= 1
+        else:
+            runner.borrowed -= 1
+            self._loans.give_back(placement.loan)
         self._suspensions.note_outcome(runner, failed=failed)
         self.table.update(runner)
         found = self.table.pool_of(runner)
@@ -121,6 +141,7 @@
     def tick(self) -> None:
         """Ends suspensions; refuses requests that would wait too long."""
         self.table.follow()
+        self._loans.end_expired()
         for runner in self._suspensions.ended():
             self.table.update(runner)
         for found in self.table.pools():
@@ -146,7 +167,7 @@
         request: RoutingRequest,
         found: RoutePool,
     ) -> Runner | None:
-        if request.priority and self._only_reserve_left(found):
+        if request.queue_level and self._only_reserve_left(found):
             return None
         runner = self._choice.choose(request, found.pool)
         if runner is not None:
@@ -161,11 +182,17 @@
             and self._clock.monotonic_ms() < found.reserve_until_ms
         )
 
-    def _placed(self, request: RoutingRequest, runner: Runner) -> Placement:
+    def _placed(
+        self,
+        request: RoutingRequest,
+        runner: Runner,
+        loan: SlotLoan | None = None,
+    ) -> Placement:
         return Placement(
             upstream=runner.upstream,
             request=request,
             placed_ms=self._clock.monotonic_ms(),
+            loan=loan,
         )
 
     async def _wait(
--- a/teaseldale/routing/_pool.py
+++ b/teaseldale/routing/_pool.py
@@ -15,7 +15,9 @@
 
     upstream: Upstream
     limit: int = 0  # requests that this VM may run there now
-    in_flight: int = 0  # requests that this VM runs there
+    in_flight: int = 0  # requests that this VM runs there in its slots
+    lent_out: int = 0  # slots of this VM that others use for a request
+    borrowed: int = 0  # requests that this VM runs there in others' slots
     demand: int = 0  # requests that wanted a slot and found none
     reported_running: int = 0  # requests of all VMs, by the last report
     own_at_report: int = 0  # requests of this VM when the report was made
@@ -32,17 +34,41 @@
     def load(self) -> float:
         """Used part of the upstream, the report corrected by own requests."""
         others = max(self.reported_running - self.own_at_report, 0)
-        return (others + self.in_flight) / self.upstream.slot_count
+        return (others + self.own_requests) / self.upstream.slot_count
+
+    @property
+    def own_requests(self) -> int:
+        """Requests that this VM runs there."""
+        return self.in_flight + self.borrowed
+
+    @property
+    def used_slots(self) -> int:
+        """Slots of this VM that are in use."""
+        return self.in_flight + self.lent_out
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing depends on this runner."""
+        return not (self.in_flight or self.lent_out or self.borrowed)
 
     @property
     def has_free_slot(self) -> bool:
         """Whether this VM may start a request there now."""
+        return self.used_slots < self._allowed and self._takes_work
+
+    @property
+    def lacks_slot(self) -> bool:
+        """Whether only another slot is needed to start a request there."""
         return (
-            self.in_flight < self._allowed
-            and not self.leaving
-            and not self.suspended_until_ms
+            self.used_slots >= self.limit
+            and self.limit < self.upstream.slot_count
+            and self._takes_work
         )
 
+    @property
+    def _takes_work(self) -> bool:
+        return not self.leaving and not self.suspended_until_ms
+
     @property
     def _allowed(self) -> int:
         if self.failure_count >= FAILURES_TO_SUSPEND:
@@ -109,7 +135,7 @@
         is_free = runner.has_free_slot
         if is_free != (runner in self.free):
             self._move(runner, is_free=is_free)
-        free = runner.limit - runner.in_flight if is_free else 0
+        free = runner.limit - runner.used_slots if is_free else 0
         limit = 0 if runner.leaving else runner.limit
         counted_limit, counted_free = self._counted.get(runner.name, (0, 0))
         self.limit_slots += limit - counted_limit
--- a/teaseldale/routing/_router.py
+++ b/teaseldale/routing/_router.py
@@ -1,13 +1,13 @@
 """Interface of routers, and the naive router that knows only its own VM."""
 
 import abc
-from collections import Counter
 
 from teaseldale.notes import BaseConfigurationSource, Route
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.routing._choice import BaseUpstreamChoice
-from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._pool import UpstreamPool
 from teaseldale.routing._request import Placement, RoutingRequest
+from teaseldale.routing._runner_table import RunnerTable
 
 RETRY_AFTER_MS = 500
 
@@ -42,9 +42,8 @@
         choice: BaseUpstreamChoice,
     ) -> None:
         """Chooses among the configured upstreams by ``choice``."""
-        self._configuration = configuration
         self._choice = choice
-        self._in_flight: Counter[str] = Counter()
+        self.table = RunnerTable(configuration=configuration)
 
     async def place(self, request: RoutingRequest) -> Placement | Refusal:
         """Takes a slot at once or refuses."""
@@ -54,12 +53,16 @@
         chosen = self._choice.choose(request, pool)
         if chosen is None:
             return overloaded(request, RETRY_AFTER_MS)
-        self._in_flight[chosen.name] += 1
+        chosen.in_flight += 1
+        pool.update(chosen)
         return Placement(upstream=chosen.upstream, request=request)
 
     def release(self, placement: Placement, *, failed: bool) -> None:
         """Gives the slot back."""
-        self._in_flight[placement.upstream.name] -= 1
+        runner = self.table.runner(placement.upstream.name)
+        if runner is not None:
+            runner.in_flight -= 1
+            self.table.update(runner)
 
     def usable_upstreams(self, route: str, version: str) -> tuple[str, ...]:
         """Names of all upstreams of the version."""
@@ -70,18 +73,13 @@
         return True
 
     def _pool_of(self, route: str, version: str) -> UpstreamPool:
-        members = self._configuration.current().upstreams_by_route
-        return UpstreamPool(
-            runners=[
-                Runner(
-                    upstream=upstream,
-                    limit=upstream.slot_count,
-                    in_flight=self._in_flight[upstream.name],
-                )
-                for upstream in members.get(route, ())
-                if upstream.version == version
-            ],
-        )
+        self.table.follow()
+        for runner in self.table:
+            if runner.limit != runner.upstream.slot_count:
+                runner.limit = runner.upstream.slot_count
+                self.table.update(runner)
+        found = self.table.pool(route, version)
+        return UpstreamPool(runners=()) if found is None else found.pool
 
 
 def no_upstream(request: RoutingRequest) -> Refusal:
--- a/teaseldale/routing/_runner_table.py
+++ b/teaseldale/routing/_runner_table.py
@@ -65,7 +65,7 @@
         found = self.pool_of(runner)
         if found is not None:
             found.pool.update(runner)
-        elif not runner.in_flight:
+        elif runner.is_idle:
             self._runners.pop(runner.name, None)
 
     def set_leaving(self, names: Iterable[str]) -> None:
@@ -103,7 +103,7 @@
             upstream.name: self._runner_for(upstream)
             for upstream in configuration.upstreams.values()
         }
-        used = {runner.name: runner for runner in self if runner.in_flight}
+        used = {runner.name: runner for runner in self if not runner.is_idle}
         self._runners = {**used, **runners}
         self._rebuild_pools(runners.values())
 
--- a/teaseldale/routing/_runner_watch.py
+++ b/teaseldale/routing/_runner_watch.py
@@ -10,13 +10,13 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
 from teaseldale.platform import BaseMembershipList, MemberState
-from teaseldale.routing._fleet_router import FleetRouter
 from teaseldale.routing._pool import Runner
 from teaseldale.routing._prefix_index import (
     CacheAction,
     CacheEvent,
     PrefixIndex,
 )
+from teaseldale.routing._runner_table import RunnerTable
 from teaseldale.upstreams import BaseRunnerReports, CacheChange
 
 _INTERVAL_MS = 500
@@ -25,12 +25,12 @@
 
 
 class RunnerWatch(BaseService):
-    """Brings reports of the runners that this VM uses to the router."""
+    """Brings the reports of runners in use to the table of runners."""
 
     def __init__(
         self,
         *,
-        router: FleetRouter,
+        table: RunnerTable,
         index: PrefixIndex,
         reports: BaseRunnerReports,
         membership: BaseMembershipList,
@@ -39,7 +39,7 @@
         report_lag_ms: int = _REPORT_LAG_MS,
     ) -> None:
         """``report_lag_ms`` is the age of load reports when they arrive."""
-        self.router = router
+        self._table = table
         self._index = index
         self._reports = reports
         self._membership = membership
@@ -62,17 +62,17 @@
 
     async def follow_once(self) -> None:
         """Reads all reports and the membership list once."""
-        self.router.table.follow()
+        self._table.follow()
         used = [
             runner
-            for runner in self.router.table
-            if runner.limit or runner.in_flight
+            for runner in self._table
+            if runner.limit or not runner.is_idle
         ]
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._read_membership)
             for runner in used:
                 tasks.start_soon(self._read_runner, runner)
-        self.router.table.set_leaving(
+        self._table.set_leaving(
             self._leaving_by_list | self._leaving_by_report,
         )
 
@@ -103,12 +103,12 @@
             runner.name,
             deque(maxlen=self._history_length),
         )
-        history.append(runner.in_flight)
+        history.append(runner.own_requests)
         report = await self._reports.load(runner.upstream)
         if report is None:
             self._metrics.increment('load_reports_missing')
             return
-        self.router.table.take_report(
+        self._table.take_report(
             runner.name,
             running=report.running,
             own_at_report=history[0],
--- a/teaseldale/routing/_slot_holder.py
+++ b/teaseldale/routing/_slot_holder.py
@@ -26,7 +26,7 @@
 _LEAST_INTERVAL_MS = 25
 _RENEWAL_TIMEOUT_MS = 400
 _FALLBACK_DELAY_MS = 2 * LEASE_VALIDITY_MS
-_HEADROOM_SLOTS = 2
+_SPARE_SLOTS = 1  # at runners of this VM's zone, beside those in use
 _MS_PER_SECOND = 1000
 
 
@@ -34,6 +34,7 @@
 class _HeldLease:
     slots: int
     until_ms: int  # monotonic, counted from before the renewal was sent
+    sequence: int  # of the renewal
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +44,19 @@
     runners: tuple[Runner, ...]
     waiting: int  # requests in queues
 
+    def spare_zones(self, own_zone: str) -> frozenset[str]:
+        """Zones of the runners at which a spare slot is wanted."""
+        zones = frozenset(
+            runner.upstream.availability_zone for runner in self.runners
+        )
+        return frozenset((own_zone,)) if own_zone in zones else zones
+
+    def queue_part(self) -> int:
+        """Slots wanted at each runner for waiting requests."""
+        if not self.waiting:
+            return 0
+        return -(-self.waiting // max(len(self.runners), 1))
+
 
 class SlotHolder(BaseService):
     """Keeps ``Runner.limit`` of all runners up to date."""
@@ -114,6 +128,14 @@
                 tasks.start_soon(self._renew_at, owner, owned)
         self.apply_limits(demand.runners)
 
+    async def ask_now(self, runner: Runner) -> None:
+        """Asks the runner's owner for one slot more, ahead of the renewal."""
+        runner.demand += 1
+        want = self._want_of(runner, 0)
+        if want is not None:
+            await self._renew_at(self._shares.owner_of(runner.name), [want])
+            self.apply_limits((runner,))
+
     def apply_limits(self, runners: Iterable[Runner]) -> None:
         """Sets the limits that hold now and tells the router of changes."""
         changed = []
@@ -149,7 +171,7 @@
             self._metrics.increment('slot_renewals', 'unreachable')
             return
         self._metrics.increment('slot_renewals', 'renewed')
-        self._take_leases(reply.leases, sent_ms)
+        self._take_leases(reply.leases, sent_ms, renewal.sequence)
 
     async def _reply_of(
         self,
@@ -175,12 +197,16 @@
         self,
         leases: tuple[SlotLease, ...],
         sent_ms: int,
+        sequence: int,
     ) -> None:
         for lease in leases:
-            self._leases[lease.upstream] = _HeldLease(
-                slots=lease.slots,
-                until_ms=sent_ms + LEASE_VALIDITY_MS,
-            )
+            held = self._leases.get(lease.upstream)
+            if held is None or held.sequence < sequence:
+                self._leases[lease.upstream] = _HeldLease(
+                    slots=lease.slots,
+                    until_ms=sent_ms + LEASE_VALIDITY_MS,
+                    sequence=sequence,
+                )
 
     async def _take_renewal(
         self,
@@ -192,29 +218,31 @@
 
     def _wants_by_owner(self, demand: SlotDemand) -> dict[str, list[SlotWant]]:
         wants: dict[str, list[SlotWant]] = defaultdict(list)
-        queued = _queue_part(demand)
+        queued = demand.queue_part()
+        zones = demand.spare_zones(self._identity.availability_zone)
         for runner in demand.runners:
-            want = self._want_of(runner, queued)
+            near = runner.upstream.availability_zone in zones
+            want = self._want_of(runner, queued + _SPARE_SLOTS * near)
             if want is not None:
                 owner = self._shares.owner_of(runner.name)
                 wants[owner].append(want)
         return wants
 
-    def _want_of(self, runner: Runner, queued: int) -> SlotWant | None:
+    def _want_of(self, runner: Runner, extra: int) -> SlotWant | None:
         limit_slots = runner.upstream.slot_count
         share = self._share_of(runner)
-        used = runner.in_flight or runner.limit or runner.demand
+        used = runner.used_slots or runner.limit or runner.demand
         if not used and not share:
             return None
-        wanted = runner.in_flight + runner.demand + queued + _HEADROOM_SLOTS
+        wanted = runner.used_slots + runner.demand + extra
         runner.demand = 0
         if runner.leaving or self._draining:
-            wanted = runner.in_flight
+            wanted = runner.used_slots
         return SlotWant(
             upstream=runner.name,
             limit_slots=limit_slots,
             wanted=min(wanted, limit_slots),
-            in_use=runner.in_flight,
+            in_use=runner.used_slots,
             held=runner.limit,
         )
 
@@ -263,9 +291,3 @@
             if peer.key == key:
                 return peer
         return None
-
-
-def _queue_part(demand: SlotDemand) -> int:
-    if not demand.waiting:
-        return 0
-    return -(-demand.waiting // max(len(demand.runners), 1))
--- a/teaseldale/routing/_slot_shares.py
+++ b/teaseldale/routing/_slot_shares.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from teaseldale.upstreams import rendezvous
+
 
 class SlotShares:
     """Fixed shares and slot owners for one list of live VMs."""
@@ -24,10 +26,7 @@
         """Returns the VM that lends the runner's slots."""
         owner = self._owners.get(upstream)
         if owner is None:
-            owner = max(
-                self.members,
-                key=lambda member: _weight(upstream, member),
-            )
+            owner = rendezvous(upstream, self.members)
             self._owners[upstream] = owner
         return owner
 
@@ -54,7 +53,3 @@
 
 def _first_position(upstream: str) -> int:
     return xxhash.xxh3_64_intdigest(upstream.encode())
-
-
-def _weight(upstream: str, member: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{upstream}\0{member}'.encode())
--- a/teaseldale/routing/_waiting.py
+++ b/teaseldale/routing/_waiting.py
@@ -45,8 +45,8 @@
 
     def __iter__(self) -> Iterator[WaitingRequest]:
         """Iterates by priority, within it by turns of the accounts."""
-        for priority in sorted(self._levels):
-            turns = zip_longest(*self._levels[priority].values())
+        for level in sorted(self._levels):
+            turns = zip_longest(*self._levels[level].values())
             for waiting in chain.from_iterable(tuple(turns)):
                 if waiting is not None:
                     yield waiting
@@ -56,19 +56,19 @@
         """Whether another request may only wait in place of one."""
         return self._count >= self._limit
 
-    def count_ahead(self, priority: int) -> int:
-        """Requests of this or a higher priority."""
+    def count_ahead(self, queue_level: int) -> int:
+        """Requests of this or a more important level."""
         return sum(
             len(requests)
             for level, accounts in self._levels.items()
-            if level <= priority
+            if level <= queue_level
             for requests in accounts.values()
         )
 
     def add(self, waiting: WaitingRequest) -> None:
         """Adds a request at the end of its account's turn."""
         accounts = self._levels.setdefault(
-            waiting.request.priority,
+            waiting.request.queue_level,
             OrderedDict(),
         )
         account = waiting.request.client_account
@@ -77,8 +77,8 @@
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Removes a request; its account goes to the end of the turns."""
-        priority = waiting.request.priority
-        accounts = self._levels[priority]
+        level = waiting.request.queue_level
+        accounts = self._levels[level]
         account = waiting.request.client_account
         requests = accounts[account]
         requests.remove(waiting)
@@ -87,12 +87,12 @@
         if not requests:
             accounts.pop(account)
         if not accounts:
-            self._levels.pop(priority)
+            self._levels.pop(level)
 
-    def least_important(self, than_priority: int) -> WaitingRequest | None:
-        """Returns the last request of the lowest priority, if lower."""
-        lowest = max(self._levels, default=than_priority)
-        if lowest <= than_priority:
+    def least_important(self, than_level: int) -> WaitingRequest | None:
+        """Returns the last request of the last level, if it is a later one."""
+        lowest = max(self._levels, default=than_level)
+        if lowest <= than_level:
             return None
         longest = max(self._levels[lowest].values(), key=len)
         return longest[-1]
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -23,6 +23,7 @@
     BaseQuarantine,
     NoQuarantine,
 )
+from teaseldale.upstreams._rendezvous import rendezvous
 from teaseldale.upstreams._reports import (
     BaseRunnerReports,
     CacheChange,
@@ -54,4 +55,5 @@
     'SuspectState',
     'UpstreamError',
     'fingerprint_of',
+    'rendezvous',
 )
--- /dev/null
+++ b/teaseldale/upstreams/_notices.py
@@ -0,0 +1,131 @@
+"""Notices about suspects, told to all VMs, past cut links through others."""
+
+import anyio
+import attrs
+
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+
+_NOTICE_TIMEOUT_MS = 500
+_RELAY_TIMEOUT_MS = 1200
+_RELAYS_ASKED = 2
+
+
+@attrs.frozen(kw_only=True)
+class CrashNotice:
+    """A request's upstream broke off while running it."""
+
+    fingerprint: str
+    upstreams: tuple[str, ...]  # all that broke off, as the sender knows
+    age_ms: int  # since the last crash
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseNotice:
+    """A fingerprint ran through, or an operator released it."""
+
+    fingerprint: str
+
+
+@attrs.frozen(kw_only=True)
+class NoticeTaken:
+    """Reply to both notices."""
+
+
+@attrs.frozen(kw_only=True)
+class RelayRequest:
+    """Asks a VM to pass one notice on to another."""
+
+    target: VmIdentity
+    crash: CrashNotice | None = None
+    release: ReleaseNotice | None = None
+
+
+@attrs.frozen(kw_only=True)
+class RelayReply:
+    """Whether the target has taken the notice."""
+
+    told: bool
+
+
+_Notice = CrashNotice | ReleaseNotice
+
+
+class NoticeSpreader:
+    """Tells notices to all VMs that can be reached somehow."""
+
+    def __init__(self, *, network: BasePeerNetwork, metrics: Metrics) -> None:
+        """Registers the handler of relay requests."""
+        self._network = network
+        self._metrics = metrics
+        network.handle(
+            RelayRequest,
+            kind='quarantine_relay',
+            reply_type=RelayReply,
+            handler=self._take_relay,
+        )
+
+    async def tell_all(self, notice: _Notice) -> None:
+        """Returns when all VMs know, or none is left that could tell them."""
+        told: dict[str, VmIdentity] = {}
+        async with anyio.create_task_group() as tasks:
+            for peer in self._network.reachable_peers():
+                tasks.start_soon(self._tell_and_note, peer, notice, told)
+        for untold in self._network.known_peers():
+            if untold.key not in told:
+                await self._relay(untold, notice, tuple(told.values()))
+
+    async def _tell_and_note(
+        self,
+        peer: VmIdentity,
+        notice: _Notice,
+        told: dict[str, VmIdentity],
+    ) -> None:
+        if await self._tell(peer, notice):
+            told[peer.key] = peer
+
+    async def _tell(self, peer: VmIdentity, notice: _Notice) -> bool:
+        try:
+            await self._network.request(
+                peer,
+                notice,
+                timeout_ms=_NOTICE_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            return False
+        return True
+
+    async def _relay(
+        self,
+        target: VmIdentity,
+        notice: _Notice,
+        relays: tuple[VmIdentity, ...],
+    ) -> None:
+        request = RelayRequest(
+            target=target,
+            crash=notice if isinstance(notice, CrashNotice) else None,
+            release=notice if isinstance(notice, ReleaseNotice) else None,
+        )
+        for relay in relays[:_RELAYS_ASKED]:
+            try:
+                reply: RelayReply = await self._network.request(
+                    relay,
+                    request,
+                    timeout_ms=_RELAY_TIMEOUT_MS,
+                )
+            except PeerUnreachableError:
+                continue
+            if reply.told:
+                return
+        self._metrics.increment('quarantine_notices_lost')
+
+    async def _take_relay(
+        self,
+        _sender: VmIdentity,
+        request: RelayRequest,
+    ) -> RelayReply:
+        notice = request.crash or request.release
+        if notice is None:
+            return RelayReply(told=False)
+        return RelayReply(told=await self._tell(request.target, notice))
--- a/teaseldale/upstreams/_quarantine.py
+++ b/teaseldale/upstreams/_quarantine.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Iterable
 
-import anyio
 import attrs
 import xxhash
 
@@ -18,43 +17,23 @@
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.outcomes import (
-    PeerUnreachableError,
-    Refusal,
-    RefusalCode,
-    Step,
-)
+from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.upstreams._notices import (
+    CrashNotice,
+    NoticeSpreader,
+    NoticeTaken,
+    ReleaseNotice,
+)
 from teaseldale.upstreams._quarantine_interface import BaseQuarantine
+from teaseldale.upstreams._rendezvous import rendezvous
 from teaseldale.upstreams._trials import TrialLocks
 
 _UPSTREAMS_TO_QUARANTINE = 2
 _EXPIRY_MS = 600_000
-_NOTICE_TIMEOUT_MS = 500
 _SUSPECT_LIMIT = 10_000
 
 
-@attrs.frozen(kw_only=True)
-class CrashNotice:
-    """A request's upstream broke off while running it."""
-
-    fingerprint: str
-    upstreams: tuple[str, ...]  # all that broke off, as the sender knows
-    age_ms: int  # since the last crash
-
-
-@attrs.frozen(kw_only=True)
-class ReleaseNotice:
-    """A fingerprint ran through, or an operator released it."""
-
-    fingerprint: str
-
-
-@attrs.frozen(kw_only=True)
-class NoticeTaken:
-    """Reply to both notices."""
-
-
 @attrs.define(kw_only=True)
 class _Suspect:
     upstreams: set[str]
@@ -83,7 +62,7 @@
         expiry_ms: int = _EXPIRY_MS,
     ) -> None:
         """Registers the handlers of both notices."""
-        self._network = network
+        self._spreader = NoticeSpreader(network=network, metrics=metrics)
         self._clock = clock
         self._metrics = metrics
         self._expiry_ms = expiry_ms
@@ -132,12 +111,11 @@
         """Returns the only upstream at which a suspect may run now."""
         suspect = self._current(fingerprint)
         crashed = set() if suspect is None else suspect.upstreams
-        upstream = max(
+        upstream = rendezvous(
+            fingerprint,
             (name for name in candidates if name not in crashed),
-            key=lambda name: _weight(fingerprint, name),
-            default=None,
         )
-        if upstream is None:
+        if not upstream:
             return None
         granted = await self._trials.acquire(
             fingerprint,
@@ -146,24 +124,20 @@
         )
         return upstream if granted else None
 
-    async def end_trial(
-        self,
-        fingerprint: str,
-        upstream: str,
-        *,
-        succeeded: bool,
-    ) -> None:
-        """Ends a trial; a success clears the suspect everywhere."""
-        if succeeded:
-            await self.release(fingerprint, reason='ran_through')
+    async def end_trial(self, fingerprint: str, upstream: str) -> None:
+        """Lets another suspect be tried at the upstream."""
         await self._trials.release(fingerprint, upstream)
 
+    async def clear(self, fingerprint: str) -> None:
+        """Forgets a suspect everywhere, since it ran through."""
+        await self.release(fingerprint, reason='ran_through')
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Whether an upstream broke off while running the fingerprint."""
         return self._current(fingerprint) is not None
 
     async def report_crash(self, fingerprint: str, upstream: str) -> None:
-        """Returns when all reachable VMs know, or after a time limit."""
+        """Returns when all VMs know that can be told, or after a limit."""
         self._add(fingerprint, (upstream,), age_ms=0)
         suspect = self._suspects[fingerprint]
         notice = CrashNotice(
@@ -171,14 +145,14 @@
             upstreams=tuple(sorted(suspect.upstreams)),
             age_ms=0,
         )
-        await self._tell_all(notice)
+        await self._spreader.tell_all(notice)
 
     async def release(self, fingerprint: str, *, reason: str) -> bool:
         """Forgets a fingerprint everywhere; whether it was known here."""
         known = self._suspects.pop(fingerprint, None) is not None
         if known:
             self._metrics.increment('quarantine_releases', reason)
-        await self._tell_all(ReleaseNotice(fingerprint=fingerprint))
+        await self._spreader.tell_all(ReleaseNotice(fingerprint=fingerprint))
         return known
 
     def states(self) -> tuple[SuspectState, ...]:
@@ -198,25 +172,6 @@
             if suspect is not None
         )
 
-    async def _tell_all(self, notice: CrashNotice | ReleaseNotice) -> None:
-        async with anyio.create_task_group() as tasks:
-            for peer in self._network.reachable_peers():
-                tasks.start_soon(self._tell, peer, notice)
-
-    async def _tell(
-        self,
-        peer: VmIdentity,
-        notice: CrashNotice | ReleaseNotice,
-    ) -> None:
-        try:
-            await self._network.request(
-                peer,
-                notice,
-                timeout_ms=_NOTICE_TIMEOUT_MS,
-            )
-        except PeerUnreachableError:
-            self._metrics.increment('quarantine_notices_lost')
-
     async def _take_crash(
         self,
         _sender: VmIdentity,
@@ -284,7 +239,3 @@
 
 def _is_quarantined(suspect: _Suspect) -> bool:
     return len(suspect.upstreams) >= _UPSTREAMS_TO_QUARANTINE
-
-
-def _weight(fingerprint: str, upstream: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{fingerprint}\0{upstream}'.encode())
--- a/teaseldale/upstreams/_quarantine_interface.py
+++ b/teaseldale/upstreams/_quarantine_interface.py
@@ -32,14 +32,12 @@
         """
 
     @abc.abstractmethod
-    async def end_trial(
-        self,
-        fingerprint: str,
-        upstream: str,
-        *,
-        succeeded: bool,
-    ) -> None:
-        """Ends a trial; a success clears the suspect everywhere."""
+    async def end_trial(self, fingerprint: str, upstream: str) -> None:
+        """Lets another suspect be tried at the upstream."""
+
+    @abc.abstractmethod
+    async def clear(self, fingerprint: str) -> None:
+        """Forgets a suspect everywhere, since it ran through."""
 
     @abc.abstractmethod
     async def report_crash(self, fingerprint: str, upstream: str) -> None:
@@ -67,13 +65,10 @@
         """Gives no trial, since there are no suspects."""
         return None
 
-    async def end_trial(
-        self,
-        fingerprint: str,
-        upstream: str,
-        *,
-        succeeded: bool,
-    ) -> None:
+    async def end_trial(self, fingerprint: str, upstream: str) -> None:
+        """Does nothing."""
+
+    async def clear(self, fingerprint: str) -> None:
         """Does nothing."""
 
     async def report_crash(self, fingerprint: str, upstream: str) -> None:
--- a/teaseldale/upstreams/_trials.py
+++ b/teaseldale/upstreams/_trials.py
@@ -6,11 +6,11 @@
 """
 
 import attrs
-import xxhash
 
 from teaseldale.clock import BaseClock
 from teaseldale.outcomes import PeerUnreachableError
 from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.upstreams._rendezvous import rendezvous
 
 _TRIAL_LIMIT_MS = 120_000
 _REQUEST_TIMEOUT_MS = 500
@@ -82,8 +82,8 @@
 
     async def _ask(self, request: TrialRequest) -> bool:
         identity = self._network.identity
-        vms = (identity, *self._network.known_peers())
-        lender = max(vms, key=lambda vm: _weight(request.upstream, vm.key))
+        vms = {vm.key: vm for vm in (identity, *self._network.known_peers())}
+        lender = vms[rendezvous(request.upstream, vms)]
         if lender.key == identity.key:
             return (await self._take_request(identity, request)).granted
         try:
@@ -124,7 +124,3 @@
     return (
         trial.holder == sender.key and trial.fingerprint == request.fingerprint
     )
-
-
-def _weight(upstream: str, vm_key: str) -> int:
-    return xxhash.xxh3_64_intdigest(f'{upstream}\0{vm_key}'.encode())
--- /dev/null
+++ b/teaseldale/upstreams/tests/steps_quarantine.py
@@ -0,0 +1,158 @@
+"""Steps for requests that crash the runners that run them."""
+
+import anyio
+from behave import given, then, when
+
+from benchmarks.simulated_runners import words
+from teaseldale.outcomes import RefusalCode
+from teaseldale.routing.tests.steps_runner_faults import ask_all, run
+
+_WORD = 'avalanche'
+_CALLER_PAUSE_MS = 300
+
+
+@given('{vms:d} VMs before {runners:d} runners that crash on a word')
+def fleet_with_word(context, vms, runners):
+    context.fleet_options = {
+        'vm_count': vms,
+        'runner_count': runners,
+        'retry_share_percent': 100,
+    }
+    context.cuts = ()
+
+
+@given('VM {first:d} and VM {second:d} are cut off from each other')
+def cut(context, first, second):
+    context.cuts = ((f'vm-{first}', f'vm-{second}'),)
+
+
+async def send_word(context, fleet, times):
+    """Sends the same body with new keys through one VM after another."""
+    for number in range(times):
+        vm = fleet.vms[number % len(fleet.vms)]
+        context.word_outcomes.append(await fleet.ask(vm, _WORD))
+        await fleet.clock.sleep_ms(_CALLER_PAUSE_MS)
+
+
+def set_word(fleet, word):
+    """Makes all runners crash on ``word``."""
+    for runner in fleet.runners.values():
+        runner.faults.crash_word = word
+
+
+@when(
+    '{count:d} callers ask while one sends the word {times:d} times '
+    'through all VMs',
+)
+def ask_with_poison(context, count, times):
+    async def scenario(fleet):
+        set_word(fleet, _WORD)
+        for ends in context.cuts:
+            fleet.fabric.cut(*ends)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_all, context, fleet, count)
+            await fleet.clock.sleep_ms(200)
+            tasks.start_soon(send_word, context, fleet, times)
+        for step in context.later:
+            await step(fleet)
+
+    context.word_outcomes = []
+    context.later = []
+    context.run_all = lambda: run(context, scenario)
+    if not context.scenario.name.startswith('A quarantined'):
+        context.run_all()
+
+
+@when('the fault is mended and operators release the fingerprint at VM {at:d}')
+def release(context, at):
+    async def step(fleet):
+        set_word(fleet, '')
+        quarantine = fleet.vms[at].quarantine
+        state = next(state for state in quarantine.states())
+        assert state.quarantined
+        assert await quarantine.release(state.fingerprint, reason='operator')
+
+    context.later.append(step)
+
+
+@when('the fault is mended and 10 minutes pass')
+def expire(context):
+    async def step(fleet):
+        set_word(fleet, '')
+        assert fleet.vms[0].quarantine.states()
+        await fleet.clock.sleep_ms(601_000)
+
+    context.later.append(step)
+
+
+@when('{count:d} callers ask and one runner crashes for no cause')
+def crash_without_cause(context, count):
+    async def scenario(fleet):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_all, context, fleet, count)
+            await fleet.clock.sleep_ms(500)
+            assert len(fleet.runners['runner-4'].running) > 2
+            fleet.runners['runner-4'].crash()
+
+    run(context, scenario)
+
+
+@then('the word is answered through VM {at:d}')
+def answered(context, at):
+    async def step(fleet):
+        outcome = await fleet.ask(fleet.vms[at], _WORD, key='again')
+        assert outcome.refusal is None, outcome.refusal
+        assert outcome.text == words('a/again', _WORD, 0, 32)
+
+    context.later.append(step)
+    context.run_all()
+
+
+@then('at most {count:d} runners have crashed')
+def crashed_at_most(context, count):
+    crashed = [
+        runner.upstream.name
+        for runner in context.fleet.runners.values()
+        if runner.crash_count
+    ]
+    assert 0 < len(crashed) <= count, crashed
+
+
+@then('every other caller has its whole answer')
+def others_whole(context):
+    assert context.asked
+    for asked in context.asked:
+        assert asked.outcome.refusal is None, asked.outcome.refusal
+        assert asked.outcome.text == asked.expected, asked.key
+
+
+@then('the refusals of the word say quarantined and never not run')
+def quarantined(context):
+    refusals = [outcome.refusal for outcome in context.word_outcomes]
+    assert all(refusals)
+    assert not any(refusal.not_run for refusal in refusals), refusals
+    assert refusals[-1].code is RefusalCode.QUARANTINED, refusals[-1]
+    assert refusals[-1].retry_after_ms > 0, refusals[-1]
+
+
+@then('all VMs know one quarantined fingerprint')
+def known_everywhere(context):
+    for vm in context.fleet.vms:
+        states = vm.quarantine._suspects
+        known = [
+            fingerprint
+            for fingerprint, suspect in states.items()
+            if len(suspect.upstreams) >= 2
+        ]
+        assert len(known) == 1, (vm.identity.name, known)
+
+
+@then('no VM knows a suspect')
+def no_suspects(context):
+    for vm in context.fleet.vms:
+        assert not vm.quarantine._suspects, vm.identity.name
+    released = sum(
+        vm.metrics.count_of('quarantine_releases', 'ran_through')
+        for vm in context.fleet.vms
+    )
+    assert released > 2, released
