--- a/benchmarks/simulated_fleet.py
+++ b/benchmarks/simulated_fleet.py
@@ -249,8 +249,9 @@
             identity.availability_zone, prefixes, self.clock, index
         )
         router = self._router(choice, network, metrics)
+        reports = SimulatedReports(runners=self.runners, clock=self.clock)
         quarantine = CrashQuarantine(
-            network=network, clock=self.clock, metrics=metrics
+            reports=reports, network=network, clock=self.clock, metrics=metrics
         )
         engines = SimulatedEngineClient(
             runners=self.runners, clock=self.clock, vm=identity.name
@@ -273,7 +274,7 @@
         watch = RunnerWatch(
             table=router.table,
             index=prefixes,
-            reports=SimulatedReports(runners=self.runners, clock=self.clock),
+            reports=reports,
             membership=self.membership,
             clock=self.clock,
             metrics=metrics,
--- a/benchmarks/simulated_runners.py
+++ b/benchmarks/simulated_runners.py
@@ -269,6 +269,10 @@
         self._event_loss = event_loss
         self._seed = seed
 
+    async def is_up(self, upstream: Upstream) -> bool:
+        """Whether the runner is not recovering from a crash."""
+        return not self._runners[upstream.name].is_down
+
     async def load(self, upstream: Upstream) -> LoadReport | None:
         """Returns the load of some time ago."""
         runner = self._runners[upstream.name]
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,6 +1,5 @@
 """Assembly of one VM's services."""
 
-import pathlib
 import random
 import uuid
 
@@ -8,6 +7,7 @@
 
 from teaseldale.budgets import TableLedger, TransactionalSpending
 from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
 from teaseldale.kernel import BaseService, Kernel
 from teaseldale.metrics import Metrics
@@ -23,7 +23,7 @@
     PrefixIndex,
     RunnerWatch,
 )
-from teaseldale.settings import Settings
+from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import (
     CrashQuarantine,
     HttpEngineClient,
@@ -40,21 +40,34 @@
         base_url=settings.platform.table_url,
         timeout_ms=settings.platform.timeout_ms,
     )
-    peers = _peer_network(settings, clock)
+    peers = _peer_network(settings, clock, metrics)
     configuration = TableConfiguration(table=table, clock=clock)
     router, watch = _routing(settings, configuration, peers, clock, metrics)
-    quarantine = CrashQuarantine(network=peers, clock=clock, metrics=metrics)
+    quarantine = CrashQuarantine(
+        network=peers,
+        reports=HttpRunnerReports(),
+        clock=clock,
+        metrics=metrics,
+    )
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
-            configuration=configuration,
-            ledger=TableLedger(table=table),
-            peers=peers,
+            is_ready=lambda: configuration.current().revision > 0,
             metrics=metrics,
             shutdown=shutdown,
-            operators_key=_read_secret(settings.vm.operators_key_file),
+            operators_key=read_secret(
+                settings.vm.operators_key_file,
+                field='vm.operators_key_file',
+            ),
         ),
     )
+    add_endpoints(
+        operators,
+        configuration=configuration,
+        ledger=TableLedger(table=table),
+        peers=peers,
+        quarantine=quarantine,
+    )
     callers = CallersInterface(
         address=settings.vm.callers_address,
         parts=RequestParts(
@@ -127,7 +140,11 @@
     )
 
 
-def _peer_network(settings: Settings, clock: BaseClock) -> PynngPeerNetwork:
+def _peer_network(
+    settings: Settings,
+    clock: BaseClock,
+    metrics: Metrics,
+) -> PynngPeerNetwork:
     return PynngPeerNetwork(
         identity=VmIdentity(
             name=settings.vm.name,
@@ -137,8 +154,5 @@
         ),
         membership=_membership_list(settings),
         clock=clock,
+        metrics=metrics,
     )
-
-
-def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text('utf-8').strip()
--- a/teaseldale/entry/_attempts.py
+++ b/teaseldale/entry/_attempts.py
@@ -12,12 +12,13 @@
     suspect_waits,
 )
 from teaseldale.notes import Route
-from teaseldale.outcomes import Refusal
+from teaseldale.outcomes import Refusal, RefusalCode
 from teaseldale.routing import Placement, RoutingRequest
 from teaseldale.upstreams import FailureKind, UpstreamError
 
 _RUNS = 3  # attempts that may have run
 _ATTEMPTS = 6
+_REPEATED_CODES = frozenset((RefusalCode.UPSTREAM_FAILED,))
 _TRIAL_WAIT_MS = 30_000
 
 
@@ -108,13 +109,15 @@
         if error.kind is FailureKind.SILENT:
             attempts.fresh_connection = True
         if error.kind is FailureKind.BROKEN:
-            await self._parts.quarantine.report_crash(
+            await self._parts.quarantine.report_break(
                 attempts.fingerprint,
-                placed.upstream.name,
+                placed.upstream,
             )
 
     def may_retry(self, attempts: Attempts, refusal: Refusal) -> bool:
         """Takes a retry from the route's budget if another may help."""
+        if refusal.code not in _REPEATED_CODES:
+            return False
         if attempts.run_count >= _RUNS or attempts.failure_count >= _ATTEMPTS:
             return False
         if not self._parts.router.take_retry(attempts.route):
--- a/teaseldale/entry/_upstream_refusals.py
+++ b/teaseldale/entry/_upstream_refusals.py
@@ -1,13 +1,25 @@
 """Refusals that arise while upstreams run a request."""
 
 from teaseldale.outcomes import Refusal, RefusalCode, Step
-from teaseldale.upstreams import FailureKind, UpstreamError
+from teaseldale.upstreams import (
+    FailureKind,
+    UpstreamError,
+    UpstreamRejectedError,
+)
 
 RETRY_AFTER_MS = 500
 
 
 def upstream_failed(error: UpstreamError, *, repeatable: bool) -> Refusal:
     """Returns the refusal of a request whose upstream failed."""
+    if isinstance(error, UpstreamRejectedError):
+        return Refusal(
+            code=RefusalCode.BAD_REQUEST,
+            message='The engine cannot run this prompt; shorten or mend it.',
+            not_run=True,
+            step=error.step,
+            peer=error.peer,
+        )
     in_doubt = error.may_have_run and not repeatable
     return Refusal(
         code=RefusalCode.IN_DOUBT if in_doubt else RefusalCode.UPSTREAM_FAILED,
@@ -52,6 +64,8 @@
 
 def blames_upstream(error: UpstreamError) -> bool:
     """Whether the failure counts against the upstream."""
+    if isinstance(error, UpstreamRejectedError):
+        return False
     return error.kind is not FailureKind.CROSSED
 
 
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -11,7 +11,10 @@
     ServiceCall,
     UpstreamError,
 )
-from teaseldale.upstreams._http_engine import HttpEngineClient
+from teaseldale.upstreams._http_engine import (
+    HttpEngineClient,
+    UpstreamRejectedError,
+)
 from teaseldale.upstreams._http_service import HttpServiceClient
 from teaseldale.upstreams._network_backend import StreamNetworkBackend
 from teaseldale.upstreams._quarantine import (
@@ -54,6 +57,7 @@
     'StreamNetworkBackend',
     'SuspectState',
     'UpstreamError',
+    'UpstreamRejectedError',
     'fingerprint_of',
     'rendezvous',
 )
--- a/teaseldale/upstreams/_clients.py
+++ b/teaseldale/upstreams/_clients.py
@@ -20,6 +20,7 @@
     BROKEN = 'broken'  # the connection broke: the upstream may have crashed
     SILENT = 'silent'  # nothing came for longer than the limit
     CROSSED = 'crossed'  # the answer belongs to another request
+    FAILED = 'failed'  # an answer with an error, perhaps after running
 
 
 class UpstreamError(Exception):
--- a/teaseldale/upstreams/_quarantine.py
+++ b/teaseldale/upstreams/_quarantine.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash the upstreams that run them.
 
-A request whose upstream broke off is a suspect; its fingerprint, which leaves
+A request whose connection broke and whose upstream is down afterwards is a
+suspect; its fingerprint, which leaves
 the request key out, is told to all reachable VMs before it is tried again. A
 suspect may only be tried at the one upstream that its fingerprint hashes to,
 so that VMs that do not talk choose the same, and one suspect at a time. When a
@@ -17,6 +18,7 @@
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
+from teaseldale.notes import Upstream
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.peers import BasePeerNetwork, VmIdentity
 from teaseldale.upstreams._notices import (
@@ -27,6 +29,7 @@
 )
 from teaseldale.upstreams._quarantine_interface import BaseQuarantine
 from teaseldale.upstreams._rendezvous import rendezvous
+from teaseldale.upstreams._reports import BaseRunnerReports
 from teaseldale.upstreams._trials import TrialLocks
 
 _UPSTREAMS_TO_QUARANTINE = 2
@@ -57,12 +60,14 @@
         self,
         *,
         network: BasePeerNetwork,
+        reports: BaseRunnerReports,
         clock: BaseClock,
         metrics: Metrics,
         expiry_ms: int = _EXPIRY_MS,
     ) -> None:
         """Registers the handlers of both notices."""
         self._spreader = NoticeSpreader(network=network, metrics=metrics)
+        self._reports = reports
         self._clock = clock
         self._metrics = metrics
         self._expiry_ms = expiry_ms
@@ -136,9 +141,13 @@
         """Whether an upstream broke off while running the fingerprint."""
         return self._current(fingerprint) is not None
 
-    async def report_crash(self, fingerprint: str, upstream: str) -> None:
-        """Returns when all VMs know that can be told, or after a limit."""
-        self._add(fingerprint, (upstream,), age_ms=0)
+    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+        """Makes a suspect if the upstream is down after a connection broke."""
+        if await self._reports.is_up(upstream):
+            self._metrics.increment('broken_streams', 'upstream_up')
+            return
+        self._metrics.increment('broken_streams', 'upstream_down')
+        self._add(fingerprint, (upstream.name,), age_ms=0)
         suspect = self._suspects[fingerprint]
         notice = CrashNotice(
             fingerprint=fingerprint,
--- a/teaseldale/upstreams/_quarantine_interface.py
+++ b/teaseldale/upstreams/_quarantine_interface.py
@@ -3,6 +3,7 @@
 import abc
 from collections.abc import Iterable
 
+from teaseldale.notes import Upstream
 from teaseldale.outcomes import Refusal
 
 
@@ -40,8 +41,11 @@
         """Forgets a suspect everywhere, since it ran through."""
 
     @abc.abstractmethod
-    async def report_crash(self, fingerprint: str, upstream: str) -> None:
-        """Returns when all reachable VMs know, or after a time limit."""
+    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+        """Makes a suspect if the upstream is down after a connection broke.
+
+        Returns when all VMs know that can be told, or after a time limit.
+        """
 
 
 class NoQuarantine(BaseQuarantine):
@@ -71,5 +75,5 @@
     async def clear(self, fingerprint: str) -> None:
         """Does nothing."""
 
-    async def report_crash(self, fingerprint: str, upstream: str) -> None:
-        """Forgets the crash."""
+    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+        """Does nothing."""
--- a/teaseldale/upstreams/_reports.py
+++ b/teaseldale/upstreams/_reports.py
@@ -14,6 +14,7 @@
 _TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 256
 _STATUS_OK = 200
+_STATUS_UNAVAILABLE = 503
 _ReportT = TypeVar('_ReportT')
 
 
@@ -46,6 +47,10 @@
 class BaseRunnerReports(abc.ABC):
     """Reads reports of runners; None when a runner gives none."""
 
+    @abc.abstractmethod
+    async def is_up(self, upstream: Upstream) -> bool:
+        """Whether the upstream answers on a fresh connection."""
+
     @abc.abstractmethod
     async def load(self, upstream: Upstream) -> LoadReport | None:
         """Returns the runner's load."""
@@ -69,6 +74,19 @@
             max_connections=_MAX_CONNECTIONS,
             network_backend=StreamNetworkBackend(),
         )
+        self._fresh_pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=StreamNetworkBackend(),
+        )
+
+    async def is_up(self, upstream: Upstream) -> bool:
+        """Asks for the load; services answer that there is no such page."""
+        response = await _response(
+            self._fresh_pool,
+            f'{upstream.url}/load',
+        )
+        return response is not None and response.status != _STATUS_UNAVAILABLE
 
     async def load(self, upstream: Upstream) -> LoadReport | None:
         """Reads the runner's load."""
@@ -86,23 +104,32 @@
         return _decoded(body, CacheChanges)
 
     async def _get(self, url: str) -> bytes | None:
-        timeouts = dict.fromkeys(
-            ('connect', 'read', 'write', 'pool'),
-            _TIMEOUT_MS / _MS_PER_SECOND,
-        )
-        try:
-            response = await self._pool.request(
-                'GET',
-                url,
-                extensions={'timeout': timeouts},
-            )
-        except (
-            httpcore.TimeoutException,
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-        ):
+        response = await _response(self._pool, url)
+        if response is None or response.status != _STATUS_OK:
             return None
-        return response.content if response.status == _STATUS_OK else None
+        return response.content
+
+
+async def _response(
+    pool: httpcore.AsyncConnectionPool,
+    url: str,
+) -> httpcore.Response | None:
+    timeouts = dict.fromkeys(
+        ('connect', 'read', 'write', 'pool'),
+        _TIMEOUT_MS / _MS_PER_SECOND,
+    )
+    try:
+        return await pool.request(
+            'GET',
+            url,
+            extensions={'timeout': timeouts},
+        )
+    except (
+        httpcore.TimeoutException,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+    ):
+        return None
 
 
 def _decoded(body: bytes | None, kind: type[_ReportT]) -> _ReportT | None:
