--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -17,9 +17,19 @@
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
 from teaseldale.requests import HolderParts, WitnessedRegistry
-from teaseldale.routing import LeastInFlightChoice, LocalRouter
+from teaseldale.routing import (
+    AffinityChoice,
+    FleetRouter,
+    PrefixIndex,
+    RunnerWatch,
+)
 from teaseldale.settings import Settings, read_secret
-from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
+from teaseldale.upstreams import (
+    CrashQuarantine,
+    HttpEngineClient,
+    HttpRunnerReports,
+    HttpServiceClient,
+)
 
 
 def build_kernel(settings: Settings, shutdown: anyio.Event) -> Kernel:
@@ -42,6 +52,13 @@
     )
     spending = GrantedSpending(parts=holder_parts)
     registry = WitnessedRegistry(parts=holder_parts)
+    router, watch = _routing(settings, configuration, peers, clock, metrics)
+    quarantine = CrashQuarantine(
+        network=peers,
+        reports=HttpRunnerReports(),
+        clock=clock,
+        metrics=metrics,
+    )
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
@@ -59,6 +76,7 @@
         configuration=configuration,
         ledger=TableLedger(table=table),
         peers=peers,
+        quarantine=quarantine,
     )
     callers = CallersInterface(
         address=settings.vm.callers_address,
@@ -67,14 +85,12 @@
             registry=registry,
             spending=spending,
             versions=InForceVersion(),
-            router=LocalRouter(
-                configuration=configuration,
-                choice=LeastInFlightChoice(),
-            ),
+            router=router,
             engines=HttpEngineClient(),
             services=HttpServiceClient(),
             clock=clock,
             metrics=metrics,
+            quarantine=quarantine,
         ),
         limits=settings.limits,
     )
@@ -84,6 +100,9 @@
         configuration,
         spending,
         registry,
+        quarantine,
+        router,
+        watch,
         callers,
     )
 
@@ -95,6 +114,48 @@
     return kernel
 
 
+def _routing(
+    settings: Settings,
+    configuration: TableConfiguration,
+    peers: PynngPeerNetwork,
+    clock: BaseClock,
+    metrics: Metrics,
+) -> tuple[FleetRouter, RunnerWatch]:
+    index = PrefixIndex()
+    router = FleetRouter(
+        configuration=configuration,
+        choice=AffinityChoice(
+            index=index,
+            clock=clock,
+            zone=settings.vm.availability_zone,
+            random_source=random.Random(),
+        ),
+        network=peers,
+        clock=clock,
+        metrics=metrics,
+    )
+    watch = RunnerWatch(
+        table=router.table,
+        index=index,
+        reports=HttpRunnerReports(),
+        membership=_membership_list(settings, metrics),
+        clock=clock,
+        metrics=metrics,
+    )
+    return router, watch
+
+
+def _membership_list(
+    settings: Settings,
+    metrics: Metrics,
+) -> HttpMembershipList:
+    return HttpMembershipList(
+        base_url=settings.platform.membership_url,
+        timeout_ms=settings.platform.timeout_ms,
+        metrics=metrics,
+    )
+
+
 def _peer_network(
     settings: Settings,
     clock: BaseClock,
@@ -107,11 +168,7 @@
             availability_zone=settings.vm.availability_zone,
             address=settings.vm.peer_address,
         ),
-        membership=HttpMembershipList(
-            base_url=settings.platform.membership_url,
-            timeout_ms=settings.platform.timeout_ms,
-            metrics=metrics,
-        ),
+        membership=_membership_list(settings, metrics),
         clock=clock,
         metrics=metrics,
     )
--- a/teaseldale/operations/__init__.py
+++ b/teaseldale/operations/__init__.py
@@ -3,6 +3,7 @@
 from teaseldale.operations._budget_endpoints import BudgetEndpoints
 from teaseldale.operations._note_endpoints import NoteEndpoints
 from teaseldale.operations._operators import OperatorsInterface, OperatorsParts
+from teaseldale.operations._quarantine_endpoints import QuarantineEndpoints
 from teaseldale.operations._status_endpoint import StatusEndpoint
 
 __all__ = (
@@ -10,5 +11,6 @@
     'NoteEndpoints',
     'OperatorsInterface',
     'OperatorsParts',
+    'QuarantineEndpoints',
     'StatusEndpoint',
 )
--- /dev/null
+++ b/teaseldale/routing/_affinity.py
@@ -0,0 +1,152 @@
+"""Choice by cached prompt prefix, with bounded load."""
+
+import random
+
+from teaseldale.clock import BaseClock
+from teaseldale.routing._choice import BaseUpstreamChoice
+from teaseldale.routing._pool import Runner, UpstreamPool
+from teaseldale.routing._prefix_index import PrefixIndex, prefix_hashes
+from teaseldale.routing._request import RoutingRequest
+
+_SAMPLE_SIZE = 4
+_HOME_COUNT = 3
+_LEAST_BLOCKS = 4  # of a prompt for which a slot is asked for
+_LOAD_ALLOWANCE = 0.5  # load that a cached prefix is worth
+_OTHER_ZONE_LOAD = 0.05  # load that staying in the zone is worth
+
+
+class AffinityChoice(BaseUpstreamChoice):
+    """Prefers runners that hold the prompt's prefix unless overloaded."""
+
+    def __init__(
+        self,
+        *,
+        index: PrefixIndex,
+        clock: BaseClock,
+        zone: str,
+        random_source: random.Random,
+    ) -> None:
+        """Chooses for a VM of availability zone ``zone``."""
+        self._index = index
+        self._clock = clock
+        self._zone = zone
+        self._random = random_source
+        self._last_prompt = ''
+        self._last_hashes: list[int] = []
+
+    def choose(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns a free runner; notes demand for one that is not free."""
+        hashes = self._hashes_of(request.prompt)
+        least = self._least_loaded(request, pool)
+        preferred = self._preferred(hashes, pool)
+        bound = _LOAD_ALLOWANCE
+        if least is not None:
+            bound += self._cost(least)
+        for runner in preferred:
+            if not request.allows(runner.name):
+                continue
+            if not runner.has_free_slot:
+                runner.demand += 1
+            elif self._cost(runner) <= bound:
+                return self._chosen(runner, hashes)
+        return None if least is None else self._chosen(least, hashes)
+
+    def worth_a_slot(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        """Returns the runner that holds a long prefix but has no slot free."""
+        hashes = self._hashes_of(request.prompt)
+        if len(hashes) < _LEAST_BLOCKS:
+            return None
+        for runner in self._preferred(hashes, pool)[:1]:
+            if runner.lacks_slot and request.allows(runner.name):
+                return runner
+        return None
+
+    def _hashes_of(self, prompt: str) -> list[int]:
+        if self._last_prompt != prompt:
+            self._last_prompt = prompt
+            self._last_hashes = prefix_hashes(prompt)
+        return self._last_hashes
+
+    def _chosen(self, runner: Runner, hashes: list[int]) -> Runner:
+        self._index.assume(runner.name, hashes, self._clock.monotonic_ms())
+        return runner
+
+    def _preferred(
+        self,
+        hashes: list[int],
+        pool: UpstreamPool,
+    ) -> list[Runner]:
+        if not hashes:
+            return []
+        homes = self._homes(hashes[0], pool)
+        holders = self._holders(hashes, pool)
+        ordered = sorted(
+            holders,
+            key=lambda runner: (runner is not homes[0], self._cost(runner)),
+        )
+        return list(dict.fromkeys((*ordered, *homes)))
+
+    def _holders(
+        self,
+        hashes: list[int],
+        pool: UpstreamPool,
+    ) -> list[Runner]:
+        now_ms = self._clock.monotonic_ms()
+        for prefix_hash in reversed(hashes):
+            holders = [
+                pool.runners[name]
+                for name in self._index.runners_of(prefix_hash, now_ms)
+                if name in pool.runners
+            ]
+            if holders:
+                return holders
+        return []
+
+    def _homes(self, first_hash: int, pool: UpstreamPool) -> list[Runner]:
+        count = len(pool.names)
+        return [
+            pool.runners[pool.names[(first_hash + step) % count]]
+            for step in range(min(_HOME_COUNT, count))
+        ]
+
+    def _least_loaded(
+        self,
+        request: RoutingRequest,
+        pool: UpstreamPool,
+    ) -> Runner | None:
+        near = pool.free_in(self._zone).members
+        sample = [
+            runner
+            for members in (near, pool.free.members)
+            for runner in self._sample(members)
+            if request.allows(runner.name)
+        ]
+        if not sample and pool.free:
+            sample = [
+                runner
+                for runner in pool.free.members
+                if request.allows(runner.name)
+            ]
+        return min(sample, key=self._cost, default=None)
+
+    def _sample(self, members: list[Runner]) -> list[Runner]:
+        if len(members) <= _SAMPLE_SIZE:
+            return members
+        count = len(members)
+        return [
+            members[int(self._random.random() * count)]
+            for _ in range(_SAMPLE_SIZE)
+        ]
+
+    def _cost(self, runner: Runner) -> float:
+        if runner.upstream.availability_zone == self._zone:
+            return runner.load
+        return runner.load + _OTHER_ZONE_LOAD
--- a/teaseldale/upstreams/_http_connection.py
+++ b/teaseldale/upstreams/_http_connection.py
@@ -16,11 +16,18 @@
 class UpstreamPool(httpcore.AsyncConnectionPool):
     """Pool of connections for streams of many small events."""
 
-    def __init__(self, *, max_connections: int) -> None:
-        """Keeps every idle connection until it expires."""
+    def __init__(
+        self,
+        *,
+        max_connections: int,
+        reuses_connections: bool = True,
+    ) -> None:
+        """Keeps idle connections until they expire, or none at all."""
         super().__init__(
             max_connections=max_connections,
-            max_keepalive_connections=max_connections,
+            max_keepalive_connections=(
+                max_connections if reuses_connections else 0
+            ),
             keepalive_expiry=_KEEP_ALIVE_SECONDS,
         )
 
--- /dev/null
+++ b/teaseldale/upstreams/_quarantine.py
@@ -0,0 +1,250 @@
+"""Quarantine of requests that crash the upstreams that run them.
+
+A request whose connection broke and whose upstream is down afterwards is a
+suspect; its fingerprint, which leaves
+the request key out, is told to all reachable VMs before it is tried again. A
+suspect may only be tried at the one upstream that its fingerprint hashes to,
+so that VMs that do not talk choose the same, and one suspect at a time. When a
+second upstream breaks off as well, the fingerprint is quarantined everywhere
+until it expires or an operator releases it.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.notes import Upstream
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.upstreams._notices import (
+    CrashNotice,
+    NoticeSpreader,
+    NoticeTaken,
+    ReleaseNotice,
+)
+from teaseldale.upstreams._quarantine_interface import BaseQuarantine
+from teaseldale.upstreams._rendezvous import rendezvous
+from teaseldale.upstreams._reports import BaseRunnerReports
+from teaseldale.upstreams._trials import TrialLocks
+
+_UPSTREAMS_TO_QUARANTINE = 2
+_EXPIRY_MS = 600_000
+_SUSPECT_LIMIT = 10_000
+
+
+@attrs.define(kw_only=True)
+class _Suspect:
+    upstreams: set[str]
+    last_crash_ms: int  # monotonic
+
+
+@attrs.frozen(kw_only=True)
+class SuspectState:
+    """What operators see of a fingerprint."""
+
+    fingerprint: str
+    upstreams: tuple[str, ...]
+    quarantined: bool
+    expires_in_ms: int
+
+
+class CrashQuarantine(BaseQuarantine, BaseService):
+    """Suspects and quarantined fingerprints as this VM knows them."""
+
+    def __init__(
+        self,
+        *,
+        network: BasePeerNetwork,
+        reports: BaseRunnerReports,
+        clock: BaseClock,
+        metrics: Metrics,
+        expiry_ms: int = _EXPIRY_MS,
+    ) -> None:
+        """Registers the handlers of both notices."""
+        self._spreader = NoticeSpreader(network=network, metrics=metrics)
+        self._reports = reports
+        self._clock = clock
+        self._metrics = metrics
+        self._expiry_ms = expiry_ms
+        self._suspects: dict[str, _Suspect] = {}
+        self._trials = TrialLocks(network=network, clock=clock)
+        self._log = StateLog(channel='quarantine')
+        network.handle(
+            CrashNotice,
+            kind='crash_notice',
+            reply_type=NoticeTaken,
+            handler=self._take_crash,
+        )
+        network.handle(
+            ReleaseNotice,
+            kind='release_notice',
+            reply_type=NoticeTaken,
+            handler=self._take_release,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'quarantine'
+
+    def refusal_for(self, fingerprint: str) -> Refusal | None:
+        """Returns the refusal of a quarantined fingerprint."""
+        suspect = self._current(fingerprint)
+        if suspect is None or not _is_quarantined(suspect):
+            return None
+        return Refusal(
+            code=RefusalCode.QUARANTINED,
+            message='This request broke two upstreams that ran it; change it, '
+            'or ask the operators to release it.',
+            not_run=False,
+            step=Step.ADMIT,
+            retry_after_ms=self._expires_in_ms(suspect),
+        )
+
+    async def start_trial(
+        self,
+        fingerprint: str,
+        candidates: Iterable[str],
+        *,
+        deadline_ms: int,
+    ) -> str | None:
+        """Returns the only upstream at which a suspect may run now."""
+        suspect = self._current(fingerprint)
+        crashed = set() if suspect is None else suspect.upstreams
+        upstream = rendezvous(
+            fingerprint,
+            (name for name in candidates if name not in crashed),
+        )
+        if not upstream:
+            return None
+        granted = await self._trials.acquire(
+            fingerprint,
+            upstream,
+            deadline_ms=deadline_ms,
+        )
+        return upstream if granted else None
+
+    async def end_trial(self, fingerprint: str, upstream: str) -> None:
+        """Lets another suspect be tried at the upstream."""
+        await self._trials.release(fingerprint, upstream)
+
+    async def clear(self, fingerprint: str) -> None:
+        """Forgets a suspect everywhere, since it ran through."""
+        await self.release(fingerprint, reason='ran_through')
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Whether an upstream broke off while running the fingerprint."""
+        return self._current(fingerprint) is not None
+
+    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+        """Makes a suspect if the upstream is down after a connection broke."""
+        if await self._reports.is_up(upstream):
+            self._metrics.increment('broken_streams', 'upstream_up')
+            return
+        self._metrics.increment('broken_streams', 'upstream_down')
+        self._add(fingerprint, (upstream.name,), age_ms=0)
+        suspect = self._suspects[fingerprint]
+        notice = CrashNotice(
+            fingerprint=fingerprint,
+            upstreams=tuple(sorted(suspect.upstreams)),
+            age_ms=0,
+        )
+        await self._spreader.tell_all(notice)
+
+    async def release(self, fingerprint: str, *, reason: str) -> bool:
+        """Forgets a fingerprint everywhere; whether it was known here."""
+        known = self._suspects.pop(fingerprint, None) is not None
+        if known:
+            self._metrics.increment('quarantine_releases', reason)
+        await self._spreader.tell_all(ReleaseNotice(fingerprint=fingerprint))
+        return known
+
+    def states(self) -> tuple[SuspectState, ...]:
+        """Returns all that is known, for operators."""
+        current = [
+            (fingerprint, self._current(fingerprint))
+            for fingerprint in tuple(self._suspects)
+        ]
+        return tuple(
+            SuspectState(
+                fingerprint=fingerprint,
+                upstreams=tuple(sorted(suspect.upstreams)),
+                quarantined=_is_quarantined(suspect),
+                expires_in_ms=self._expires_in_ms(suspect),
+            )
+            for fingerprint, suspect in current
+            if suspect is not None
+        )
+
+    async def _take_crash(
+        self,
+        _sender: VmIdentity,
+        notice: CrashNotice,
+    ) -> NoticeTaken:
+        self._add(notice.fingerprint, notice.upstreams, age_ms=notice.age_ms)
+        return NoticeTaken()
+
+    async def _take_release(
+        self,
+        _sender: VmIdentity,
+        notice: ReleaseNotice,
+    ) -> NoticeTaken:
+        self._suspects.pop(notice.fingerprint, None)
+        return NoticeTaken()
+
+    def _add(
+        self,
+        fingerprint: str,
+        upstreams: tuple[str, ...],
+        *,
+        age_ms: int,
+    ) -> None:
+        crash_ms = self._clock.monotonic_ms() - age_ms
+        suspect = self._current(fingerprint)
+        if suspect is None:
+            self._forget_oldest()
+            suspect = _Suspect(upstreams=set(), last_crash_ms=crash_ms)
+            self._suspects[fingerprint] = suspect
+            self._metrics.increment('quarantine_suspects')
+        was_quarantined = _is_quarantined(suspect)
+        suspect.upstreams.update(upstreams)
+        suspect.last_crash_ms = max(suspect.last_crash_ms, crash_ms)
+        if _is_quarantined(suspect) and not was_quarantined:
+            self._metrics.increment('quarantined')
+            self._log.changed(
+                'quarantined',
+                fingerprint=fingerprint,
+                upstreams=sorted(suspect.upstreams),
+            )
+
+    def _current(self, fingerprint: str) -> _Suspect | None:
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and self._expires_in_ms(suspect) <= 0:
+            self._suspects.pop(fingerprint)
+            return None
+        return suspect
+
+    def _expires_in_ms(self, suspect: _Suspect) -> int:
+        age_ms = self._clock.monotonic_ms() - suspect.last_crash_ms
+        return self._expiry_ms - age_ms
+
+    def _forget_oldest(self) -> None:
+        if len(self._suspects) >= _SUSPECT_LIMIT:
+            self._suspects.pop(next(iter(self._suspects)))
+
+
+def fingerprint_of(route: str, body: bytes) -> str:
+    """Returns the hash of what an upstream is given, without the key."""
+    hashed = xxhash.xxh3_128(route.encode())
+    hashed.update(b'\0')
+    hashed.update(body)
+    return hashed.hexdigest()
+
+
+def _is_quarantined(suspect: _Suspect) -> bool:
+    return len(suspect.upstreams) >= _UPSTREAMS_TO_QUARANTINE
