--- a/teaseldale/budgets/__init__.py
+++ b/teaseldale/budgets/__init__.py
@@ -1,5 +1,6 @@
 """Spending of prepaid token budgets."""
 
+from teaseldale.budgets._added_budget_rows import AddedBudgetRows
 from teaseldale.budgets._ledger import LedgerRow, TableLedger
 from teaseldale.budgets._spending import (
     BaseSpending,
@@ -9,6 +10,7 @@
 from teaseldale.budgets._transactional_spending import TransactionalSpending
 
 __all__ = (
+    'AddedBudgetRows',
     'BaseSpending',
     'BudgetState',
     'LedgerRow',
--- a/teaseldale/command/_endpoints.py
+++ b/teaseldale/command/_endpoints.py
@@ -1,10 +1,9 @@
 """Endpoints of the operators' interface, by the service that answers."""
 
 from teaseldale.budgets import TableLedger
-from teaseldale.notes import TableConfiguration
+from teaseldale.notes import FleetConfiguration, ReleaseNoteEndpoints
 from teaseldale.operations import (
     BudgetEndpoints,
-    NoteEndpoints,
     OperatorsInterface,
     StatusEndpoint,
 )
@@ -14,15 +13,18 @@
 def add_endpoints(
     operators: OperatorsInterface,
     *,
-    configuration: TableConfiguration,
+    configuration: FleetConfiguration,
     ledger: TableLedger,
     peers: BasePeerNetwork,
 ) -> None:
     """Registers every endpoint that operators can call."""
     status = StatusEndpoint(configuration=configuration, peers=peers)
     operators.add_endpoint('GET', '/status', status.show)
-    notes = NoteEndpoints(configuration=configuration, ledger=ledger)
+    notes = ReleaseNoteEndpoints(configuration=configuration)
     operators.add_endpoint('POST', '/notes', notes.apply)
+    operators.add_endpoint('GET', '/notes', notes.list)
+    operators.add_endpoint('GET', '/notes/{name}', notes.show)
+    operators.add_endpoint('POST', '/notes/{name}/cancel', notes.cancel)
     budgets = BudgetEndpoints(ledger=ledger)
     operators.add_endpoint('GET', '/budget', budgets.show)
     operators.add_endpoint('POST', '/budget/topup', budgets.top_up)
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -5,14 +5,18 @@
 
 import anyio
 
-from teaseldale.budgets import TableLedger, TransactionalSpending
+from teaseldale.budgets import (
+    AddedBudgetRows,
+    TableLedger,
+    TransactionalSpending,
+)
 from teaseldale.clock import BaseClock, SystemClock
 from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
 from teaseldale.kernel import Kernel
 from teaseldale.metrics import Metrics
 from teaseldale.moves import InForceVersion
-from teaseldale.notes import TableConfiguration
+from teaseldale.notes import FleetConfiguration, NotesParts
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
@@ -31,11 +35,20 @@
         timeout_ms=settings.platform.timeout_ms,
     )
     peers = _peer_network(settings, clock)
-    configuration = TableConfiguration(table=table, clock=clock)
+    ledger = TableLedger(table=table)
+    configuration = FleetConfiguration(
+        parts=NotesParts(
+            table=table,
+            peers=peers,
+            clock=clock,
+            metrics=metrics,
+            budget_rows=AddedBudgetRows(ledger=ledger),
+        ),
+    )
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
-            is_ready=lambda: configuration.current().revision > 0,
+            is_ready=configuration.may_serve,
             metrics=metrics,
             shutdown=shutdown,
             operators_key=_read_secret(settings.vm.operators_key_file),
@@ -44,7 +57,7 @@
     add_endpoints(
         operators,
         configuration=configuration,
-        ledger=TableLedger(table=table),
+        ledger=ledger,
         peers=peers,
     )
     callers = CallersInterface(
--- a/teaseldale/notes/__init__.py
+++ b/teaseldale/notes/__init__.py
@@ -4,6 +4,11 @@
     BaseConfigurationSource,
     Configuration,
 )
+from teaseldale.notes._endpoints import ReleaseNoteEndpoints
+from teaseldale.notes._fleet_configuration import (
+    FleetConfiguration,
+    NotesParts,
+)
 from teaseldale.notes._items import (
     Budget,
     ClientAccount,
@@ -14,8 +19,24 @@
     Upstream,
     VersionMove,
 )
+from teaseldale.notes._note_book import (
+    BaseBudgetRows,
+    NoteBook,
+    ReadHead,
+    ReadNote,
+    Rows,
+)
+from teaseldale.notes._progress import NoteStatus
+from teaseldale.notes._records import (
+    Head,
+    MovePhase,
+    MoveStep,
+    NoteRecord,
+    NoteState,
+)
 from teaseldale.notes._release_note import (
     ItemChange,
+    ItemLists,
     ItemWithdrawal,
     ReleaseNote,
     read_release_note,
@@ -23,17 +44,32 @@
 from teaseldale.notes._table_configuration import TableConfiguration
 
 __all__ = (
+    'BaseBudgetRows',
     'BaseConfigurationSource',
     'Budget',
     'ClientAccount',
     'Configuration',
     'ConfigurationItem',
+    'FleetConfiguration',
+    'Head',
     'ItemChange',
     'ItemKind',
+    'ItemLists',
     'ItemWithdrawal',
+    'MovePhase',
+    'MoveStep',
+    'NoteBook',
+    'NoteRecord',
+    'NoteState',
+    'NoteStatus',
+    'NotesParts',
+    'ReadHead',
+    'ReadNote',
     'ReleaseNote',
+    'ReleaseNoteEndpoints',
     'Route',
     'RouteKind',
+    'Rows',
     'TableConfiguration',
     'Upstream',
     'VersionMove',
--- /dev/null
+++ b/teaseldale/notes/_fleet_configuration.py
@@ -0,0 +1,263 @@
+"""Release notes of the whole fleet on this VM."""
+
+import functools
+
+import anyio
+import attrs
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.notes._configuration import (
+    BaseConfigurationSource,
+    Configuration,
+)
+from teaseldale.notes._follower import NotesFollower
+from teaseldale.notes._intake import NoteIntake
+from teaseldale.notes._note_book import BaseBudgetRows, NoteBook, ReadHead
+from teaseldale.notes._progress import NoteProgress, NoteStatus, UnitRows
+from teaseldale.notes._records import NoteState, UnitRecord
+from teaseldale.notes._refusals import unknown_note
+from teaseldale.notes._release_note import ReleaseNote
+from teaseldale.outcomes import PlatformError, Refusal
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.platform import BaseTableService, TableLease
+
+READ_INTERVAL_MS = 500  # of a VM that reads the table for its unit
+_EXCHANGE_INTERVAL_MS = 1000
+_VIEW_OLD_MS = 1500  # then a VM asks all of its unit, and the table
+_LONE_READ_INTERVAL_MS = 1400
+_PROGRESS_INTERVAL_MS = 1000
+_DRIVE_INTERVAL_MS = 100
+_DRIVE_LIMIT_MS = 6000
+_NUDGED_UNITS = 16
+_LEASE_NAME = 'notes'
+_MS_PER_SECOND = 1000
+_FINAL_STATES = frozenset((NoteState.ACCEPTED, NoteState.CANCELLED))
+
+
+@attrs.frozen(kw_only=True)
+class NotesParts:
+    """What the notes service stands on."""
+
+    table: BaseTableService
+    peers: BasePeerNetwork
+    clock: BaseClock
+    metrics: Metrics
+    budget_rows: BaseBudgetRows
+
+
+class FleetConfiguration(BaseConfigurationSource, BaseService):
+    """Follows, confirms, stages and cancels notes."""
+
+    def __init__(self, *, parts: NotesParts) -> None:
+        """Starts from an empty configuration."""
+        self._parts = parts
+        self.book = NoteBook(table=parts.table, budget_rows=parts.budget_rows)
+        self.follower = NotesFollower(
+            book=self.book,
+            peers=parts.peers,
+            clock=parts.clock,
+        )
+        self._units = UnitRows(table=parts.table)
+        self.progress = NoteProgress(
+            book=self.book,
+            units=self._units,
+            unit_map=self.follower.unit_map,
+        )
+        self.intake = NoteIntake(
+            book=self.book,
+            follower=self.follower,
+            clock=parts.clock,
+        )
+        self._lease = TableLease(
+            table=parts.table,
+            clock=parts.clock,
+            name=_LEASE_NAME,
+            holder=parts.peers.identity.key,
+        )
+        self._confirmed = UnitRecord(stage_seen=0, sequence=0)
+        self._confirmed_unit = ''
+        self._last_read_ms = 0
+        self._log = StateLog(channel='notes')
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'notes'
+
+    def current(self) -> Configuration:
+        """Returns the newest snapshot."""
+        return self.follower.state.current
+
+    def may_serve(self) -> bool:
+        """Whether callers may be served on this VM's copy."""
+        return self.follower.may_serve()
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts following; the VM is not ready before it has caught up."""
+        tasks.start_soon(self._follow_table)
+        tasks.start_soon(self._follow_peers)
+        tasks.start_soon(self._make_progress)
+
+    async def apply(self, note: ReleaseNote) -> NoteStatus | Refusal:
+        """Stages a note and waits a little for its acceptance.
+
+        A note sent again under its name with the same content gives its
+        status. Raises ``PlatformError`` when the table gave no answer.
+        """
+        staged = await self.intake.stage(note)
+        if isinstance(staged, Refusal):
+            self._parts.metrics.increment('notes_refused', staged.code)
+            return staged
+        return await self.drive(note.name)
+
+    async def drive(self, name: str) -> NoteStatus | Refusal:
+        """Advances a note until it is accepted or a time limit is over."""
+        clock = self._parts.clock
+        limit_ms = clock.monotonic_ms() + _DRIVE_LIMIT_MS
+        while clock.monotonic_ms() < limit_ms:
+            await self.follower.refresh()
+            await self.progress.advance()
+            await self._spread()
+            await self._confirm_unit()
+            status = await self.progress.status(name)
+            if status is not None and status.state in _FINAL_STATES:
+                return status
+            await clock.sleep_ms(_DRIVE_INTERVAL_MS)
+        return await self.progress.status(name) or unknown_note(name)
+
+    async def _follow_table(self) -> None:
+        while True:
+            if self._reads_table():
+                await self._read_table()
+            self.follower.news = anyio.Event()
+            with anyio.move_on_after(READ_INTERVAL_MS / _MS_PER_SECOND):
+                await self.follower.news.wait()
+
+    def _reads_table(self) -> bool:
+        if self.follower.reader() == self._parts.peers.identity:
+            return True
+        age = self.follower.contact.view_age_ms
+        now_ms = self._parts.clock.monotonic_ms()
+        due = now_ms - self._last_read_ms >= _LONE_READ_INTERVAL_MS
+        return due and (age is None or age > _VIEW_OLD_MS)
+
+    async def _read_table(self) -> None:
+        self._last_read_ms = self._parts.clock.monotonic_ms()
+        before = self.follower.head_revision
+        try:
+            read = await self.follower.refresh()
+            await self._register_zone(read)
+        except PlatformError as error:
+            self._parts.metrics.increment(
+                'notes_table_reads_failed', error.step
+            )
+            return
+        if self.follower.head_revision != before:
+            await self._spread()
+        await self._try_confirm()
+
+    async def _register_zone(self, read: ReadHead) -> None:
+        zone = self._parts.peers.identity.availability_zone
+        if zone in read.head.zones:
+            return
+        zones = tuple(sorted((*read.head.zones, zone)))
+        await self.book.replace_head(
+            read,
+            attrs.evolve(read.head, zones=zones),
+        )
+
+    async def _spread(self) -> None:
+        units = self.follower.unit_map()
+        targets = set(self.follower.unit_peers())
+        firsts = units.first_of_units()
+        if len(firsts) <= _NUDGED_UNITS:
+            targets.update(firsts)
+        targets.discard(self._parts.peers.identity)
+        async with anyio.create_task_group() as tasks:
+            for target in targets:
+                tasks.start_soon(self._push, target)
+
+    async def _push(self, target: VmIdentity) -> None:
+        if target in self._parts.peers.reachable_peers():
+            await self.follower.exchange(target, push=True)
+
+    async def _try_confirm(self) -> None:
+        try:
+            await self._confirm_unit()
+        except PlatformError as error:
+            self._parts.metrics.increment('notes_confirms_failed', error.step)
+
+    async def _confirm_unit(self) -> None:
+        follower = self.follower
+        own = self._parts.peers.identity
+        if follower.reader() != own or not follower.contact.fresh:
+            return
+        unit = follower.unit_map().unit_of(own)
+        confirmations = follower.confirmations
+        confirmations.follow(follower.unit_peers())
+        stage = follower.head.stage_count
+        if not confirmations.in_contact(own.key):
+            stage = 0
+        record = UnitRecord(
+            stage_seen=stage,
+            sequence=confirmations.confirmed_sequence(
+                own.key,
+                follower.state.sequence,
+            ),
+        )
+        if unit == self._confirmed_unit and record == self._confirmed:
+            return
+        await self._units.confirm(unit, record)
+        self._confirmed_unit = unit
+        self._confirmed = record
+
+    async def _follow_peers(self) -> None:
+        while True:
+            follower = self.follower
+            follower.confirmations.follow(follower.unit_peers())
+            await self._ask_peers()
+            if not follower.caught_up:
+                await follower.catch_up_from_peers()
+            self._show()
+            await self._parts.clock.sleep_ms(_EXCHANGE_INTERVAL_MS)
+
+    async def _ask_peers(self) -> None:
+        age = self.follower.contact.view_age_ms
+        targets = {self.follower.reader()}
+        if age is None or age > _VIEW_OLD_MS:
+            targets.update(self.follower.unit_peers())
+        targets.discard(self._parts.peers.identity)
+        pull = functools.partial(self.follower.exchange, push=False)
+        async with anyio.create_task_group() as tasks:
+            for target in targets:
+                tasks.start_soon(pull, target)
+
+    async def _make_progress(self) -> None:
+        while True:
+            await self._parts.clock.sleep_ms(_PROGRESS_INTERVAL_MS)
+            head = self.follower.head
+            if head.pending or head.unconfirmed:
+                await self._progress_once()
+
+    async def _progress_once(self) -> None:
+        if self.follower.reader() != self._parts.peers.identity:
+            return
+        try:
+            if await self._lease.renew():
+                await self.progress.advance()
+        except PlatformError as error:
+            self._parts.metrics.increment('notes_progress_failed', error.step)
+
+    def _show(self) -> None:
+        metrics = self._parts.metrics
+        head = self.follower.head
+        age = self.follower.contact.view_age_ms
+        metrics.set_gauge('notes_revision', self.follower.state.sequence)
+        metrics.set_gauge('notes_view_age_ms', -1 if age is None else age)
+        metrics.set_gauge('notes_pending', len(head.pending))
+        metrics.set_gauge('notes_unconfirmed', len(head.unconfirmed))
+        metrics.set_gauge('notes_may_serve', int(self.may_serve()))
--- /dev/null
+++ b/teaseldale/notes/_follower.py
@@ -0,0 +1,237 @@
+"""This VM's copy of the notes: read from the table or from peers."""
+
+import contextlib
+
+import anyio
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.notes._contact import ContactLog, is_majority
+from teaseldale.notes._exchange import (
+    NotesExchange,
+    NotesExchangeReply,
+    VersionedHead,
+)
+from teaseldale.notes._note_book import NoteBook, ReadHead
+from teaseldale.notes._records import Head, LogEntry
+from teaseldale.notes._state import ConfigurationState, GapError
+from teaseldale.notes._units import UnitConfirmations, UnitMap
+from teaseldale.outcomes import PeerUnreachableError
+from teaseldale.peers import BasePeerNetwork, VmIdentity
+
+EXCHANGE_TIMEOUT_MS = 700
+_LONGEST_GAP = 64  # entries read one by one before all items are read
+_MESSAGE_KIND = 'notes_exchange'
+
+
+class NotesFollower:
+    """Holds the state and the head; both only move forward."""
+
+    def __init__(
+        self,
+        *,
+        book: NoteBook,
+        peers: BasePeerNetwork,
+        clock: BaseClock,
+    ) -> None:
+        """Starts without any note."""
+        self._book = book
+        self._peers = peers
+        self._clock = clock
+        self._newest = VersionedHead(head=Head(), revision=0)
+        self._reading = anyio.Lock()
+        self._highest_in_zone = 0  # sequence heard of in this zone
+        self.state = ConfigurationState()
+        self.contact = ContactLog(clock=clock)
+        self.confirmations = UnitConfirmations(clock=clock)
+        self.caught_up = False
+        self.news = anyio.Event()  # set when the head or the state moves
+        peers.handle(
+            NotesExchange,
+            kind=_MESSAGE_KIND,
+            reply_type=NotesExchangeReply,
+            handler=self._answer,
+        )
+
+    @property
+    def head(self) -> Head:
+        """Newest head known here."""
+        return self._newest.head
+
+    @property
+    def head_revision(self) -> int:
+        """Table revision of the newest head known here."""
+        return self._newest.revision
+
+    @property
+    def behind(self) -> bool:
+        """Whether a note is missing that the head or the zone has."""
+        return self.state.sequence < max(
+            self._highest_in_zone,
+            self.head.sequence,
+        )
+
+    def unit_map(self) -> UnitMap:
+        """Units by the membership list known now."""
+        return UnitMap(vms=(self._peers.identity, *self._peers.known_peers()))
+
+    def unit_peers(self) -> tuple[VmIdentity, ...]:
+        """Other VMs of this VM's unit."""
+        units = self.unit_map()
+        own = self._peers.identity
+        return tuple(
+            vm for vm in units.members(units.unit_of(own)) if vm != own
+        )
+
+    def reader(self) -> VmIdentity:
+        """Returns the VM that reads the table for this VM's unit."""
+        reachable = set(self._peers.reachable_peers())
+        candidates = [peer for peer in self.unit_peers() if peer in reachable]
+        return min((self._peers.identity, *candidates), key=_name_of)
+
+    def may_serve(self) -> bool:
+        """Whether serving on this copy can keep every promise.
+
+        Either the view of the table is young, or this VM is with the majority
+        of its unit, which then gets nothing newer without it.
+        """
+        sequence = self.state.sequence
+        if not self.caught_up or sequence == 0:
+            return False
+        if sequence < self._highest_in_zone:
+            return False
+        return self.contact.fresh or self._with_majority()
+
+    async def refresh(self) -> ReadHead:
+        """Reads the head, and the items or entries that are missing."""
+        async with self._reading:
+            asked_ms = self._clock.monotonic_ms()
+            read = await self._book.read_head()
+            await self._catch_up(read)
+            self._adopt_head(
+                VersionedHead(head=read.head, revision=read.revision),
+            )
+            self.contact.saw_table(asked_ms)
+            self.caught_up = True
+            return read
+
+    async def exchange(self, peer: VmIdentity, *, push: bool) -> bool:
+        """Compares notes with a peer; whether it answered."""
+        asked_ms = self._clock.monotonic_ms()
+        message = NotesExchange(
+            sequence=self.state.sequence,
+            head_revision=self.head_revision,
+        )
+        if push:
+            message = attrs.evolve(
+                message,
+                newer_head=self._newest,
+                entries=self._last_entry(),
+            )
+        try:
+            reply = await self._peers.request(
+                peer,
+                message,
+                timeout_ms=EXCHANGE_TIMEOUT_MS,
+            )
+        except PeerUnreachableError:
+            return False
+        self._take_reply(peer, reply, asked_ms)
+        return True
+
+    async def catch_up_from_peers(self) -> None:
+        """Starts without the table once all of the unit have answered."""
+        members = self.unit_peers()
+        answers = [
+            await self.exchange(member, push=False) for member in members
+        ]
+        if members and all(answers) and self.state.sequence > 0:
+            self.caught_up = True
+
+    def _with_majority(self) -> bool:
+        own_key = self._peers.identity.key
+        keys = {peer.key for peer in self.unit_peers()}
+        present = {key for key in keys if self.contact.peer_fresh(key)}
+        return is_majority({own_key, *present}, {own_key, *keys})
+
+    async def _catch_up(self, read: ReadHead) -> None:
+        target = read.head.sequence
+        gap = target - self.state.sequence
+        if gap > _LONGEST_GAP or (gap > 0 and self.state.sequence == 0):
+            await self._load_all(target)
+        elif gap > 0:
+            entries = await self._book.read_entries(
+                self.state.sequence,
+                target,
+            )
+            self.state.apply(entries)
+
+    async def _load_all(self, sequence: int) -> None:
+        snapshot = await self._book.read_snapshot(sequence)
+        later = await self._book.read_head()
+        entries = await self._book.read_entries(sequence, later.head.sequence)
+        self.state.restore(snapshot)
+        self.state.apply(entries)
+
+    async def _answer(
+        self,
+        sender: VmIdentity,
+        message: NotesExchange,
+    ) -> NotesExchangeReply:
+        if message.newer_head is not None:
+            self._adopt_head(message.newer_head)
+        with contextlib.suppress(GapError):
+            self.state.apply(message.entries)
+        self._hear(sender, message.sequence)
+        entries = self.state.entries_after(message.sequence)
+        missing = entries is None and self.caught_up
+        newer = self.head_revision > message.head_revision
+        return NotesExchangeReply(
+            sequence=self.state.sequence,
+            head_revision=self.head_revision,
+            caught_up=self.caught_up,
+            view_age_ms=self.contact.view_age_ms,
+            newer_head=self._newest if newer else None,
+            entries=entries or (),
+            snapshot=self.state.snapshot() if missing else None,
+        )
+
+    def _take_reply(
+        self,
+        peer: VmIdentity,
+        reply: NotesExchangeReply,
+        asked_ms: int,
+    ) -> None:
+        self._hear(peer, reply.sequence)
+        if not reply.caught_up:
+            return
+        self.contact.saw_peer(peer.key, asked_ms)
+        if reply.snapshot is not None:
+            self.state.restore(reply.snapshot)
+        with contextlib.suppress(GapError):
+            self.state.apply(reply.entries)
+        if reply.newer_head is not None:
+            self._adopt_head(reply.newer_head)
+        current = self.head_revision == reply.head_revision
+        if current and not self.behind and reply.view_age_ms is not None:
+            self.contact.saw_table(asked_ms - reply.view_age_ms)
+            self.caught_up = self.caught_up or self.contact.fresh
+
+    def _hear(self, peer: VmIdentity, sequence: int) -> None:
+        if peer.availability_zone == self._peers.identity.availability_zone:
+            self._highest_in_zone = max(self._highest_in_zone, sequence)
+        self.confirmations.heard(peer, sequence)
+        if self.behind:
+            self.news.set()
+
+    def _adopt_head(self, newer: VersionedHead) -> None:
+        if newer.revision > self._newest.revision:
+            self._newest = newer
+            self.news.set()
+
+    def _last_entry(self) -> tuple[LogEntry, ...]:
+        return self.state.entries_after(self.state.sequence - 1) or ()
+
+
+def _name_of(vm: VmIdentity) -> str:
+    return vm.name
--- /dev/null
+++ b/teaseldale/notes/_intake.py
@@ -0,0 +1,96 @@
+"""Staging and cancelling of notes."""
+
+from teaseldale.clock import BaseClock
+from teaseldale.notes._follower import NotesFollower
+from teaseldale.notes._note_book import NoteBook, ReadHead
+from teaseldale.notes._overlap import overlap
+from teaseldale.notes._records import NoteRecord, NoteState
+from teaseldale.notes._refusals import (
+    cannot_cancel,
+    name_taken,
+    races_with,
+    too_busy,
+    unknown_note,
+    wrong_note,
+)
+from teaseldale.notes._release_note import ReleaseNote
+from teaseldale.notes._validation import find_problems
+from teaseldale.outcomes import Refusal
+
+_ATTEMPTS = 20
+
+
+class NoteIntake:
+    """Checks notes as a whole against the newest state and stores them."""
+
+    def __init__(
+        self,
+        *,
+        book: NoteBook,
+        follower: NotesFollower,
+        clock: BaseClock,
+    ) -> None:
+        """Stores in ``book``; ``follower`` knows what is in force."""
+        self._book = book
+        self._follower = follower
+        self._clock = clock
+
+    async def dry_run(self, note: ReleaseNote) -> Refusal | None:
+        """Checks a note as ``apply`` would; None if it would be staged."""
+        read = await self._follower.refresh()
+        return await self._check(read, note)
+
+    async def cancel(self, name: str, reason: str) -> NoteRecord | Refusal:
+        """Cancels a note that is still pending."""
+        for _ in range(_ATTEMPTS):
+            read = await self._follower.refresh()
+            found = await self._book.read_note(name)
+            if found is None:
+                return unknown_note(name)
+            if found.record.state is NoteState.CANCELLED:
+                return found.record
+            if found.record.state is not NoteState.PENDING:
+                return cannot_cancel(found.record)
+            await self._book.cancel(read, found, reason)
+        return too_busy()
+
+    async def stage(self, note: ReleaseNote) -> Refusal | None:
+        """Stores a note as pending; None if it was or had been stored."""
+        for _ in range(_ATTEMPTS):
+            read = await self._follower.refresh()
+            known = await self._book.read_note(note.name)
+            if known is not None:
+                same = known.record.note == note
+                return None if same else name_taken(known.record)
+            refusal = await self._check(read, note)
+            if refusal is not None:
+                return refusal
+            record = NoteRecord(
+                note=note,
+                state=NoteState.PENDING,
+                stage_number=read.head.stage_count + 1,
+                staged_wall_ms=self._clock.wall_ms(),
+            )
+            if await self._book.stage(read, record):
+                return None
+        return too_busy()
+
+    async def _check(
+        self,
+        read: ReadHead,
+        note: ReleaseNote,
+    ) -> Refusal | None:
+        state = self._follower.state
+        if state.sequence != read.head.sequence:
+            return too_busy()
+        problems = find_problems(note, state.items, state.records)
+        if problems:
+            return wrong_note(problems)
+        for waiting in read.head.pending:
+            other = await self._book.read_note(waiting.name)
+            if other is None:
+                continue
+            key = overlap(note, other.record.note)
+            if key is not None:
+                return races_with(other.record, key)
+        return None
--- /dev/null
+++ b/teaseldale/notes/_note_book.py
@@ -0,0 +1,328 @@
+"""Transactions on release notes; each checks and replaces the head row."""
+
+import abc
+from collections.abc import Iterable
+
+import attrs
+import msgspec
+
+from teaseldale.notes._items import Budget
+from teaseldale.notes._problem import changed_items, place_of
+from teaseldale.notes._records import (
+    HEAD_KEY,
+    HEAD_TABLE,
+    ITEMS_TABLE,
+    LOG_TABLE,
+    NOTES_TABLE,
+    Head,
+    ItemRecord,
+    LogEntry,
+    NoteRecord,
+    NoteState,
+    PendingNote,
+    SealedNote,
+)
+from teaseldale.notes._release_note import ReleaseNote
+from teaseldale.notes._state import Snapshot
+from teaseldale.platform import (
+    BaseTableService,
+    Committed,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+
+_LOG_KEY_DIGITS = 12
+
+
+@attrs.frozen(kw_only=True)
+class ReadHead:
+    """The head and the revision that a change of it must check."""
+
+    head: Head
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class ReadNote:
+    """A note's record and the revision that a change of it must check."""
+
+    record: NoteRecord
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class Rows:
+    """Conditions and writes that join a transaction."""
+
+    checks: tuple[RowCheck, ...] = ()
+    writes: tuple[RowWrite, ...] = ()
+
+
+class BaseBudgetRows(abc.ABC):
+    """Gives the rows that a budget needs once it is added."""
+
+    @abc.abstractmethod
+    async def rows_of(self, budgets: Iterable[Budget]) -> Rows:
+        """Returns inserts for budgets that have no row yet."""
+
+
+class NoteBook:
+    """Reads and changes notes; raises ``PlatformError``.
+
+    Every change returns whether it took effect. False means that something
+    else changed first; read the head again.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: BaseTableService,
+        budget_rows: BaseBudgetRows,
+    ) -> None:
+        """Creates a book over ``table``."""
+        self._table = table
+        self._budget_rows = budget_rows
+
+    async def read_head(self) -> ReadHead:
+        """Reads the head; an empty one if there is none yet."""
+        row = await self._table.read(table=HEAD_TABLE, key=HEAD_KEY)
+        if row is None or row.value is None:
+            return ReadHead(head=Head(), revision=0)
+        head = msgspec.msgpack.decode(row.value, type=Head)
+        return ReadHead(head=head, revision=row.revision)
+
+    async def read_note(self, name: str) -> ReadNote | None:
+        """Reads one note of any state."""
+        row = await self._table.read(table=NOTES_TABLE, key=name)
+        if row is None or row.value is None:
+            return None
+        record = msgspec.json.decode(row.value, type=NoteRecord)
+        return ReadNote(record=record, revision=row.revision)
+
+    async def read_notes(self) -> tuple[NoteRecord, ...]:
+        """Reads the whole history, oldest change first."""
+        rows = await self._table.scan(table=NOTES_TABLE)
+        return tuple(
+            msgspec.json.decode(row.value, type=NoteRecord)
+            for row in rows
+            if row.value is not None
+        )
+
+    async def read_entries(self, after: int, until: int) -> list[LogEntry]:
+        """Reads the log entries of a range of sequence numbers."""
+        entries = []
+        for sequence in range(after + 1, until + 1):
+            row = await self._table.read(
+                table=LOG_TABLE, key=_log_key(sequence)
+            )
+            if row is None or row.value is None:
+                break
+            entries.append(msgspec.msgpack.decode(row.value, type=LogEntry))
+        return entries
+
+    async def read_snapshot(self, sequence: int) -> Snapshot:
+        """Reads all items after the head was seen at ``sequence``.
+
+        Items of newer notes may be among them; applying the log after
+        ``sequence`` in order makes them whole.
+        """
+        rows = await self._table.scan(table=ITEMS_TABLE)
+        return Snapshot(
+            sequence=sequence,
+            records=tuple(
+                msgspec.msgpack.decode(row.value, type=ItemRecord)
+                for row in rows
+                if row.value is not None
+            ),
+        )
+
+    async def replace_head(
+        self,
+        read: ReadHead,
+        head: Head,
+        *checks: RowCheck,
+    ) -> bool:
+        """Stores a head that changes no note."""
+        return await self._commit(read, head, Rows(checks=checks))
+
+    async def stage(self, read: ReadHead, record: NoteRecord) -> bool:
+        """Stores a new note as pending."""
+        pending = PendingNote(
+            name=record.note.name,
+            stage_number=record.stage_number,
+        )
+        head = attrs.evolve(
+            read.head,
+            stage_count=record.stage_number,
+            pending=(*read.head.pending, pending),
+        )
+        return await self._commit(read, head, _note_rows(record, 0))
+
+    async def seal(
+        self,
+        read: ReadHead,
+        found: ReadNote,
+        *,
+        head: Head | None = None,
+        guards: tuple[RowCheck, ...] = (),
+    ) -> bool:
+        """Appends a note to the log: it takes effect and can't go back."""
+        note = found.record.note
+        sequence = read.head.sequence + 1
+        entry = _entry_of(note, sequence)
+        rows = await self._budget_rows.rows_of(_added_budgets(note))
+        note_rows = _note_rows(
+            attrs.evolve(
+                found.record,
+                state=NoteState.TAKING_EFFECT,
+                sequence=sequence,
+            ),
+            found.revision,
+        )
+        return await self._commit(
+            read,
+            _sealed_head(head or read.head, note.name, sequence),
+            rows,
+            note_rows,
+            _entry_rows(entry),
+            Rows(checks=guards),
+        )
+
+    async def accept(self, read: ReadHead, found: ReadNote) -> bool:
+        """Records that every availability zone has confirmed a note."""
+        name = found.record.note.name
+        head = attrs.evolve(
+            read.head,
+            unconfirmed=tuple(
+                sealed
+                for sealed in read.head.unconfirmed
+                if sealed.name != name
+            ),
+        )
+        record = attrs.evolve(found.record, state=NoteState.ACCEPTED)
+        return await self._commit(
+            read, head, _note_rows(record, found.revision)
+        )
+
+    async def cancel(
+        self,
+        read: ReadHead,
+        found: ReadNote,
+        reason: str,
+    ) -> bool:
+        """Withdraws a pending note before it takes effect."""
+        head = attrs.evolve(
+            read.head,
+            pending=_without(read.head.pending, found.record.note.name),
+        )
+        record = attrs.evolve(
+            found.record,
+            state=NoteState.CANCELLED,
+            reason=reason,
+        )
+        return await self._commit(
+            read, head, _note_rows(record, found.revision)
+        )
+
+    async def _commit(self, read: ReadHead, head: Head, *parts: Rows) -> bool:
+        checks = [_head_check(read.revision)]
+        writes = [_head_write(head)]
+        for rows in parts:
+            checks.extend(rows.checks)
+            writes.extend(rows.writes)
+        outcome = await self._table.commit(
+            make_transaction(checks=checks, writes=writes),
+        )
+        return isinstance(outcome, Committed)
+
+
+def _head_check(revision: int) -> RowCheck:
+    return RowCheck(table=HEAD_TABLE, key=HEAD_KEY, revision=revision)
+
+
+def _head_write(head: Head) -> RowWrite:
+    return RowWrite(
+        table=HEAD_TABLE,
+        key=HEAD_KEY,
+        value=msgspec.msgpack.encode(head),
+    )
+
+
+def _sealed_head(head: Head, name: str, sequence: int) -> Head:
+    return attrs.evolve(
+        head,
+        sequence=sequence,
+        pending=_without(head.pending, name),
+        unconfirmed=(
+            *head.unconfirmed,
+            SealedNote(name=name, sequence=sequence),
+        ),
+    )
+
+
+def _without(
+    pending: tuple[PendingNote, ...],
+    name: str,
+) -> tuple[PendingNote, ...]:
+    return tuple(waiting for waiting in pending if waiting.name != name)
+
+
+def _note_rows(record: NoteRecord, revision: int) -> Rows:
+    name = record.note.name
+    return Rows(
+        checks=(RowCheck(table=NOTES_TABLE, key=name, revision=revision),),
+        writes=(
+            RowWrite(
+                table=NOTES_TABLE,
+                key=name,
+                value=msgspec.json.encode(record),
+            ),
+        ),
+    )
+
+
+def _entry_of(note: ReleaseNote, sequence: int) -> LogEntry:
+    return LogEntry(
+        sequence=sequence,
+        records=tuple(
+            ItemRecord(
+                kind=kind,
+                name=name,
+                content=None if item is None else msgspec.json.encode(item),
+                sequence=sequence,
+                note=note.name,
+                team=note.team,
+            )
+            for (kind, name), item in changed_items(note).items()
+        ),
+    )
+
+
+def _entry_rows(entry: LogEntry) -> Rows:
+    key = _log_key(entry.sequence)
+    items = [
+        RowWrite(
+            table=ITEMS_TABLE,
+            key=place_of((record.kind, record.name)),
+            value=msgspec.msgpack.encode(record),
+        )
+        for record in entry.records
+    ]
+    entry_write = RowWrite(
+        table=LOG_TABLE,
+        key=key,
+        value=msgspec.msgpack.encode(entry),
+    )
+    return Rows(
+        checks=(RowCheck(table=LOG_TABLE, key=key, revision=0),),
+        writes=(*items, entry_write),
+    )
+
+
+def _log_key(sequence: int) -> str:
+    return str(sequence).zfill(_LOG_KEY_DIGITS)
+
+
+def _added_budgets(note: ReleaseNote) -> tuple[Budget, ...]:
+    return note.additions.budgets
--- /dev/null
+++ b/teaseldale/notes/_overlap.py
@@ -0,0 +1,53 @@
+"""References between items, and races between notes."""
+
+from collections.abc import Iterator
+
+from teaseldale.notes._configuration import ItemKey
+from teaseldale.notes._items import (
+    ClientAccount,
+    ConfigurationItem,
+    ItemKind,
+    Route,
+    Upstream,
+    VersionMove,
+)
+from teaseldale.notes._problem import changed_items
+from teaseldale.notes._release_note import ReleaseNote
+
+
+def references_of(item: ConfigurationItem) -> Iterator[tuple[str, ItemKey]]:
+    """Yields each field of an item that names another, and the other."""
+    if isinstance(item, ClientAccount | Route):
+        for budget in item.budgets:
+            yield 'budgets', (ItemKind.BUDGET, budget)
+    elif isinstance(item, Upstream | VersionMove):
+        yield 'route', (ItemKind.ROUTE, item.route)
+
+
+def overlap(first: ReleaseNote, second: ReleaseNote) -> ItemKey | None:
+    """Returns an item over which two notes race, if there is one."""
+    written = _touched(first)
+    other_written = _touched(second)
+    shared = [
+        *(key for key in written if key in other_written),
+        *(_used_by(first) & other_written.keys()),
+        *(_used_by(second) & written.keys()),
+    ]
+    return shared[0] if shared else None
+
+
+def _touched(note: ReleaseNote) -> dict[ItemKey, None]:
+    touched = dict.fromkeys(changed_items(note))
+    for item in changed_items(note).values():
+        if isinstance(item, VersionMove):
+            touched[ItemKind.ROUTE, item.route] = None
+    return touched
+
+
+def _used_by(note: ReleaseNote) -> set[ItemKey]:
+    return {
+        key
+        for item in changed_items(note).values()
+        if item is not None
+        for _field, key in references_of(item)
+    }
--- /dev/null
+++ b/teaseldale/notes/_progress.py
@@ -0,0 +1,173 @@
+"""Brings notes from staged to accepted; safe to run on several VMs."""
+
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from teaseldale.notes._note_book import NoteBook, ReadHead
+from teaseldale.notes._records import (
+    UNITS_TABLE,
+    NoteRecord,
+    NoteState,
+    PendingNote,
+    SealedNote,
+    UnitRecord,
+)
+from teaseldale.notes._units import UnitMap, confirming_units
+from teaseldale.platform import (
+    BaseTableService,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+
+
+@attrs.frozen(kw_only=True)
+class NoteStatus:
+    """What operators see of a note."""
+
+    name: str
+    team: str
+    state: NoteState
+    revision: int  # 0 until the note is in the log
+    pending_zones: tuple[str, ...] = ()  # availability zones not heard yet
+    reason: str = ''
+
+
+class UnitRows:
+    """Rows in which units confirm; raises ``PlatformError``."""
+
+    def __init__(self, *, table: BaseTableService) -> None:
+        """Keeps them in ``table``."""
+        self._table = table
+
+    async def read_all(self) -> dict[str, UnitRecord]:
+        """Reads the rows of all units."""
+        rows = await self._table.scan(table=UNITS_TABLE)
+        return {
+            row.key: msgspec.msgpack.decode(row.value, type=UnitRecord)
+            for row in rows
+            if row.value is not None
+        }
+
+    async def confirm(self, unit: str, record: UnitRecord) -> UnitRecord:
+        """Raises a unit's row to ``record``; returns what it holds then."""
+        row = await self._table.read(table=UNITS_TABLE, key=unit)
+        known = UnitRecord(stage_seen=0, sequence=0)
+        if row is not None and row.value is not None:
+            known = msgspec.msgpack.decode(row.value, type=UnitRecord)
+        raised = UnitRecord(
+            stage_seen=max(known.stage_seen, record.stage_seen),
+            sequence=max(known.sequence, record.sequence),
+        )
+        if raised == known:
+            return known
+        revision = 0 if row is None else row.revision
+        await self._table.commit(
+            make_transaction(
+                checks=(
+                    RowCheck(table=UNITS_TABLE, key=unit, revision=revision),
+                ),
+                writes=(
+                    RowWrite(
+                        table=UNITS_TABLE,
+                        key=unit,
+                        value=msgspec.msgpack.encode(raised),
+                    ),
+                ),
+            ),
+        )
+        return known
+
+
+class NoteProgress:
+    """Seals notes that every zone has seen, accepts those in force."""
+
+    def __init__(
+        self,
+        *,
+        book: NoteBook,
+        units: UnitRows,
+        unit_map: Callable[[], UnitMap],
+    ) -> None:
+        """Acts on ``book`` by what ``units`` confirm."""
+        self._book = book
+        self._units = units
+        self._unit_map = unit_map
+
+    async def advance(self) -> None:
+        """Takes every step that is due now; errors of the table are raised."""
+        read = await self._book.read_head()
+        if not read.head.pending and not read.head.unconfirmed:
+            return
+        records = await self._units.read_all()
+        for sealed in read.head.unconfirmed:
+            if not self.zones_unconfirmed(read, sealed, records):
+                await self._accept(sealed)
+        for waiting in read.head.pending:
+            if not self.zones_unaware(read, waiting, records):
+                await self._seal(waiting)
+
+    def zones_unaware(
+        self,
+        read: ReadHead,
+        waiting: PendingNote,
+        records: dict[str, UnitRecord],
+    ) -> tuple[str, ...]:
+        """Returns zones that have not seen a pending note."""
+        seen = confirming_units(records, stage_number=waiting.stage_number)
+        return self._unit_map().missing_zones(read.head, seen)
+
+    def zones_unconfirmed(
+        self,
+        read: ReadHead,
+        sealed: SealedNote,
+        records: dict[str, UnitRecord],
+    ) -> tuple[str, ...]:
+        """Returns zones in which a note is not known to be in force."""
+        confirmed = confirming_units(records, sequence=sealed.sequence)
+        return self._unit_map().missing_zones(read.head, confirmed)
+
+    async def status(self, name: str) -> NoteStatus | None:
+        """Returns a note's state and the zones it waits for."""
+        found = await self._book.read_note(name)
+        if found is None:
+            return None
+        return await self.status_of(found.record)
+
+    async def status_of(self, record: NoteRecord) -> NoteStatus:
+        """Returns what operators see of a record."""
+        return NoteStatus(
+            name=record.note.name,
+            team=record.note.team,
+            state=record.state,
+            revision=record.sequence,
+            pending_zones=await self._zones_of(record),
+            reason=record.reason,
+        )
+
+    async def _zones_of(self, record: NoteRecord) -> tuple[str, ...]:
+        if record.state in {NoteState.ACCEPTED, NoteState.CANCELLED}:
+            return ()
+        read = await self._book.read_head()
+        units = await self._units.read_all()
+        name = record.note.name
+        if record.state is NoteState.PENDING:
+            staged = PendingNote(name=name, stage_number=record.stage_number)
+            return self.zones_unaware(read, staged, units)
+        sealed = SealedNote(name=name, sequence=record.sequence)
+        return self.zones_unconfirmed(read, sealed, units)
+
+    async def _seal(self, waiting: PendingNote) -> None:
+        read = await self._book.read_head()
+        found = await self._book.read_note(waiting.name)
+        if found is not None and found.record.state is NoteState.PENDING:
+            await self._book.seal(read, found)
+
+    async def _accept(self, sealed: SealedNote) -> None:
+        read = await self._book.read_head()
+        found = await self._book.read_note(sealed.name)
+        taking = NoteState.TAKING_EFFECT
+        if found is not None and found.record.state is taking:
+            await self._book.accept(read, found)
--- /dev/null
+++ b/teaseldale/notes/_refusals.py
@@ -0,0 +1,79 @@
+"""Refusals of release notes."""
+
+from collections.abc import Iterable
+
+from teaseldale.notes._configuration import ItemKey
+from teaseldale.notes._problem import Problem, place_of
+from teaseldale.notes._records import NoteRecord
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+
+_RETRY_AFTER_MS = 500
+
+
+def wrong_note(problems: Iterable[Problem]) -> Refusal:
+    """The note as a whole is refused; every problem is named."""
+    listed = tuple(problems)
+    conflict = any(problem.conflict for problem in listed)
+    text = '; '.join(
+        f'{problem.place}: {problem.message}' for problem in listed
+    )
+    return _refusal(
+        RefusalCode.CONFLICT if conflict else RefusalCode.BAD_REQUEST,
+        f'Nothing was stored. {text}.',
+    )
+
+
+def races_with(other: NoteRecord, key: ItemKey) -> Refusal:
+    """A pending note writes or uses the same item."""
+    name = other.note.name
+    team = other.note.team
+    place = place_of(key)
+    return _refusal(
+        RefusalCode.CONFLICT,
+        f'Nothing was stored. {place}: note {name!r} of team {team!r} is '
+        'pending on it; wait for it or have it cancelled.',
+    )
+
+
+def name_taken(other: NoteRecord) -> Refusal:
+    """Another note has had the name."""
+    name = other.note.name
+    team = other.note.team
+    return _refusal(
+        RefusalCode.CONFLICT,
+        f'Nothing was stored. name: team {team!r} has used {name!r} for '
+        'another note; choose a new name.',
+    )
+
+
+def unknown_note(name: str) -> Refusal:
+    """There is no note of this name."""
+    return _refusal(
+        RefusalCode.BAD_REQUEST,
+        f'There is no note {name!r}; list the notes to see their names.',
+    )
+
+
+def cannot_cancel(record: NoteRecord) -> Refusal:
+    """The note takes effect already."""
+    name = record.note.name
+    return _refusal(
+        RefusalCode.CONFLICT,
+        f'Note {name!r} is in revision {record.sequence} and takes effect; '
+        'write a note that changes its items back.',
+    )
+
+
+def too_busy() -> Refusal:
+    """Other notes were stored at the same moment, again and again."""
+    return Refusal(
+        code=RefusalCode.CONFLICT,
+        message='Nothing was stored. Other notes came first; send it again.',
+        not_run=True,
+        step=Step.NOTE,
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
+def _refusal(code: RefusalCode, message: str) -> Refusal:
+    return Refusal(code=code, message=message, not_run=True, step=Step.NOTE)
--- a/teaseldale/notes/_release_note.py
+++ b/teaseldale/notes/_release_note.py
@@ -1,6 +1,7 @@
 """Release notes as operators write them."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+from typing import Any
 
 import attrs
 import msgspec
@@ -64,9 +65,54 @@
         )
 
 
+_LISTS: dict[str, type] = {  # noqa: WPS407
+    'budgets': Budget,
+    'accounts': ClientAccount,
+    'routes': Route,
+    'upstreams': Upstream,
+    'moves': VersionMove,
+}
+
+
 def read_release_note(text: bytes) -> ReleaseNote:
     """Decodes a note from TOML; raises ``ValueError`` naming the field."""
-    return msgspec.toml.decode(text, type=ReleaseNote)
+    document = msgspec.toml.decode(text)
+    unknown = sorted(_unknown_fields(document))
+    if unknown:
+        listed = ', '.join(unknown)
+        raise ValueError(f'unknown fields: {listed}')
+    return msgspec.convert(document, type=ReleaseNote)
+
+
+def _unknown_fields(document: dict[str, Any]) -> Iterator[str]:
+    yield from _foreign(document, ReleaseNote, '')
+    for section in ('additions', 'changes'):
+        lists = document.get(section, {})
+        if isinstance(lists, dict):
+            yield from _foreign(lists, ItemLists, f'{section}.')
+            for kind, item_type in _LISTS.items():
+                path = f'{section}.{kind}'
+                yield from _foreign_in(lists.get(kind), item_type, path)
+    yield from _foreign_in(
+        document.get('withdrawals'),
+        ItemWithdrawal,
+        'withdrawals',
+    )
+
+
+def _foreign_in(members: Any, kind: type, path: str) -> Iterator[str]:
+    if not isinstance(members, list):
+        return
+    for index, member in enumerate(members):
+        if isinstance(member, dict):
+            yield from _foreign(member, kind, f'{path}[{index}].')
+
+
+def _foreign(document: dict[str, Any], kind: Any, path: str) -> Iterator[str]:
+    known = attrs.fields_dict(kind)
+    for name in document:
+        if name not in known:
+            yield path + name
 
 
 def _changes_of(lists: ItemLists, revision: int) -> list[ItemChange]:
--- /dev/null
+++ b/teaseldale/notes/_units.py
@@ -0,0 +1,146 @@
+"""Units: the VMs of one cell within one availability zone.
+
+One VM of each unit, the first by name that can be reached, reads the table
+for the others and confirms for them.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.notes._contact import VIEW_VALIDITY_MS, is_majority
+from teaseldale.notes._records import Head, UnitRecord
+from teaseldale.peers import CellMap, VmIdentity
+
+# A VM without contact stops serving after VIEW_VALIDITY_MS.
+SILENT_AFTER_MS = VIEW_VALIDITY_MS + 1000
+
+
+class UnitMap:
+    """Units of all VMs on the membership list."""
+
+    def __init__(self, *, vms: Iterable[VmIdentity]) -> None:
+        """Divides ``vms``, which include the VM that asks."""
+        self._members: dict[str, list[VmIdentity]] = {}
+        self._units_by_zone: dict[str, set[str]] = {}
+        listed = tuple(vms)
+        cells = CellMap(vms=listed)
+        for vm in listed:
+            cell = cells.cell_of(vm)
+            zone = vm.availability_zone
+            unit = f'{zone}/{cell.count}.{cell.index}'
+            self._members.setdefault(unit, []).append(vm)
+            self._units_by_zone.setdefault(zone, set()).add(unit)
+
+    def unit_of(self, vm: VmIdentity) -> str:
+        """Returns the key of a listed VM's unit."""
+        for unit, members in self._members.items():
+            if vm in members:
+                return unit
+        raise KeyError(vm.key)
+
+    def members(self, unit: str) -> tuple[VmIdentity, ...]:
+        """Returns the VMs of a unit."""
+        return tuple(self._members.get(unit, ()))
+
+    def first_of_units(self) -> tuple[VmIdentity, ...]:
+        """Returns the first VM by name of each unit."""
+        return tuple(
+            min(members, key=_name_of) for members in self._members.values()
+        )
+
+    def missing_zones(
+        self,
+        head: Head,
+        confirmed: Iterable[str],
+    ) -> tuple[str, ...]:
+        """Returns zones of which some unit is not among ``confirmed``.
+
+        A zone without any listed VM is missing too: it may be cut off.
+        """
+        present = frozenset(confirmed)
+        return tuple(
+            zone
+            for zone in head.zones
+            if not self._units_by_zone.get(zone)
+            or not self._units_by_zone[zone] <= present
+        )
+
+
+@attrs.frozen(kw_only=True)
+class _Heard:
+    sequence: int
+    at_ms: int  # monotonic
+
+
+class UnitConfirmations:
+    """What the members of this VM's unit have told it."""
+
+    def __init__(self, *, clock: BaseClock) -> None:
+        """Starts without members."""
+        self._clock = clock
+        self._heard: dict[str, _Heard] = {}
+
+    def heard(self, vm: VmIdentity, sequence: int) -> None:
+        """Notes what a member has in force now."""
+        self._heard[vm.key] = _Heard(
+            sequence=sequence,
+            at_ms=self._clock.monotonic_ms(),
+        )
+
+    def follow(self, members: Iterable[VmIdentity]) -> None:
+        """Notes members first listed now and forgets those that left."""
+        keys = {member.key for member in members}
+        for gone in self._heard.keys() - keys:
+            self._heard.pop(gone)
+        for new in keys - self._heard.keys():
+            self._heard[new] = _Heard(
+                sequence=0,
+                at_ms=self._clock.monotonic_ms(),
+            )
+
+    def in_contact(self, own_key: str) -> bool:
+        """Whether a majority of the unit was heard of lately."""
+        oldest = self._clock.monotonic_ms() - VIEW_VALIDITY_MS
+        present = {
+            key
+            for key, heard in self._heard.items()
+            if heard.at_ms >= oldest and heard.sequence >= 0
+        }
+        return is_majority({own_key, *present}, {own_key, *self._heard})
+
+    def confirmed_sequence(self, own_key: str, own_sequence: int) -> int:
+        """Returns what every member that may serve has in force.
+
+        Members silent for longer than a view is valid serve no more, if they
+        are outnumbered: they are left out.
+        """
+        oldest = self._clock.monotonic_ms() - SILENT_AFTER_MS
+        talking = {
+            key: heard.sequence
+            for key, heard in self._heard.items()
+            if heard.at_ms >= oldest
+        }
+        everyone = {own_key, *self._heard}
+        if not is_majority({own_key, *talking}, everyone):
+            return 0
+        return min((own_sequence, *talking.values()))
+
+
+def confirming_units(
+    records: Mapping[str, UnitRecord],
+    *,
+    stage_number: int = 0,
+    sequence: int = 0,
+) -> tuple[str, ...]:
+    """Returns units that have seen a stage and confirmed a sequence."""
+    return tuple(
+        unit
+        for unit, record in records.items()
+        if record.stage_seen >= stage_number and record.sequence >= sequence
+    )
+
+
+def _name_of(vm: VmIdentity) -> str:
+    return vm.name
--- a/teaseldale/operations/__init__.py
+++ b/teaseldale/operations/__init__.py
@@ -1,13 +1,11 @@
 """Operators' interface: health, metrics, notes and budgets."""
 
 from teaseldale.operations._budget_endpoints import BudgetEndpoints
-from teaseldale.operations._note_endpoints import NoteEndpoints
 from teaseldale.operations._operators import OperatorsInterface, OperatorsParts
 from teaseldale.operations._status_endpoint import StatusEndpoint
 
 __all__ = (
     'BudgetEndpoints',
-    'NoteEndpoints',
     'OperatorsInterface',
     'OperatorsParts',
     'StatusEndpoint',
--- a/teaseldale/platform/__init__.py
+++ b/teaseldale/platform/__init__.py
@@ -3,6 +3,7 @@
 from teaseldale.platform._http_membership import HttpMembershipList
 from teaseldale.platform._http_table import HttpTableService
 from teaseldale.platform._in_memory_table import InMemoryTable
+from teaseldale.platform._lease import LeaseRecord, TableLease
 from teaseldale.platform._membership import (
     BaseMembershipList,
     MemberState,
@@ -27,10 +28,12 @@
     'HttpMembershipList',
     'HttpTableService',
     'InMemoryTable',
+    'LeaseRecord',
     'MemberState',
     'Row',
     'RowCheck',
     'RowWrite',
+    'TableLease',
     'Transaction',
     'VmMember',
     'make_transaction',
--- /dev/null
+++ b/teaseldale/platform/_lease.py
@@ -0,0 +1,132 @@
+"""Lease kept in the table service, with a fencing number.
+
+The holder's validity is counted on its own monotonic clock from before the
+renewal was sent. Others take the lease over only after the row has stayed
+unchanged, on their own clock, for longer than the lease lasts. No wall clock
+is compared between VMs.
+"""
+
+import attrs
+import msgspec
+
+from teaseldale.clock import BaseClock
+from teaseldale.platform._table import (
+    BaseTableService,
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+
+LEASE_TABLE = 'leases'
+DEFAULT_DURATION_MS = 6000
+_DRIFT_MS = 500
+
+
+@attrs.frozen(kw_only=True)
+class LeaseRecord:
+    """Who holds a lease."""
+
+    holder: str  # key of a VM incarnation
+    fencing_number: int  # grows with each change of holder
+
+
+class TableLease:
+    """One VM's view of one lease; errors of the table are raised."""
+
+    def __init__(
+        self,
+        *,
+        table: BaseTableService,
+        clock: BaseClock,
+        name: str,
+        holder: str,
+        duration_ms: int = DEFAULT_DURATION_MS,
+    ) -> None:
+        """Creates the view; nothing is held before ``renew`` succeeds."""
+        self._table = table
+        self._clock = clock
+        self._name = name
+        self._holder = holder
+        self._duration_ms = duration_ms
+        self._valid_until_ms: int | None = None
+        self._revision = 0  # of the row as this VM last wrote it
+        self._seen_revision = -1
+        self._seen_ms = 0
+        self.fencing_number = 0
+
+    @property
+    def held(self) -> bool:
+        """Whether this VM may act now; look again after each wait."""
+        valid_until = self._valid_until_ms
+        return (
+            valid_until is not None and self._clock.monotonic_ms() < valid_until
+        )
+
+    def check(self) -> RowCheck:
+        """Condition that refuses a write once another VM has taken over."""
+        return self._check(self._revision)
+
+    async def renew(self) -> bool:
+        """Takes or renews the lease if that is allowed; True when held."""
+        sent_ms = self._clock.monotonic_ms()
+        row = await self._table.read(table=LEASE_TABLE, key=self._name)
+        record = _record_of(row)
+        if not self._may_write(row, record, sent_ms):
+            self._valid_until_ms = None
+            return False
+        return await self._write(row, record, sent_ms)
+
+    def _may_write(
+        self,
+        row: Row | None,
+        record: LeaseRecord,
+        now_ms: int,
+    ) -> bool:
+        if row is None or record.holder == self._holder:
+            return True
+        if row.revision != self._seen_revision:
+            self._seen_revision = row.revision
+            self._seen_ms = now_ms
+            return False
+        return now_ms - self._seen_ms > self._duration_ms + _DRIFT_MS
+
+    async def _write(
+        self,
+        row: Row | None,
+        record: LeaseRecord,
+        sent_ms: int,
+    ) -> bool:
+        number = record.fencing_number
+        if record.holder != self._holder:
+            number += 1
+        written = LeaseRecord(holder=self._holder, fencing_number=number)
+        outcome = await self._table.commit(
+            make_transaction(
+                checks=(self._check(0 if row is None else row.revision),),
+                writes=(
+                    RowWrite(
+                        table=LEASE_TABLE,
+                        key=self._name,
+                        value=msgspec.msgpack.encode(written),
+                    ),
+                ),
+            ),
+        )
+        if not isinstance(outcome, Committed):
+            self._valid_until_ms = None
+            return False
+        self._revision = outcome.revision
+        self._valid_until_ms = sent_ms + self._duration_ms
+        self.fencing_number = number
+        return self.held
+
+    def _check(self, revision: int) -> RowCheck:
+        return RowCheck(table=LEASE_TABLE, key=self._name, revision=revision)
+
+
+def _record_of(row: Row | None) -> LeaseRecord:
+    if row is None or row.value is None:
+        return LeaseRecord(holder='', fencing_number=0)
+    return msgspec.msgpack.decode(row.value, type=LeaseRecord)
