Move versions by evidence, take them back for the whole fleet

Cause: every request went to the version that its route names. Change: shares by hash of the request and the move, steps planned backwards from the deadline, evidence by zone, a sequential comparison with stated error rates, lowering on each VM's own evidence, take-back by a note that takes effect at once, steering under a lease whose row every transaction checks, and orders to load a version that are repeated safely.

--- /dev/null
+++ b/benchmarks/move_workload.py
@@ -0,0 +1,349 @@
+"""Seeded workload of version moves, in steps of one second of virtual time.
+
+Requests, their outcomes, the delay of shares and of evidence, and partitions
+are drawn from one seed. The policy under test, the local judgement and the
+counts are the ones that the VMs run.
+"""
+
+import enum
+import random
+from collections import deque
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from teaseldale.moves import (
+    BaseMovePolicy,
+    EvidenceCounts,
+    MoveAction,
+    MoveView,
+    VersionPair,
+)
+from teaseldale.moves._comparison import find_worse
+from teaseldale.moves._plan import make_plan
+from teaseldale.moves._windows import EvidenceWindows
+from teaseldale.notes import MoveStep, VersionMove
+
+ZONES = ('mill', 'port', 'office')
+VM_COUNT = 8
+VIEW_SECONDS = 3  # age after which a VM sends nothing to the new version
+LOWERED_SECONDS = 30
+WATCH_MS = 60_000
+DEADLINE_SECONDS = 600
+REPORT_SECONDS = 2  # from one decision to the next
+RATE = 20  # requests a second
+LOW_RATE = 0.5
+_OVERDUE_SECONDS = 3
+_LAST_BAD_SECOND = 360
+
+
+@enum.unique
+class Kind(enum.StrEnum):
+    """What is wrong with a version."""
+
+    GOOD = 'good'
+    BAD_OLD = 'bad_old'
+    AT_ONCE = 'at_once'
+    LATE = 'late'
+    UNDER_LOAD = 'under_load'
+    ONE_ZONE = 'one_zone'
+    SLOW = 'slow'
+    HANGING = 'hanging'
+
+
+BAD_KINDS = (
+    Kind.AT_ONCE,
+    Kind.LATE,
+    Kind.UNDER_LOAD,
+    Kind.ONE_ZONE,
+    Kind.SLOW,
+    Kind.HANGING,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Case:
+    """One move."""
+
+    kind: Kind
+    seed: int
+    requests_per_second: float
+    badness: float  # share of requests that go wrong once it is bad
+    usual_failures: float  # share that fails at any version
+    bad_from_second: int  # for LATE
+    cut_zone: str  # empty without a partition
+    cut_from_second: int
+    cut_seconds: int
+
+    @property
+    def bad(self) -> bool:
+        """Whether the new version should be taken back."""
+        return self.kind in BAD_KINDS
+
+
+@attrs.define(kw_only=True)
+class Result:
+    """What became of one move."""
+
+    case: Case
+    outcome: MoveAction = MoveAction.WAIT
+    ended_second: int = DEADLINE_SECONDS
+    requests: int = 0
+    reached_bad: int = 0
+    late_after_take_back: int = 0
+    shown_bad: bool = False  # whether any request met the badness
+    reason: str = ''
+
+
+def make_cases(
+    count: int,
+    seed: int,
+    *,
+    low_traffic: bool,
+    rate: float = RATE,
+) -> list[Case]:
+    """Returns moves of which every other one is good."""
+    draw = random.Random(seed)
+    cases = []
+    for index in range(count):
+        good = index % 2 == 0
+        old_is_bad = index % 10 == 4
+        kind = BAD_KINDS[index // 2 % len(BAD_KINDS)]
+        if good:
+            kind = Kind.BAD_OLD if old_is_bad else Kind.GOOD
+        cases.append(
+            Case(
+                kind=kind,
+                seed=draw.randrange(2**32),
+                requests_per_second=LOW_RATE if low_traffic else rate,
+                badness=draw.uniform(0.1, 0.6),
+                usual_failures=draw.choice((0, 0.005, 0.02)),
+                bad_from_second=draw.randrange(20, _LAST_BAD_SECOND),
+                cut_zone=draw.choice(ZONES) if index % 3 == 0 else '',
+                cut_from_second=draw.randrange(5, 200),
+                cut_seconds=draw.randrange(30, 120),
+            ),
+        )
+    return cases
+
+
+def run_case(case: Case, make_policy: Callable[[], BaseMovePolicy]) -> Result:
+    """Runs one move to its end."""
+    return _Run(case, make_policy(), local=True).run()
+
+
+def run_naive(case: Case, make_policy: Callable[[], BaseMovePolicy]) -> Result:
+    """Runs one move without judgement on the VMs."""
+    return _Run(case, make_policy(), local=False).run()
+
+
+class _Tally:
+    """Counts of one version as plain numbers, which are quick to change."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.failures = 0
+        self.slow = 0
+
+    def counts(self) -> EvidenceCounts:
+        return EvidenceCounts(
+            requests=self.requests,
+            failures=self.failures,
+            slow_first_tokens=self.slow,
+        )
+
+
+class _Vm:
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.old = _Tally()
+        self.new = _Tally()
+        self.windows = EvidenceWindows()
+        self.share = 0
+        self.contact_second = 0
+        self.lowered_until = 0
+        self.overdue: deque[int] = deque()  # seconds at which it shows
+
+    @property
+    def pair(self) -> VersionPair:
+        return VersionPair(old=self.old.counts(), new=self.new.counts())
+
+
+class _Run:
+    def __init__(
+        self,
+        case: Case,
+        policy: BaseMovePolicy,
+        *,
+        local: bool,
+    ) -> None:
+        self.case = case
+        self.policy = policy
+        self.local = local
+        self.draw = random.Random(case.seed)
+        self.vms = [_Vm(ZONES[i % len(ZONES)]) for i in range(VM_COUNT)]
+        self.move = VersionMove(
+            name='move',
+            route='drafts',
+            from_version='v1',
+            to_version='v2',
+            deadline_wall_ms=DEADLINE_SECONDS * 1000,
+            watch_ms=WATCH_MS,
+        )
+        first = make_plan(self.move, 0).shares[0]
+        self.step = MoveStep(move='move', share_permille=first)
+        self.result = Result(case=case)
+        self.reported: dict[str, VersionPair] = {}
+        self.taken_back_second: int | None = None
+
+    def run(self) -> Result:
+        for second in range(DEADLINE_SECONDS + 1):
+            self.spread(second)
+            self.serve(second)
+            if self.result.outcome in {
+                MoveAction.FINISH,
+                MoveAction.TAKE_BACK,
+            }:
+                if second > self.result.ended_second + 10:
+                    break
+                continue
+            if second % REPORT_SECONDS == 0:
+                self.collect(second)
+                self.decide(second)
+        if self.result.ended_second < DEADLINE_SECONDS:
+            left = DEADLINE_SECONDS - second
+            self.result.requests += round(
+                left * self.case.requests_per_second
+            )
+        return self.result
+
+    def cut(self, zone: str, second: int) -> bool:
+        start = self.case.cut_from_second
+        return zone == self.case.cut_zone and (
+            start <= second < start + self.case.cut_seconds
+        )
+
+    def spread(self, second: int) -> None:
+        taken_back = self.result.outcome is MoveAction.TAKE_BACK
+        share = 0 if taken_back else self.step.share_permille
+        for vm in self.vms:
+            if self.cut(vm.zone, second):
+                if second - vm.contact_second > VIEW_SECONDS:
+                    vm.share = 0
+            elif self.draw.random() < 0.7 or second - vm.contact_second > 1:
+                vm.contact_second = second
+                vm.share = share
+
+    def serve(self, second: int) -> None:
+        finished = self.result.outcome is MoveAction.FINISH
+        rate = self.case.requests_per_second
+        count = int(rate) + (self.draw.random() < rate % 1)
+        for _ in range(count):
+            vm = self.vms[int(self.draw.random() * VM_COUNT)]
+            self.result.requests += 1
+            lowered = second < vm.lowered_until
+            share = 0 if lowered else vm.share
+            new = finished or self.draw.random() * 1000 < share
+            self.answer(vm, second, new=new)
+        for vm in self.vms:
+            while vm.overdue and vm.overdue[0] <= second:
+                vm.overdue.popleft()
+                vm.new.requests += 1
+                vm.new.failures += 1
+                self.judge(vm, second)
+
+    def answer(self, vm: _Vm, second: int, *, new: bool) -> None:
+        bad = new and self.is_bad(vm, second)
+        if new:
+            self.result.reached_bad += bad
+            self.result.shown_bad |= bad
+            ended = self.taken_back_second
+            if ended is not None and second > ended + 5:
+                self.result.late_after_take_back += 1
+        wrong = self.draw.random() < self.case.badness
+        failed = self.draw.random() < self.case.usual_failures
+        kind = self.case.kind
+        if kind is Kind.BAD_OLD and not new:
+            failed = failed or wrong
+        if bad and wrong and kind is Kind.HANGING:
+            vm.overdue.append(second + _OVERDUE_SECONDS)
+            return
+        slow = bad and wrong and kind is Kind.SLOW
+        failed = failed or (bad and wrong and not slow)
+        tally = vm.new if new else vm.old
+        tally.requests += 1
+        tally.failures += failed
+        tally.slow += slow
+        if new and (failed or slow):
+            self.judge(vm, second)
+
+    def is_bad(self, vm: _Vm, second: int) -> bool:
+        kind = self.case.kind
+        if kind is Kind.LATE:
+            return second >= self.case.bad_from_second
+        if kind is Kind.UNDER_LOAD:
+            return self.step.share_permille >= 250
+        if kind is Kind.ONE_ZONE:
+            return vm.zone == ZONES[0]
+        return self.case.bad
+
+    def judge(self, vm: _Vm, second: int) -> None:
+        if not self.local:
+            return
+        finding = find_worse(
+            self.move,
+            vm.windows.look(second * 1000, vm.pair),
+            reference=vm.pair.old,
+            place='this VM',
+            group_count=1,
+        )
+        if finding is not None:
+            vm.lowered_until = second + LOWERED_SECONDS
+
+    def collect(self, second: int) -> None:
+        for zone in ZONES:
+            if self.cut(zone, second):
+                continue
+            total = VersionPair()
+            for vm in self.vms:
+                if vm.zone == zone:
+                    total = total.plus(vm.pair)
+            self.reported[zone] = total
+
+    def decide(self, second: int) -> None:
+        silent = tuple(
+            zone
+            for zone in ZONES
+            if zone not in self.reported or self.cut(zone, second)
+        )
+        decision = self.policy.decide(
+            MoveView(
+                move=self.move,
+                started_wall_ms=0,
+                now_wall_ms=second * 1000,
+                step=self.step,
+                zones=self.reported,
+                silent_zones=silent,
+            ),
+        )
+        if decision.action is MoveAction.STEP:
+            self.step = attrs.evolve(
+                self.step,
+                share_permille=decision.share_permille,
+                step_index=decision.step_index,
+                phase=decision.phase,
+                entered_wall_ms=second * 1000,
+            )
+        elif decision.action is not MoveAction.WAIT:
+            self.result.outcome = decision.action
+            self.result.ended_second = second
+            if decision.action is MoveAction.TAKE_BACK:
+                self.taken_back_second = second
+        self.result.reason = decision.reason
+
+
+def exposures(results: list[Result]) -> Iterator[float]:
+    """Yields, in percent, the share of each bad move's requests."""
+    for result in results:
+        if result.case.bad:
+            yield 100 * result.reached_bad / max(result.requests, 1)
--- a/teaseldale/command/_endpoints.py
+++ b/teaseldale/command/_endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints of the operators' interface, by the service that answers."""
 
 from teaseldale.budgets import TableLedger
+from teaseldale.moves import MoveEndpoints, MovesService
 from teaseldale.notes import FleetConfiguration, ReleaseNoteEndpoints
 from teaseldale.operations import (
     BudgetEndpoints,
@@ -14,6 +15,7 @@
     operators: OperatorsInterface,
     *,
     configuration: FleetConfiguration,
+    moves: MovesService,
     ledger: TableLedger,
     peers: BasePeerNetwork,
 ) -> None:
@@ -25,6 +27,13 @@
     operators.add_endpoint('GET', '/notes', notes.list)
     operators.add_endpoint('GET', '/notes/{name}', notes.show)
     operators.add_endpoint('POST', '/notes/{name}/cancel', notes.cancel)
+    shown_moves = MoveEndpoints(moves=moves, configuration=configuration)
+    operators.add_endpoint('GET', '/moves', shown_moves.list)
+    operators.add_endpoint(
+        'POST',
+        '/moves/{name}/takeback',
+        shown_moves.take_back,
+    )
     budgets = BudgetEndpoints(ledger=ledger)
     operators.add_endpoint('GET', '/budget', budgets.show)
     operators.add_endpoint('POST', '/budget/topup', budgets.top_up)
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -15,7 +15,7 @@
 from teaseldale.entry import CallersInterface, RequestParts
 from teaseldale.kernel import Kernel
 from teaseldale.metrics import Metrics
-from teaseldale.moves import InForceVersion
+from teaseldale.moves import HttpOrderClient, MovesParts, MovesService
 from teaseldale.notes import FleetConfiguration, NotesParts
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
@@ -35,14 +35,23 @@
         timeout_ms=settings.platform.timeout_ms,
     )
     peers = _peer_network(settings, clock)
-    ledger = TableLedger(table=table)
     configuration = FleetConfiguration(
         parts=NotesParts(
             table=table,
             peers=peers,
             clock=clock,
             metrics=metrics,
-            budget_rows=AddedBudgetRows(ledger=ledger),
+            budget_rows=AddedBudgetRows(ledger=TableLedger(table=table)),
+        ),
+    )
+    moves = MovesService(
+        parts=MovesParts(
+            configuration=configuration,
+            table=table,
+            peers=peers,
+            clock=clock,
+            metrics=metrics,
+            orders=HttpOrderClient(),
         ),
     )
     operators = OperatorsInterface(
@@ -57,7 +66,8 @@
     add_endpoints(
         operators,
         configuration=configuration,
-        ledger=ledger,
+        moves=moves,
+        ledger=TableLedger(table=table),
         peers=peers,
     )
     callers = CallersInterface(
@@ -66,7 +76,7 @@
             configuration=configuration,
             registry=TableRequestRegistry(table=table),
             spending=TransactionalSpending(table=table),
-            versions=InForceVersion(),
+            versions=moves.assignment,
             router=LocalRouter(
                 configuration=configuration,
                 choice=LeastInFlightChoice(),
@@ -79,7 +89,7 @@
         limits=settings.limits,
     )
     kernel = Kernel()
-    for service in (operators, peers, configuration, callers):
+    for service in (operators, peers, configuration, moves, callers):
         kernel.register(service)
     return kernel
 
--- a/teaseldale/moves/__init__.py
+++ b/teaseldale/moves/__init__.py
@@ -2,8 +2,57 @@
 
 from teaseldale.moves._assignment import (
     BaseVersionAssignment,
-    EvidenceSample,
     InForceVersion,
+    RunningRequest,
+)
+from teaseldale.moves._endpoints import MoveEndpoints
+from teaseldale.moves._evidence import (
+    EvidenceCounts,
+    EvidenceSample,
+    VersionPair,
 )
+from teaseldale.moves._local_moves import MoveAssignment
+from teaseldale.moves._orders import (
+    BaseOrderClient,
+    EngineOrder,
+    HttpOrderClient,
+    OrderOutcome,
+)
+from teaseldale.moves._policy import (
+    BaseMovePolicy,
+    FixedThresholdPolicy,
+    MoveAction,
+    MoveDecision,
+    MoveView,
+    SequentialPolicy,
+    TimedRampPolicy,
+)
+from teaseldale.moves._records import MoveProgress, MoveState, MoveStatus
+from teaseldale.moves._steering import MovesParts, MovesService
 
-__all__ = ('BaseVersionAssignment', 'EvidenceSample', 'InForceVersion')
+__all__ = (
+    'BaseMovePolicy',
+    'BaseOrderClient',
+    'BaseVersionAssignment',
+    'EngineOrder',
+    'EvidenceCounts',
+    'EvidenceSample',
+    'FixedThresholdPolicy',
+    'HttpOrderClient',
+    'InForceVersion',
+    'MoveAction',
+    'MoveAssignment',
+    'MoveDecision',
+    'MoveEndpoints',
+    'MoveProgress',
+    'MoveState',
+    'MoveStatus',
+    'MoveView',
+    'MovesParts',
+    'MovesService',
+    'OrderOutcome',
+    'RunningRequest',
+    'SequentialPolicy',
+    'TimedRampPolicy',
+    'VersionPair',
+)
--- /dev/null
+++ b/teaseldale/moves/_comparison.py
@@ -0,0 +1,149 @@
+"""Comparison of the new version of a move with the old one.
+
+A version is called worse by a guard if, within some period, its share of bad
+requests is above that of the old version over the whole move by half of the
+guard's limit at least, and if the old version's requests of the same period
+speak against a change that befell both versions.
+
+Error rates, for any number of looks:
+
+- a version whose share of bad requests exceeds the old one's by half of a
+  guard's limit at most is called worse with probability ``ERROR_RATE`` at
+  most, over all guards, zones and periods of a move together, if the old
+  version's share does not change during the move;
+- if both versions become worse together, the new one is blamed with
+  probability ``COMMON_ERROR_RATE`` at most in each period;
+- a version is called safe for a share of traffic although its excess would
+  add more than the limit to all of the traffic with probability
+  ``STEP_ERROR_RATE`` at most for each guard.
+"""
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from teaseldale.moves._evidence import (
+    EvidenceCounts,
+    Guard,
+    VersionPair,
+    excess_limit,
+)
+from teaseldale.moves._sequential import lower_bound, upper_bound
+from teaseldale.moves._windows import Window
+from teaseldale.notes import VersionMove
+
+ERROR_RATE = 0.01
+COMMON_ERROR_RATE = 0.1
+STEP_ERROR_RATE = 0.05
+_ARMS = 2
+_HALF = 0.5
+_PERMILLE = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Finding:
+    """A guard that the new version has broken, with the counts."""
+
+    guard: Guard
+    place: str  # availability zone, or "all zones"
+    pair: VersionPair
+
+    @property
+    def text(self) -> str:
+        """Sentence for operators."""
+        new = self.pair.new
+        old = self.pair.old
+        return (
+            f'{self.guard} in {self.place}: {new.of(self.guard)} of '
+            f'{new.requests} requests at the new version, '
+            f'{old.of(self.guard)} of {old.requests} at the old one'
+        )
+
+
+def find_worse(
+    move: VersionMove,
+    windows: Iterable[Window],
+    *,
+    reference: EvidenceCounts,
+    place: str,
+    group_count: int,
+) -> Finding | None:
+    """Returns a guard by which the new version is worse, if there is one.
+
+    ``reference`` counts the old version's requests since the move began.
+    """
+    tests = len(Guard) * _ARMS * group_count
+    for window in windows:
+        error_rate = ERROR_RATE * window.error_share / tests
+        for guard in Guard:
+            margin = excess_limit(guard, move) / 2
+            if _is_worse(window.pair, reference, guard, margin, error_rate):
+                return Finding(guard=guard, place=place, pair=window.pair)
+    return None
+
+
+def doubtful_guard(
+    move: VersionMove,
+    pair: VersionPair,
+    next_permille: int,
+) -> Guard | None:
+    """Returns a guard that speaks against a larger share, or None.
+
+    The evidence is enough if the new version, at the next share, adds no more
+    to all of the traffic than the guard's limit.
+    """
+    for guard in Guard:
+        allowed = excess_limit(guard, move) * _PERMILLE / next_permille
+        if _largest_excess(pair, guard) > allowed:
+            return guard
+    return None
+
+
+def _is_worse(
+    pair: VersionPair,
+    reference: EvidenceCounts,
+    guard: Guard,
+    margin: float,
+    error_rate: float,
+) -> bool:
+    new = pair.new
+    if not new.of(guard) or not reference.requests:
+        return False
+    usual = reference.of(guard) / reference.requests
+    if new.of(guard) / new.requests <= usual + margin:
+        return False
+    least = lower_bound(new.of(guard), new.requests, error_rate) - margin
+    if least <= usual:
+        return False
+    greatest = upper_bound(reference.of(guard), reference.requests, error_rate)
+    return least > greatest and _old_is_as_usual(
+        pair.old,
+        reference,
+        guard,
+        least,
+    )
+
+
+def _old_is_as_usual(
+    old: EvidenceCounts,
+    reference: EvidenceCounts,
+    guard: Guard,
+    suspected: float,
+) -> bool:
+    usual = (reference.of(guard) + _HALF) / (reference.requests + 1)
+    bad = old.of(guard)
+    clean = old.requests - bad
+    log_ratio = bad * math.log(usual / suspected)
+    log_ratio += clean * (math.log1p(-usual) - math.log1p(-suspected))
+    return log_ratio >= -math.log(COMMON_ERROR_RATE)
+
+
+def _largest_excess(pair: VersionPair, guard: Guard) -> float:
+    error_rate = STEP_ERROR_RATE / _ARMS
+    new, old = pair.new, pair.old
+    if not new.requests or not old.requests:
+        return 1
+    greatest = upper_bound(new.of(guard), new.requests, error_rate)
+    least = lower_bound(old.of(guard), old.requests, error_rate)
+    return greatest - least
--- /dev/null
+++ b/teaseldale/moves/_local_moves.py
@@ -0,0 +1,206 @@
+"""Running moves on one VM: shares, evidence, lowering on local evidence."""
+
+import math
+
+import xxhash
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.moves._assignment import BaseVersionAssignment, RunningRequest
+from teaseldale.moves._comparison import find_worse
+from teaseldale.moves._evidence import (
+    EvidenceCounts,
+    EvidenceSample,
+    VersionPair,
+    counts_of,
+)
+from teaseldale.moves._windows import EvidenceWindows
+from teaseldale.notes import FleetConfiguration, Route, VersionMove
+from teaseldale.requests import RequestIdentity
+
+_PERMILLE = 1000
+_CONCURRENT_FACTOR = 2
+_CONCURRENT_ALLOWANCE = 2  # requests beyond the share, for short bursts
+_OVERDUE_FACTOR = 3
+_LOWERED_MS = 30_000
+_LOCAL = 'this VM'
+
+
+class _LocalMove:
+    """What this VM knows of one running move."""
+
+    def __init__(self, move: VersionMove) -> None:
+        self.move = move
+        self.pair = VersionPair()
+        self.windows = EvidenceWindows()
+        self.lowered_until_ms = 0
+        self.running: dict[str, int] = {}
+
+    def add(self, version: str, counts: EvidenceCounts) -> None:
+        if version == self.move.to_version:
+            self.pair = self.pair.plus(VersionPair(new=counts))
+        elif version == self.move.from_version:
+            self.pair = self.pair.plus(VersionPair(old=counts))
+
+    def room_for_new(self, share_permille: int) -> bool:
+        """Bounds the concurrent share, which long requests could fill."""
+        new = self.running.get(self.move.to_version, 0)
+        total = sum(self.running.values()) + 1
+        bound = _CONCURRENT_FACTOR * share_permille * total / _PERMILLE
+        return new < math.ceil(bound) + _CONCURRENT_ALLOWANCE
+
+
+class MoveAssignment(BaseVersionAssignment):
+    """Sends the share of the step in force to the new version.
+
+    Without a young view of the notes nothing goes to the new version: the move
+    may have been taken back.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: FleetConfiguration,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Follows the moves of ``configuration``."""
+        self._configuration = configuration
+        self._clock = clock
+        self._metrics = metrics
+        self._moves: dict[str, _LocalMove] = {}  # by route
+        self._revision = -1
+        self._running: set[RunningRequest] = set()
+
+    def version_for(self, route: Route, request: RequestIdentity) -> str:
+        """Returns the version; the same for retries of a request."""
+        local = self._move_on(route.name)
+        if local is None or route.version != local.move.from_version:
+            return route.version
+        share = self.share_permille(local.move)
+        drawn = _draw(local.move.name, request.text)
+        if drawn >= share:
+            return route.version
+        if not local.room_for_new(share):
+            self._metrics.increment('move_requests_kept_back', 'concurrency')
+            return route.version
+        return local.move.to_version
+
+    def share_permille(self, move: VersionMove) -> int:
+        """Returns the share that this VM sends to the new version now."""
+        if not self._configuration.follower.contact.fresh:
+            return 0
+        local = self._moves.get(move.route)
+        lowered = local is not None and (
+            self._clock.monotonic_ms() < local.lowered_until_ms
+        )
+        step = self._configuration.follower.head.step_of(move.name)
+        return 0 if step is None or lowered else step.share_permille
+
+    def begin(self, route: str, version: str) -> RunningRequest:
+        """Notes a request before its dispatch."""
+        running = RunningRequest(
+            route=route,
+            version=version,
+            started_ms=self._clock.monotonic_ms(),
+        )
+        local = self._move_on(route)
+        if local is not None:
+            self._running.add(running)
+            count = local.running.get(version, 0)
+            local.running[version] = count + 1
+        return running
+
+    def record(
+        self,
+        sample: EvidenceSample,
+        running: RunningRequest | None = None,
+    ) -> None:
+        """Takes the outcome of a request as evidence."""
+        judged = running is not None and running.judged
+        if running is not None and running in self._running:
+            self._running.discard(running)
+            self._end(running)
+        local = self._move_on(sample.route)
+        if local is None or judged:
+            return
+        counts = counts_of(sample, local.move)
+        local.add(sample.version, counts)
+        if sample.version == local.move.to_version and not counts.clean:
+            self._judge(local)
+
+    def evidence(self) -> dict[str, VersionPair]:
+        """Counts since the start of each running move, by its name."""
+        self._count_overdue()
+        self._move_on('')
+        return {local.move.name: local.pair for local in self._moves.values()}
+
+    def _move_on(self, route: str) -> _LocalMove | None:
+        current = self._configuration.current()
+        if current.revision != self._revision:
+            self._revision = current.revision
+            self._follow(tuple(current.moves.values()))
+        return self._moves.get(route)
+
+    def _follow(self, moves: tuple[VersionMove, ...]) -> None:
+        followed = {}
+        for move in moves:
+            known = self._moves.get(move.route)
+            if known is None or known.move.name != move.name:
+                known = _LocalMove(move)
+            known.move = move
+            followed[move.route] = known
+        self._moves = followed
+        self._running = {
+            running for running in self._running if running.route in followed
+        }
+
+    def _end(self, running: RunningRequest) -> None:
+        local = self._moves.get(running.route)
+        if local is not None and local.running.get(running.version, 0):
+            local.running[running.version] -= 1
+
+    def _judge(self, local: _LocalMove) -> None:
+        now_ms = self._clock.monotonic_ms()
+        finding = find_worse(
+            local.move,
+            local.windows.look(now_ms, local.pair),
+            reference=local.pair.old,
+            place=_LOCAL,
+            group_count=1,
+        )
+        if finding is not None:
+            local.lowered_until_ms = now_ms + _LOWERED_MS
+            self._metrics.increment('move_shares_lowered', finding.guard)
+
+    def _count_overdue(self) -> None:
+        now_ms = self._clock.monotonic_ms()
+        for running in self._running:
+            local = self._moves.get(running.route)
+            if local is None or running.judged:
+                continue
+            if _is_overdue(running, local.move, now_ms):
+                running.judged = True
+                local.add(running.version, _OVERDUE)
+                self._judge(local)
+
+
+_OVERDUE = EvidenceCounts(requests=1, failures=1, slow_first_tokens=1)
+
+
+def _draw(move: str, request: str) -> int:
+    text = f'{move}/{request}'
+    return xxhash.xxh3_64_intdigest(text.encode()) % _PERMILLE
+
+
+def _is_overdue(
+    running: RunningRequest,
+    move: VersionMove,
+    now_ms: int,
+) -> bool:
+    if running.last_token_ms is None:
+        limit_ms = _OVERDUE_FACTOR * move.first_token_guard_ms
+        return now_ms - running.started_ms > limit_ms
+    limit_ms = _OVERDUE_FACTOR * move.token_gap_guard_ms
+    limit_ms = max(limit_ms, move.first_token_guard_ms)
+    return now_ms - running.last_token_ms > limit_ms
--- /dev/null
+++ b/teaseldale/moves/_plan.py
@@ -0,0 +1,57 @@
+"""Steps of a move, planned backwards from its deadline."""
+
+import attrs
+
+from teaseldale.notes import VersionMove
+
+_FIRST_PERMILLE = 10
+LAST_PERMILLE = 650  # the rest stays at the old version for comparison
+_LATER_PERMILLE = (100, 250, 500, LAST_PERMILLE)
+_PERMILLE_PER_PERCENT = 10
+_PACE_PERCENT = 60  # of the time given; some versions turn bad late
+
+
+@attrs.frozen(kw_only=True)
+class MovePlan:
+    """Shares of the steps and the latest time of each."""
+
+    shares: tuple[int, ...]  # permille, growing
+    earliest_wall_ms: tuple[int, ...]  # no step is entered before
+    latest_wall_ms: tuple[int, ...]  # when each step should be entered
+
+    @property
+    def last_index(self) -> int:
+        """Index of the step that is watched."""
+        return len(self.shares) - 1
+
+
+def make_plan(move: VersionMove, started_wall_ms: int) -> MovePlan:
+    """Divides the time before the watch period among the steps.
+
+    Evidence that comes fast does not shorten a step below a part of its time.
+    """
+    largest = move.largest_share_percent * _PERMILLE_PER_PERCENT
+    early = {min(_FIRST_PERMILLE, largest), largest}
+    later = {share for share in _LATER_PERMILLE if share > largest}
+    shares = tuple(sorted(early | later))
+    last_step_ms = move.deadline_wall_ms - move.watch_ms
+    room_ms = max(0, last_step_ms - started_wall_ms)
+    count = len(shares) - 1
+    latest = tuple(
+        started_wall_ms + room_ms * index // count for index in range(count + 1)
+    )
+    earliest = tuple(
+        started_wall_ms + (wall_ms - started_wall_ms) * _PACE_PERCENT // 100
+        for wall_ms in latest
+    )
+    return MovePlan(
+        shares=shares,
+        earliest_wall_ms=earliest,
+        latest_wall_ms=latest,
+    )
+
+
+def share_needs_evidence(move: VersionMove, share_permille: int) -> bool:
+    """Whether a share is above what may be sent without evidence."""
+    largest = move.largest_share_percent * _PERMILLE_PER_PERCENT
+    return share_permille > largest
--- /dev/null
+++ b/teaseldale/moves/_policy.py
@@ -0,0 +1,214 @@
+"""Ways of deciding how a move goes on."""
+
+import abc
+import enum
+from collections.abc import Mapping
+
+import attrs
+
+from teaseldale.moves._comparison import doubtful_guard, find_worse
+from teaseldale.moves._evidence import VersionPair
+from teaseldale.moves._plan import make_plan, share_needs_evidence
+from teaseldale.moves._windows import EvidenceWindows
+from teaseldale.notes import MovePhase, MoveStep, VersionMove
+
+_LEAST_STEP_MS = 5000
+_LEAST_REQUESTS = 20  # at the new version, within a step
+_ALL_ZONES = 'all zones'
+
+
+@enum.unique
+class MoveAction(enum.StrEnum):
+    """What the steering VM does next."""
+
+    WAIT = 'wait'
+    STEP = 'step'
+    TAKE_BACK = 'take_back'
+    FINISH = 'finish'
+
+
+@attrs.frozen(kw_only=True)
+class MoveDecision:
+    """An action, and the reason that operators see."""
+
+    action: MoveAction
+    reason: str
+    share_permille: int = 0  # of the next step
+    step_index: int = 0
+    phase: MovePhase = MovePhase.STEPPING
+
+
+@attrs.frozen(kw_only=True)
+class MoveView:
+    """What is known of a move at one moment."""
+
+    move: VersionMove
+    started_wall_ms: int
+    now_wall_ms: int
+    step: MoveStep
+    zones: Mapping[str, VersionPair]  # evidence since the start, by zone
+    silent_zones: tuple[str, ...] = ()  # zones without a recent report
+
+    @property
+    def total(self) -> VersionPair:
+        """Evidence of all zones together."""
+        total = VersionPair()
+        for pair in self.zones.values():
+            total = total.plus(pair)
+        return total
+
+
+class BaseMovePolicy(abc.ABC):
+    """Decides for one move; keeps what it needs between calls."""
+
+    @abc.abstractmethod
+    def decide(self, view: MoveView) -> MoveDecision:
+        """Returns what to do now."""
+
+
+class SequentialPolicy(BaseMovePolicy):
+    """Steps on evidence, takes back once the new version is worse."""
+
+    def __init__(self) -> None:
+        """Starts without evidence."""
+        self._windows: dict[str, EvidenceWindows] = {}
+        self._step_index = -1
+        self._step_base = VersionPair()
+
+    def decide(self, view: MoveView) -> MoveDecision:
+        """Returns what to do now."""
+        if view.step.step_index != self._step_index:
+            self._enter_step(view)
+        worse = self._find_worse(view)
+        if worse is not None:
+            return _take_back(worse)
+        if view.now_wall_ms >= view.move.deadline_wall_ms:
+            return self._decide_at_deadline(view)
+        if view.step.phase is MovePhase.WATCHING:
+            return self._decide_watch(view)
+        return self._decide_step(view)
+
+    def _enter_step(self, view: MoveView) -> None:
+        self._step_index = view.step.step_index
+        self._step_base = view.total
+        for place, pair in self._groups(view).items():
+            windows = self._windows.setdefault(place, EvidenceWindows())
+            windows.restart(view.now_wall_ms, pair)
+
+    def _groups(self, view: MoveView) -> dict[str, VersionPair]:
+        return {**view.zones, _ALL_ZONES: view.total}
+
+    def _find_worse(self, view: MoveView) -> str | None:
+        groups = self._groups(view)
+        for place, pair in groups.items():
+            windows = self._windows.setdefault(place, EvidenceWindows())
+            finding = find_worse(
+                view.move,
+                windows.look(view.now_wall_ms, pair),
+                reference=pair.old,
+                place=place,
+                group_count=len(groups),
+            )
+            if finding is not None:
+                return finding.text
+        return None
+
+    def _decide_at_deadline(self, view: MoveView) -> MoveDecision:
+        missing = self._missing(view, 1000)
+        if missing is None or view.move.finish_without_evidence:
+            reason = missing or 'the evidence is enough'
+            return MoveDecision(action=MoveAction.FINISH, reason=reason)
+        return _take_back(f'too little evidence by the deadline: {missing}')
+
+    def _decide_watch(self, view: MoveView) -> MoveDecision:
+        watched_ms = view.now_wall_ms - view.step.entered_wall_ms
+        if watched_ms < view.move.watch_ms:
+            return _wait('the watch period')
+        missing = self._missing(view, 1000)
+        if missing is not None:
+            return _wait(missing)
+        return MoveDecision(
+            action=MoveAction.FINISH,
+            reason='the watch period is over',
+        )
+
+    def _decide_step(self, view: MoveView) -> MoveDecision:
+        plan = make_plan(view.move, view.started_wall_ms)
+        index = min(view.step.step_index + 1, plan.last_index)
+        share = plan.shares[index]
+        missing = self._missing(view, share)
+        planned = view.now_wall_ms >= plan.latest_wall_ms[index]
+        if view.now_wall_ms < plan.earliest_wall_ms[index]:
+            return _wait('the planned time of the next step')
+        early = not share_needs_evidence(view.move, share)
+        if missing is not None and not (early and planned):
+            return _wait(missing)
+        last = index == plan.last_index
+        return MoveDecision(
+            action=MoveAction.STEP,
+            reason=missing or 'the evidence is enough',
+            share_permille=share,
+            step_index=index,
+            phase=MovePhase.WATCHING if last else MovePhase.STEPPING,
+        )
+
+    def _missing(self, view: MoveView, share: int) -> str | None:
+        if view.silent_zones:
+            listed = ', '.join(view.silent_zones)
+            return f'evidence from {listed}'
+        step_requests = view.total.since(self._step_base).new.requests
+        if step_requests < _LEAST_REQUESTS:
+            return (
+                f'{_LEAST_REQUESTS} requests at this step, '
+                f'{step_requests} so far'
+            )
+        stayed_ms = view.now_wall_ms - view.step.entered_wall_ms
+        if stayed_ms < _LEAST_STEP_MS:
+            return 'the shortest time of a step'
+        guard = doubtful_guard(view.move, view.total, share)
+        return None if guard is None else f'evidence on {guard}'
+
+
+class TimedRampPolicy(BaseMovePolicy):
+    """Naive: the share grows with time, whatever happens."""
+
+    def decide(self, view: MoveView) -> MoveDecision:
+        """Returns the step that is due by time."""
+        plan = make_plan(view.move, view.started_wall_ms)
+        if view.now_wall_ms >= view.move.deadline_wall_ms:
+            return MoveDecision(action=MoveAction.FINISH, reason='the deadline')
+        due = sum(view.now_wall_ms >= latest for latest in plan.latest_wall_ms)
+        index = max(due - 1, 0)
+        if index <= view.step.step_index:
+            return _wait('the next planned step')
+        return MoveDecision(
+            action=MoveAction.STEP,
+            reason='the plan',
+            share_permille=plan.shares[index],
+            step_index=index,
+        )
+
+
+class FixedThresholdPolicy(TimedRampPolicy):
+    """Naive: a timed ramp that stops at a fixed share of failures."""
+
+    def __init__(self, *, least_requests: int = _LEAST_REQUESTS) -> None:
+        """Judges once there are ``least_requests`` at the new version."""
+        self._least_requests = least_requests
+
+    def decide(self, view: MoveView) -> MoveDecision:
+        """Takes back at the failure guard, else goes on by time."""
+        new = view.total.new
+        limit = view.move.failure_guard_percent / 100
+        enough = new.requests >= self._least_requests
+        if enough and new.failures / new.requests > limit:
+            return _take_back('the fixed threshold of failures')
+        return super().decide(view)
+
+
+def _wait(reason: str) -> MoveDecision:
+    return MoveDecision(action=MoveAction.WAIT, reason=reason)
+
+
+def _take_back(reason: str) -> MoveDecision:
+    return MoveDecision(action=MoveAction.TAKE_BACK, reason=reason)
--- /dev/null
+++ b/teaseldale/moves/_take_back.py
@@ -0,0 +1,100 @@
+"""Take-back of a move for the whole fleet.
+
+The note is put into the log at once, without waiting for any zone: a VM that
+does not hear of it sends nothing to the new version once its view is old.
+"""
+
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.moves._outcome_notes import MoveNames, take_back_note
+from teaseldale.notes import (
+    FleetConfiguration,
+    ItemKind,
+    NoteRecord,
+    NoteState,
+    ReadNote,
+)
+from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.platform import RowCheck
+
+_ATTEMPTS = 20
+
+
+@attrs.frozen(kw_only=True)
+class TakenBack:
+    """The note that took a move back."""
+
+    note: str
+    revision: int
+
+
+class TakeBack:
+    """Stores take-back notes; safe to call on any VM, at any time."""
+
+    def __init__(
+        self,
+        *,
+        configuration: FleetConfiguration,
+        clock: BaseClock,
+    ) -> None:
+        """Stores in the notes of ``configuration``."""
+        self._configuration = configuration
+        self._clock = clock
+
+    async def run(
+        self,
+        move_name: str,
+        reason: str,
+        guards: tuple[RowCheck, ...] = (),
+    ) -> TakenBack | Refusal:
+        """Takes a running move back; raises ``PlatformError``."""
+        for _ in range(_ATTEMPTS):
+            outcome = await self._try(move_name, reason, guards)
+            if outcome is not None:
+                return outcome
+        return _refusal(f'Move {move_name!r} changes too often; try again.')
+
+    async def _try(
+        self,
+        move_name: str,
+        reason: str,
+        guards: tuple[RowCheck, ...],
+    ) -> TakenBack | Refusal | None:
+        read = await self._configuration.follower.refresh()
+        state = self._configuration.follower.state
+        move = state.current.moves.get(move_name)
+        if move is None:
+            return _refusal(f'No move {move_name!r} runs; look at its status.')
+        record = state.records[ItemKind.MOVE, move_name]
+        names = MoveNames(move=move_name, sequence=record.sequence)
+        if any(names.done == waiting.name for waiting in read.head.pending):
+            await self._configuration.intake.cancel(names.done, reason)
+            return None
+        note = take_back_note(names, record.team, move, state.sequence)
+        sealed = await self._configuration.book.seal(
+            read,
+            ReadNote(
+                record=NoteRecord(
+                    note=note,
+                    state=NoteState.TAKING_EFFECT,
+                    stage_number=0,
+                    reason=reason,
+                    staged_wall_ms=self._clock.wall_ms(),
+                ),
+                revision=0,
+            ),
+            guards=guards,
+        )
+        if not sealed:
+            return None
+        return TakenBack(note=note.name, revision=read.head.sequence + 1)
+
+
+def _refusal(message: str) -> Refusal:
+    return Refusal(
+        code=RefusalCode.CONFLICT,
+        message=message,
+        not_run=True,
+        step=Step.MOVE,
+    )
--- /dev/null
+++ b/teaseldale/moves/_windows.py
@@ -0,0 +1,84 @@
+"""Periods over which the two versions of a move are compared.
+
+Periods start again and again and double in length, so that a version that
+turns bad late is not hidden behind its good past. Each period is a test of
+its own, and each later test gets a smaller part of the error rate: with
+k = n + 1, the n-th one gets 1 / (2.11 * k * log(k) ** 2), which sums up to 1.
+"""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+
+from teaseldale.moves._evidence import VersionPair
+
+_PERIODS_MS = (10_000, 20_000, 40_000, 80_000, 160_000)
+_SUM_OF_SHARES = 2.11
+
+
+@attrs.frozen(kw_only=True)
+class Window:
+    """What was added within one period, and its part of the error rate."""
+
+    pair: VersionPair
+    error_share: float
+
+
+@attrs.define(kw_only=True)
+class _Period:
+    length_ms: int
+    start_ms: int
+    number: int
+    base: VersionPair
+
+
+class EvidenceWindows:
+    """Periods over one cumulative pair of counts."""
+
+    def __init__(self) -> None:
+        """Starts without any period."""
+        self._periods: list[_Period] = []
+        self._started = 0
+
+    def restart(self, now_ms: int, total: VersionPair) -> None:
+        """Begins all periods anew, as after a change of the share."""
+        self._periods = [
+            self._new_period(length_ms, now_ms, total)
+            for length_ms in _PERIODS_MS
+        ]
+
+    def look(self, now_ms: int, total: VersionPair) -> Iterator[Window]:
+        """Yields the running periods; those that are over begin anew."""
+        if not self._periods:
+            self.restart(now_ms, total)
+        for index, period in enumerate(self._periods):
+            yield Window(
+                pair=total.since(period.base),
+                error_share=_error_share(period.number),
+            )
+            if now_ms - period.start_ms >= period.length_ms:
+                self._periods[index] = self._new_period(
+                    period.length_ms,
+                    now_ms,
+                    total,
+                )
+
+    def _new_period(
+        self,
+        length_ms: int,
+        now_ms: int,
+        total: VersionPair,
+    ) -> _Period:
+        self._started += 1
+        return _Period(
+            length_ms=length_ms,
+            start_ms=now_ms,
+            number=self._started,
+            base=total,
+        )
+
+
+def _error_share(number: int) -> float:
+    rank = number + 1
+    return 1 / (_SUM_OF_SHARES * rank * math.log(rank) ** 2)
--- a/teaseldale/notes/_intake.py
+++ b/teaseldale/notes/_intake.py
@@ -16,6 +16,7 @@
 from teaseldale.notes._release_note import ReleaseNote
 from teaseldale.notes._validation import find_problems
 from teaseldale.outcomes import Refusal
+from teaseldale.platform import RowCheck
 
 _ATTEMPTS = 20
 
@@ -54,7 +55,11 @@
             await self._book.cancel(read, found, reason)
         return too_busy()
 
-    async def stage(self, note: ReleaseNote) -> Refusal | None:
+    async def stage(
+        self,
+        note: ReleaseNote,
+        guards: tuple[RowCheck, ...] = (),
+    ) -> Refusal | None:
         """Stores a note as pending; None if it was or had been stored."""
         for _ in range(_ATTEMPTS):
             read = await self._follower.refresh()
@@ -71,7 +76,7 @@
                 stage_number=read.head.stage_count + 1,
                 staged_wall_ms=self._clock.wall_ms(),
             )
-            if await self._book.stage(read, record):
+            if await self._book.stage(read, record, guards):
                 return None
         return too_busy()
 
--- a/teaseldale/notes/_note_book.py
+++ b/teaseldale/notes/_note_book.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-from teaseldale.notes._items import Budget
+from teaseldale.notes._items import Budget, ItemKind
 from teaseldale.notes._problem import changed_items, place_of
 from teaseldale.notes._records import (
     HEAD_KEY,
@@ -146,8 +146,13 @@
         """Stores a head that changes no note."""
         return await self._commit(read, head, Rows(checks=checks))
 
-    async def stage(self, read: ReadHead, record: NoteRecord) -> bool:
-        """Stores a new note as pending."""
+    async def stage(
+        self,
+        read: ReadHead,
+        record: NoteRecord,
+        guards: tuple[RowCheck, ...] = (),
+    ) -> bool:
+        """Stores a new note as pending if ``guards`` hold too."""
         pending = PendingNote(
             name=record.note.name,
             stage_number=record.stage_number,
@@ -157,17 +162,23 @@
             stage_count=record.stage_number,
             pending=(*read.head.pending, pending),
         )
-        return await self._commit(read, head, _note_rows(record, 0))
+        return await self._commit(
+            read,
+            head,
+            _note_rows(record, 0),
+            Rows(checks=guards),
+        )
 
     async def seal(
         self,
         read: ReadHead,
         found: ReadNote,
-        *,
-        head: Head | None = None,
         guards: tuple[RowCheck, ...] = (),
     ) -> bool:
-        """Appends a note to the log: it takes effect and can't go back."""
+        """Appends a note to the log: it takes effect and can't go back.
+
+        A note that was never staged has the revision 0.
+        """
         note = found.record.note
         sequence = read.head.sequence + 1
         entry = _entry_of(note, sequence)
@@ -182,7 +193,7 @@
         )
         return await self._commit(
             read,
-            _sealed_head(head or read.head, note.name, sequence),
+            _sealed_head(read.head, note, sequence),
             rows,
             note_rows,
             _entry_rows(entry),
@@ -249,14 +260,20 @@
     )
 
 
-def _sealed_head(head: Head, name: str, sequence: int) -> Head:
+def _sealed_head(head: Head, note: ReleaseNote, sequence: int) -> Head:
+    withdrawn = {
+        gone.name for gone in note.withdrawals if gone.kind is ItemKind.MOVE
+    }
     return attrs.evolve(
         head,
         sequence=sequence,
-        pending=_without(head.pending, name),
+        pending=_without(head.pending, note.name),
         unconfirmed=(
             *head.unconfirmed,
-            SealedNote(name=name, sequence=sequence),
+            SealedNote(name=note.name, sequence=sequence),
+        ),
+        move_steps=tuple(
+            step for step in head.move_steps if step.move not in withdrawn
         ),
     )
 
--- a/teaseldale/notes/_records.py
+++ b/teaseldale/notes/_records.py
@@ -61,6 +61,7 @@
     share_permille: int
     phase: MovePhase = MovePhase.STEPPING
     step_index: int = 0
+    started_wall_ms: int = 0  # when the move began
     entered_wall_ms: int = 0  # when the step was ordered
     steering_vm: str = ''  # incarnation that ordered it
 
--- a/teaseldale/platform/_lease.py
+++ b/teaseldale/platform/_lease.py
@@ -64,6 +64,15 @@
             valid_until is not None and self._clock.monotonic_ms() < valid_until
         )
 
+    @property
+    def renewal_due(self) -> bool:
+        """Whether less than half of the validity is left."""
+        valid_until = self._valid_until_ms
+        if valid_until is None:
+            return True
+        left_ms = valid_until - self._clock.monotonic_ms()
+        return left_ms < self._duration_ms / 2
+
     def check(self) -> RowCheck:
         """Condition that refuses a write once another VM has taken over."""
         return self._check(self._revision)
