--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,6 +1,5 @@
 """Assembly of one VM's services."""
 
-import pathlib
 import uuid
 
 import anyio
@@ -22,7 +21,7 @@
 from teaseldale.platform import HttpMembershipList, HttpTableService
 from teaseldale.requests import TableRequestRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
-from teaseldale.settings import Settings
+from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
 
 
@@ -34,7 +33,7 @@
         base_url=settings.platform.table_url,
         timeout_ms=settings.platform.timeout_ms,
     )
-    peers = _peer_network(settings, clock)
+    peers = _peer_network(settings, clock, metrics)
     configuration = FleetConfiguration(
         parts=NotesParts(
             table=table,
@@ -60,7 +59,10 @@
             is_ready=configuration.may_serve,
             metrics=metrics,
             shutdown=shutdown,
-            operators_key=_read_secret(settings.vm.operators_key_file),
+            operators_key=read_secret(
+                settings.vm.operators_key_file,
+                field='vm.operators_key_file',
+            ),
         ),
     )
     add_endpoints(
@@ -94,7 +96,11 @@
     return kernel
 
 
-def _peer_network(settings: Settings, clock: BaseClock) -> PynngPeerNetwork:
+def _peer_network(
+    settings: Settings,
+    clock: BaseClock,
+    metrics: Metrics,
+) -> PynngPeerNetwork:
     return PynngPeerNetwork(
         identity=VmIdentity(
             name=settings.vm.name,
@@ -107,8 +113,5 @@
             timeout_ms=settings.platform.timeout_ms,
         ),
         clock=clock,
+        metrics=metrics,
     )
-
-
-def _read_secret(path: str) -> str:
-    return pathlib.Path(path).read_text('utf-8').strip()
