Bound the early share, judge by one reference, and measure notes and moves

Units are kept until the list of VMs changes. The polling configuration that nothing used is gone. Ruled out: a control of 10% in the watch period (too few old requests to compare with) and a cap without one request of slack (retries on another VM got another version).

--- a/benchmarks/move_workload.py
+++ b/benchmarks/move_workload.py
@@ -20,6 +20,7 @@
     VersionPair,
 )
 from teaseldale.moves._comparison import find_worse
+from teaseldale.moves._early_cap import EarlyCap
 from teaseldale.moves._plan import make_plan
 from teaseldale.moves._windows import EvidenceWindows
 from teaseldale.notes import MoveStep, VersionMove
@@ -162,6 +163,7 @@
         self.share = 0
         self.contact_second = 0
         self.lowered_until = 0
+        self.cap = EarlyCap(largest_permille=50)
         self.overdue: deque[int] = deque()  # seconds at which it shows
 
     @property
@@ -241,7 +243,7 @@
             self.result.requests += 1
             lowered = second < vm.lowered_until
             share = 0 if lowered else vm.share
-            new = finished or self.draw.random() * 1000 < share
+            new = self.goes_new(vm, share) or finished
             self.answer(vm, second, new=new)
         for vm in self.vms:
             while vm.overdue and vm.overdue[0] <= second:
@@ -250,6 +252,12 @@
                 vm.new.failures += 1
                 self.judge(vm, second)
 
+    def goes_new(self, vm: _Vm, share: int) -> bool:
+        if self.draw.random() * 1000 >= share:
+            vm.cap.count_old()
+            return False
+        return not self.local or vm.cap.admit(share)
+
     def answer(self, vm: _Vm, second: int, *, new: bool) -> None:
         bad = new and self.is_bad(vm, second)
         if new:
@@ -293,7 +301,6 @@
             vm.windows.look(second * 1000, vm.pair),
             reference=vm.pair.old,
             place='this VM',
-            group_count=1,
         )
         if finding is not None:
             vm.lowered_until = second + LOWERED_SECONDS
--- a/teaseldale/moves/_comparison.py
+++ b/teaseldale/moves/_comparison.py
@@ -19,7 +19,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -69,22 +69,23 @@
 
 def find_worse(
     move: VersionMove,
-    windows: Iterable[Window],
+    windows: Sequence[Window],
     *,
     reference: EvidenceCounts,
     place: str,
-    group_count: int,
+    error_share: float = 1,
 ) -> Finding | None:
     """Returns a guard by which the new version is worse, if there is one.
 
     ``reference`` counts the old version's requests since the move began.
+    ``error_share`` is the part of the error rate that these requests get.
     """
-    tests = len(Guard) * _ARMS * group_count
-    for window in windows:
-        error_rate = ERROR_RATE * window.error_share / tests
-        for guard in Guard:
-            margin = excess_limit(guard, move) / 2
-            if _is_worse(window.pair, reference, guard, margin, error_rate):
+    error_rate = ERROR_RATE * error_share / (len(Guard) * _ARMS)
+    for guard in Guard:
+        limit = _worst_usual_share(move, reference, guard, error_rate)
+        for window in windows:
+            window_rate = error_rate * window.error_share
+            if _is_worse(window.pair, reference, guard, limit, window_rate):
                 return Finding(guard=guard, place=place, pair=window.pair)
     return None
 
@@ -106,29 +107,34 @@
     return None
 
 
+def _worst_usual_share(
+    move: VersionMove,
+    reference: EvidenceCounts,
+    guard: Guard,
+    error_rate: float,
+) -> float:
+    # One bound over the whole move, so that periods need not share its rate.
+    margin = excess_limit(guard, move) / 2
+    if not reference.requests:
+        return 1
+    count = reference.of(guard)
+    return upper_bound(count, reference.requests, error_rate) + margin
+
+
 def _is_worse(
     pair: VersionPair,
     reference: EvidenceCounts,
     guard: Guard,
-    margin: float,
+    limit: float,
     error_rate: float,
 ) -> bool:
     new = pair.new
-    if not new.of(guard) or not reference.requests:
-        return False
-    usual = reference.of(guard) / reference.requests
-    if new.of(guard) / new.requests <= usual + margin:
+    if not new.of(guard) or new.of(guard) / new.requests <= limit:
         return False
-    least = lower_bound(new.of(guard), new.requests, error_rate) - margin
-    if least <= usual:
+    least = lower_bound(new.of(guard), new.requests, error_rate)
+    if least <= limit:
         return False
-    greatest = upper_bound(reference.of(guard), reference.requests, error_rate)
-    return least > greatest and _old_is_as_usual(
-        pair.old,
-        reference,
-        guard,
-        least,
-    )
+    return _old_is_as_usual(pair.old, reference, guard, least)
 
 
 def _old_is_as_usual(
--- a/teaseldale/moves/_local_moves.py
+++ b/teaseldale/moves/_local_moves.py
@@ -8,12 +8,14 @@
 from teaseldale.metrics import Metrics
 from teaseldale.moves._assignment import BaseVersionAssignment, RunningRequest
 from teaseldale.moves._comparison import find_worse
+from teaseldale.moves._early_cap import EarlyCap
 from teaseldale.moves._evidence import (
     EvidenceCounts,
     EvidenceSample,
     VersionPair,
     counts_of,
 )
+from teaseldale.moves._plan import largest_early_permille
 from teaseldale.moves._windows import EvidenceWindows
 from teaseldale.notes import FleetConfiguration, Route, VersionMove
 from teaseldale.requests import RequestIdentity
@@ -35,6 +37,7 @@
         self.windows = EvidenceWindows()
         self.lowered_until_ms = 0
         self.running: dict[str, int] = {}
+        self.cap = EarlyCap(largest_permille=largest_early_permille(move))
 
     def add(self, version: str, counts: EvidenceCounts) -> None:
         if version == self.move.to_version:
@@ -80,12 +83,18 @@
         share = self.share_permille(local.move)
         drawn = _draw(local.move.name, request.text)
         if drawn >= share:
+            local.cap.count_old()
             return route.version
         if not local.room_for_new(share):
-            self._metrics.increment('move_requests_kept_back', 'concurrency')
-            return route.version
+            return self._keep_back(route, 'concurrency')
+        if not local.cap.admit(share):
+            return self._keep_back(route, 'largest_share')
         return local.move.to_version
 
+    def _keep_back(self, route: Route, reason: str) -> str:
+        self._metrics.increment('move_requests_kept_back', reason)
+        return route.version
+
     def share_permille(self, move: VersionMove) -> int:
         """Returns the share that this VM sends to the new version now."""
         if not self._configuration.follower.contact.fresh:
@@ -167,7 +176,6 @@
             local.windows.look(now_ms, local.pair),
             reference=local.pair.old,
             place=_LOCAL,
-            group_count=1,
         )
         if finding is not None:
             local.lowered_until_ms = now_ms + _LOWERED_MS
--- a/teaseldale/moves/_plan.py
+++ b/teaseldale/moves/_plan.py
@@ -8,6 +8,7 @@
 LAST_PERMILLE = 650  # the rest stays at the old version for comparison
 _LATER_PERMILLE = (100, 250, 500, LAST_PERMILLE)
 _PERMILLE_PER_PERCENT = 10
+_BELOW_LARGEST_PERCENT = 80  # of the bound, so that chance seldom meets it
 _PACE_PERCENT = 60  # of the time given; some versions turn bad late
 
 
@@ -30,8 +31,9 @@
 
     Evidence that comes fast does not shorten a step below a part of its time.
     """
-    largest = move.largest_share_percent * _PERMILLE_PER_PERCENT
-    early = {min(_FIRST_PERMILLE, largest), largest}
+    largest = largest_early_permille(move)
+    below = largest * _BELOW_LARGEST_PERCENT // 100
+    early = {min(_FIRST_PERMILLE, below), below}
     later = {share for share in _LATER_PERMILLE if share > largest}
     shares = tuple(sorted(early | later))
     last_step_ms = move.deadline_wall_ms - move.watch_ms
@@ -51,7 +53,11 @@
     )
 
 
+def largest_early_permille(move: VersionMove) -> int:
+    """Returns the largest share before there is evidence."""
+    return move.largest_share_percent * _PERMILLE_PER_PERCENT
+
+
 def share_needs_evidence(move: VersionMove, share_permille: int) -> bool:
     """Whether a share is above what may be sent without evidence."""
-    largest = move.largest_share_percent * _PERMILLE_PER_PERCENT
-    return share_permille > largest
+    return share_permille > largest_early_permille(move)
--- a/teaseldale/moves/_policy.py
+++ b/teaseldale/moves/_policy.py
@@ -15,6 +15,7 @@
 _LEAST_STEP_MS = 5000
 _LEAST_REQUESTS = 20  # at the new version, within a step
 _ALL_ZONES = 'all zones'
+_SHARE_OF_ALL_ZONES = 0.5  # of the error rate; zones share the rest
 
 
 @enum.unique
@@ -107,7 +108,7 @@
                 windows.look(view.now_wall_ms, pair),
                 reference=pair.old,
                 place=place,
-                group_count=len(groups),
+                error_share=_error_share(place, len(view.zones)),
             )
             if finding is not None:
                 return finding.text
@@ -206,6 +207,12 @@
         return super().decide(view)
 
 
+def _error_share(place: str, zone_count: int) -> float:
+    if place == _ALL_ZONES:
+        return _SHARE_OF_ALL_ZONES
+    return (1 - _SHARE_OF_ALL_ZONES) / zone_count
+
+
 def _wait(reason: str) -> MoveDecision:
     return MoveDecision(action=MoveAction.WAIT, reason=reason)
 
--- a/teaseldale/moves/_windows.py
+++ b/teaseldale/moves/_windows.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections.abc import Iterator
 
 import attrs
 
@@ -50,18 +49,20 @@
             for length_ms in _PERIODS_MS
         ]
 
-    def look(self, now_ms: int, total: VersionPair) -> Iterator[Window]:
-        """Yields the whole time, then the running periods.
+    def look(self, now_ms: int, total: VersionPair) -> list[Window]:
+        """Returns the whole time, then the running periods.
 
         Periods that are over begin anew.
         """
         if not self._periods:
             self.restart(now_ms, total)
-        yield Window(pair=total, error_share=_WHOLE_TIME_SHARE)
+        windows = [Window(pair=total, error_share=_WHOLE_TIME_SHARE)]
         for index, period in enumerate(self._periods):
-            yield Window(
-                pair=total.since(period.base),
-                error_share=_error_share(period.number),
+            windows.append(
+                Window(
+                    pair=total.since(period.base),
+                    error_share=_error_share(period.number),
+                ),
             )
             if now_ms - period.start_ms >= period.length_ms:
                 self._periods[index] = self._new_period(
@@ -69,6 +70,7 @@
                     now_ms,
                     total,
                 )
+        return windows
 
     def _new_period(
         self,
--- a/teaseldale/moves/tests/steps_moves.py
+++ b/teaseldale/moves/tests/steps_moves.py
@@ -91,7 +91,6 @@
             windows.look(second * 1000, total),
             reference=total.old,
             place='all',
-            group_count=1,
         )
         if finding is not None:
             return True
--- a/teaseldale/moves/tests/steps_moves_processes.py
+++ b/teaseldale/moves/tests/steps_moves_processes.py
@@ -8,7 +8,7 @@
 import msgspec
 from behave import given, then, when
 
-from benchmarks.fleet import ACCOUNT_KEY, Fleet
+from benchmarks.fleet import ACCOUNT_KEY, Fleet, wait_for_port
 
 _IN_FORCE_SECONDS = 3
 _MOVE_LIMIT_SECONDS = 120
@@ -80,8 +80,8 @@
     context.fleet = fleet
     context.new_engine = fleet.engines.pop()
     context.cleanup.enter_context(fleet)
-    context.cleanup.callback(fleet.print_logs)
     fleet.start_engine(2, context.new_engine)
+    wait_for_port(context.new_engine)
 
 
 @when('a note that adds a budget is applied at VM {index:d}')
--- a/teaseldale/notes/__init__.py
+++ b/teaseldale/notes/__init__.py
@@ -41,7 +41,6 @@
     ReleaseNote,
     read_release_note,
 )
-from teaseldale.notes._table_configuration import TableConfiguration
 
 __all__ = (
     'BaseBudgetRows',
@@ -70,7 +69,6 @@
     'Route',
     'RouteKind',
     'Rows',
-    'TableConfiguration',
     'Upstream',
     'VersionMove',
     'read_release_note',
--- a/teaseldale/notes/_fleet_configuration.py
+++ b/teaseldale/notes/_fleet_configuration.py
@@ -81,6 +81,7 @@
         self._confirmed = UnitRecord(stage_seen=0, sequence=0)
         self._confirmed_unit = ''
         self._last_read_ms = 0
+        self._spread_revision = 0  # of the head last passed on
         self._log = StateLog(channel='notes')
 
     @property
@@ -119,9 +120,9 @@
         clock = self._parts.clock
         limit_ms = clock.monotonic_ms() + _DRIVE_LIMIT_MS
         while clock.monotonic_ms() < limit_ms:
-            await self.follower.refresh()
             await self.progress.advance()
-            await self._spread()
+            await self.follower.refresh()
+            await self._spread_news()
             await self._confirm_unit()
             status = await self.progress.status(name)
             if status is not None and status.state in _FINAL_STATES:
@@ -147,7 +148,6 @@
 
     async def _read_table(self) -> None:
         self._last_read_ms = self._parts.clock.monotonic_ms()
-        before = self.follower.head_revision
         try:
             read = await self.follower.refresh()
             await self._register_zone(read)
@@ -156,8 +156,7 @@
                 'notes_table_reads_failed', error.step
             )
             return
-        if self.follower.head_revision != before:
-            await self._spread()
+        await self._spread_news()
         await self._try_confirm()
 
     async def _register_zone(self, read: ReadHead) -> None:
@@ -170,7 +169,10 @@
             attrs.evolve(read.head, zones=zones),
         )
 
-    async def _spread(self) -> None:
+    async def _spread_news(self) -> None:
+        if self.follower.head_revision == self._spread_revision:
+            return
+        self._spread_revision = self.follower.head_revision
         units = self.follower.unit_map()
         targets = set(self.follower.unit_peers())
         firsts = units.first_of_units()
--- a/teaseldale/notes/_follower.py
+++ b/teaseldale/notes/_follower.py
@@ -40,6 +40,8 @@
         self._clock = clock
         self._newest = VersionedHead(head=Head(), revision=0)
         self._reading = anyio.Lock()
+        self._listed: tuple[VmIdentity, ...] = (peers.identity,)
+        self._units = UnitMap(vms=self._listed)
         self._highest_in_zone = 0  # sequence heard of in this zone
         self.state = ConfigurationState()
         self.contact = ContactLog(clock=clock)
@@ -73,7 +75,11 @@
 
     def unit_map(self) -> UnitMap:
         """Units by the membership list known now."""
-        return UnitMap(vms=(self._peers.identity, *self._peers.known_peers()))
+        listed = (self._peers.identity, *self._peers.known_peers())
+        if listed != self._listed:
+            self._listed = listed
+            self._units = UnitMap(vms=listed)
+        return self._units
 
     def unit_peers(self) -> tuple[VmIdentity, ...]:
         """Other VMs of this VM's unit."""
--- a/teaseldale/notes/_units.py
+++ b/teaseldale/notes/_units.py
@@ -24,21 +24,20 @@
         """Divides ``vms``, which include the VM that asks."""
         self._members: dict[str, list[VmIdentity]] = {}
         self._units_by_zone: dict[str, set[str]] = {}
+        self._unit_by_vm: dict[str, str] = {}
         listed = tuple(vms)
         cells = CellMap(vms=listed)
         for vm in listed:
             cell = cells.cell_of(vm)
             zone = vm.availability_zone
             unit = f'{zone}/{cell.count}.{cell.index}'
+            self._unit_by_vm[vm.key] = unit
             self._members.setdefault(unit, []).append(vm)
             self._units_by_zone.setdefault(zone, set()).add(unit)
 
     def unit_of(self, vm: VmIdentity) -> str:
         """Returns the key of a listed VM's unit."""
-        for unit, members in self._members.items():
-            if vm in members:
-                return unit
-        raise KeyError(vm.key)
+        return self._unit_by_vm[vm.key]
 
     def members(self, unit: str) -> tuple[VmIdentity, ...]:
         """Returns the VMs of a unit."""
