--- a/teaseldale/budgets/__init__.py
+++ b/teaseldale/budgets/__init__.py
@@ -1,6 +1,7 @@
 """Spending of prepaid token budgets."""
 
 from teaseldale.budgets._added_budget_rows import AddedBudgetRows
+from teaseldale.budgets._granted_spending import GrantedSpending
 from teaseldale.budgets._ledger import LedgerRow, TableLedger
 from teaseldale.budgets._spending import (
     BaseSpending,
@@ -13,6 +14,7 @@
     'AddedBudgetRows',
     'BaseSpending',
     'BudgetState',
+    'GrantedSpending',
     'LedgerRow',
     'Reservation',
     'TableLedger',
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -1,25 +1,26 @@
 """Assembly of one VM's services."""
 
+import random
 import uuid
 
 import anyio
 
 from teaseldale.budgets import (
     AddedBudgetRows,
+    GrantedSpending,
     TableLedger,
-    TransactionalSpending,
 )
 from teaseldale.clock import BaseClock, SystemClock
 from teaseldale.command._endpoints import add_endpoints
 from teaseldale.entry import CallersInterface, RequestParts
-from teaseldale.kernel import Kernel
+from teaseldale.kernel import BaseService, Kernel
 from teaseldale.metrics import Metrics
 from teaseldale.moves import HttpOrderClient, MovesParts, MovesService
 from teaseldale.notes import FleetConfiguration, NotesParts
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
 from teaseldale.platform import HttpMembershipList, HttpTableService
-from teaseldale.requests import TableRequestRegistry
+from teaseldale.requests import HolderParts, WitnessedRegistry
 from teaseldale.routing import LeastInFlightChoice, LocalRouter
 from teaseldale.settings import Settings, read_secret
 from teaseldale.upstreams import HttpEngineClient, HttpServiceClient
@@ -53,6 +54,15 @@
             orders=HttpOrderClient(),
         ),
     )
+    holder_parts = HolderParts.build(
+        table=table,
+        peers=peers,
+        clock=clock,
+        metrics=metrics,
+        random_source=random.Random(),
+    )
+    spending = GrantedSpending(parts=holder_parts)
+    registry = WitnessedRegistry(parts=holder_parts)
     operators = OperatorsInterface(
         address=settings.vm.operators_address,
         parts=OperatorsParts(
@@ -72,26 +82,37 @@
         ledger=TableLedger(table=table),
         peers=peers,
     )
-    callers = CallersInterface(
-        address=settings.vm.callers_address,
-        parts=RequestParts(
-            configuration=configuration,
-            registry=TableRequestRegistry(table=table),
-            spending=TransactionalSpending(table=table),
-            versions=moves.assignment,
-            router=LocalRouter(
+    return _kernel_of(
+        operators,
+        peers,
+        configuration,
+        moves,
+        spending,
+        registry,
+        CallersInterface(
+            address=settings.vm.callers_address,
+            parts=RequestParts(
                 configuration=configuration,
-                choice=LeastInFlightChoice(),
+                registry=registry,
+                spending=spending,
+                versions=moves.assignment,
+                router=LocalRouter(
+                    configuration=configuration,
+                    choice=LeastInFlightChoice(),
+                ),
+                engines=HttpEngineClient(),
+                services=HttpServiceClient(),
+                clock=clock,
+                metrics=metrics,
             ),
-            engines=HttpEngineClient(),
-            services=HttpServiceClient(),
-            clock=clock,
-            metrics=metrics,
+            limits=settings.limits,
         ),
-        limits=settings.limits,
     )
+
+
+def _kernel_of(*services: BaseService) -> Kernel:
     kernel = Kernel()
-    for service in (operators, peers, configuration, moves, callers):
+    for service in services:
         kernel.register(service)
     return kernel
 
--- a/teaseldale/platform/__init__.py
+++ b/teaseldale/platform/__init__.py
@@ -9,6 +9,7 @@
     MemberState,
     VmMember,
 )
+from teaseldale.platform._retrying_table import RetryingTableService
 from teaseldale.platform._table import (
     BaseTableService,
     Committed,
@@ -30,6 +31,7 @@
     'InMemoryTable',
     'LeaseRecord',
     'MemberState',
+    'RetryingTableService',
     'Row',
     'RowCheck',
     'RowWrite',
