--- /dev/null
+++ b/teaseldale/moves/_comparison.py
@@ -0,0 +1,167 @@
+"""Comparison of the new version of a move with the old one.
+
+A version is called worse by a guard if, within some period, its share of bad
+requests is above that of the old version over the whole move by half of the
+guard's limit at least, and if the old version's requests of the same period
+speak against a change that befell both versions.
+
+Error rates, for any number of looks:
+
+- a version whose share of bad requests exceeds the old one's by half of a
+  guard's limit at most is called worse with probability ``ERROR_RATE`` at
+  most, over all guards, zones and periods of a move together, if the old
+  version's share does not change during the move;
+- if both versions become worse together, the new one is blamed with
+  probability ``COMMON_ERROR_RATE`` at most in each period;
+- a version is called safe for a share of traffic although its excess would
+  add more than the limit to all of the traffic with probability
+  ``STEP_ERROR_RATE`` at most for each guard.
+"""
+
+import math
+from collections.abc import Sequence
+
+import attrs
+
+from teaseldale.moves._evidence import (
+    EvidenceCounts,
+    Guard,
+    VersionPair,
+    excess_limit,
+)
+from teaseldale.moves._sequential import (
+    Sample,
+    difference_bound,
+    lower_bound,
+    upper_bound,
+)
+from teaseldale.moves._windows import Window
+from teaseldale.notes import VersionMove
+
+ERROR_RATE = 0.01
+COMMON_ERROR_RATE = 0.1
+STEP_ERROR_RATE = 0.05
+_ARMS = 2
+_HALF = 0.5
+_MANY_REQUESTS = 300  # then the normal approximation holds
+_PERMILLE = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Finding:
+    """A guard that the new version has broken, with the counts."""
+
+    guard: Guard
+    place: str  # availability zone, or "all zones"
+    pair: VersionPair
+
+    @property
+    def text(self) -> str:
+        """Sentence for operators."""
+        new = self.pair.new
+        old = self.pair.old
+        return (
+            f'{self.guard} in {self.place}: {new.of(self.guard)} of '
+            f'{new.requests} requests at the new version, '
+            f'{old.of(self.guard)} of {old.requests} at the old one'
+        )
+
+
+def find_worse(
+    move: VersionMove,
+    windows: Sequence[Window],
+    *,
+    reference: EvidenceCounts,
+    place: str,
+    error_share: float = 1,
+) -> Finding | None:
+    """Returns a guard by which the new version is worse, if there is one.
+
+    ``reference`` counts the old version's requests since the move began.
+    ``error_share`` is the part of the error rate that these requests get.
+    """
+    error_rate = ERROR_RATE * error_share / (len(Guard) * _ARMS)
+    for guard in Guard:
+        limit = _worst_usual_share(move, reference, guard, error_rate)
+        for window in windows:
+            window_rate = error_rate * window.error_share
+            if _is_worse(window.pair, reference, guard, limit, window_rate):
+                return Finding(guard=guard, place=place, pair=window.pair)
+    return None
+
+
+def doubtful_guard(
+    move: VersionMove,
+    pair: VersionPair,
+    next_permille: int,
+) -> Guard | None:
+    """Returns a guard that speaks against a larger share, or None.
+
+    The evidence is enough if the new version, at the next share, adds no more
+    to all of the traffic than the guard's limit.
+    """
+    for guard in Guard:
+        allowed = excess_limit(guard, move) * _PERMILLE / next_permille
+        if _largest_excess(pair, guard) > allowed:
+            return guard
+    return None
+
+
+def _worst_usual_share(
+    move: VersionMove,
+    reference: EvidenceCounts,
+    guard: Guard,
+    error_rate: float,
+) -> float:
+    # One bound over the whole move, so that periods need not share its rate.
+    margin = excess_limit(guard, move) / 2
+    if not reference.requests:
+        return 1
+    count = reference.of(guard)
+    return upper_bound(count, reference.requests, error_rate) + margin
+
+
+def _is_worse(
+    pair: VersionPair,
+    reference: EvidenceCounts,
+    guard: Guard,
+    limit: float,
+    error_rate: float,
+) -> bool:
+    new = pair.new
+    if not new.of(guard) or new.of(guard) / new.requests <= limit:
+        return False
+    least = lower_bound(new.of(guard), new.requests, error_rate)
+    if least <= limit:
+        return False
+    return _old_is_as_usual(pair.old, reference, guard, least)
+
+
+def _old_is_as_usual(
+    old: EvidenceCounts,
+    reference: EvidenceCounts,
+    guard: Guard,
+    suspected: float,
+) -> bool:
+    usual = (reference.of(guard) + _HALF) / (reference.requests + 1)
+    bad = old.of(guard)
+    clean = old.requests - bad
+    log_ratio = bad * math.log(usual / suspected)
+    log_ratio += clean * (math.log1p(-usual) - math.log1p(-suspected))
+    return log_ratio >= -math.log(COMMON_ERROR_RATE)
+
+
+def _largest_excess(pair: VersionPair, guard: Guard) -> float:
+    new, old = pair.new, pair.old
+    if not new.requests or not old.requests:
+        return 1
+    if min(new.requests, old.requests) >= _MANY_REQUESTS:
+        return difference_bound(
+            Sample(count=new.of(guard), trials=new.requests),
+            Sample(count=old.of(guard), trials=old.requests),
+            STEP_ERROR_RATE,
+        )
+    error_rate = STEP_ERROR_RATE / _ARMS
+    greatest = upper_bound(new.of(guard), new.requests, error_rate)
+    least = lower_bound(old.of(guard), old.requests, error_rate)
+    return greatest - least
