--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,6 +7,7 @@
 import hashlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -15,7 +16,6 @@
 import time
 from collections.abc import Mapping, Sequence
 from types import TracebackType
-from typing import Any
 
 import attrs
 import httpcore
@@ -25,16 +25,35 @@
 ACCOUNT_KEY = 'account-key'
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
+_PORT_RANGE = (10_240, 32_768)
+_port_source = random.SystemRandom()
+_ports_given: set[int] = set()
 _STOP_TIMEOUT_SECONDS = 30
-_SETTLED_SECONDS = 2
+_SETTLED_AFTER_SECONDS = 3
 _UNPACK_FOLDER = pathlib.Path('build/unpacked')  # of the built file
 
 
 def free_port() -> int:
-    """Returns a TCP port of loopback that nothing listens on now."""
+    """Returns a TCP port of loopback that nothing listens on now.
+
+    It lies below the range from which the system takes ports for outgoing
+    connections, and is given out once in a process.
+    """
+    while True:
+        port = _port_source.randrange(*_PORT_RANGE)
+        if port not in _ports_given and _can_listen(port):
+            _ports_given.add(port)
+            return port
+
+
+def _can_listen(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -254,27 +273,16 @@
             return response.content.decode()
         return msgspec.json.decode(response.content)
 
-    def settled_tokens(self, name: str, expected: int) -> int:
-        """Returns what is billed to a budget once settlements are through.
-
-        Waits until ``expected`` tokens are billed and then a little longer,
-        so that a second bill would show.
-        """
-        path = f'/budget?name={name}'
-        deadline = time.monotonic() + _START_TIMEOUT_SECONDS
-        settled_since = None
-        while time.monotonic() < deadline:
-            state: Any = self.operate(self.vms[-1], 'GET', path)
-            billed = int(state['billed_tokens'])
-            if billed > expected:
-                return billed
-            now = time.monotonic()
-            if billed < expected:
-                settled_since = None
-            elif settled_since is None:
-                settled_since = now
-            elif now - settled_since > _SETTLED_SECONDS:
-                return billed
+    def billed_tokens(self, budget: str = 'drafting') -> int:
+        """Returns what is billed once no settlement has come for a while."""
+        path = f'/budget?name={budget}'
+        billed = -1
+        quiet_since = time.monotonic()
+        while time.monotonic() - quiet_since < _SETTLED_AFTER_SECONDS:
+            state = self.operate(self.vms[0], 'GET', path)
+            if state['billed_tokens'] != billed:
+                billed = state['billed_tokens']
+                quiet_since = time.monotonic()
             time.sleep(0.1)
         return billed
 
@@ -314,12 +322,26 @@
             print(f'--- {log.name}', log.read_text()[-2000:], sep='\n')
 
     def stop(self) -> None:
-        """Ends all processes started here, the VMs first."""
-        names = {vm.name for vm in self.vms}
-        _end_all([self.processes[name] for name in names & set(self.processes)])
-        _end_all(list(self.processes.values()))
+        """Ends all processes started here."""
+        vm_names = {vm.name for vm in self.vms}
+        self._end({name for name in self.processes if name in vm_names})
+        self._end(set(self.processes))
         self._folder.cleanup()
 
+    def _end(self, names: set[str]) -> None:
+        ending = [self.processes[name] for name in names]
+        for process in ending:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
+        for process in ending:
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
     def _spawn(self, name: str, *arguments: str) -> None:
         log = (self.path / f'{name}.log').open('wb')
         self.processes[name] = subprocess.Popen(
@@ -352,19 +374,5 @@
     return f'127.0.0.1:{free_port()}'
 
 
-def _end_all(processes: Sequence[subprocess.Popen[bytes]]) -> None:
-    for process in processes:
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-    deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
-    for process in processes:
-        try:
-            process.wait(max(0.1, deadline - time.monotonic()))
-        except subprocess.TimeoutExpired:
-            process.kill()
-            process.wait()
-
-
 def _toml(fields: Mapping[str, int]) -> str:
     return '\n'.join(f'{name} = {amount}' for name, amount in fields.items())
--- a/features/steps/drain.py
+++ b/features/steps/drain.py
@@ -195,7 +195,7 @@
     process = context.fleet.processes[context.fleet.vms[0].name]
     assert process.wait(_TIMEOUT_SECONDS) == 0, process.returncode
     expected = context.expected_tokens + context.served_calls
-    billed = context.fleet.settled_tokens('drafting', expected)
+    billed = context.fleet.billed_tokens()
     assert billed == expected, (billed, expected)
 
 
--- a/teaseldale/entry/_answers.py
+++ b/teaseldale/entry/_answers.py
@@ -1,5 +1,6 @@
 """Writing of answers: streamed, whole, or of a plain service."""
 
+import math
 from collections.abc import Awaitable
 
 import anyio
@@ -23,6 +24,7 @@
 
 _STATUS_OK = 200
 _MS_PER_SECOND = 1000
+_STALL_LIMIT_SECONDS = 30  # of a reader that takes no byte
 
 
 class AnswerWriter:
@@ -63,7 +65,14 @@
                 (KEY_HEADER, head.answer_id.encode()),
             ),
         )
-        await self._write_parts(exchange, answer, EventEncoder(head=head))
+        if not await self._write_parts(
+            exchange,
+            answer,
+            EventEncoder(head=head),
+        ):
+            self._metrics.increment('readers_cut')
+            exchange.abort()
+            return None
         if answer.stored is None:
             return answer.refusal
         usage = _usage_of_stream(chat, answer.stored)
@@ -79,17 +88,25 @@
         exchange: Exchange,
         answer: AnswerLog,
         encoder: EventEncoder,
-    ) -> None:
-        """Sends a slow answer's parts at once, a fast one's together."""
+    ) -> bool:
+        """Sends a slow answer's parts at once, a fast one's together.
+
+        Returns False when the reader took no byte for too long.
+        """
         phase = self._pacer.next_phase()
         written_ms = 0
-        async for batch in answer.batches():
-            await exchange.write(encoder.encode(batch))
-            now_ms = self._clock.monotonic_ms()
-            is_fast = now_ms - written_ms < self._pacer.interval_ms
-            written_ms = now_ms
-            if is_fast or _token_count(batch) > 1:
-                await self._pacer.wait(phase)
+        with anyio.CancelScope() as scope:
+            async for batch in answer.batches():
+                scope.deadline = anyio.current_time() + _STALL_LIMIT_SECONDS
+                await exchange.write(encoder.encode(batch))
+                scope.deadline = math.inf
+                now_ms = self._clock.monotonic_ms()
+                is_fast = now_ms - written_ms < self._pacer.interval_ms
+                written_ms = now_ms
+                if is_fast or _token_count(batch) > 1:
+                    await self._pacer.wait(phase)
+            return True
+        return False
 
     async def complete(
         self,
--- a/teaseldale/upstreams/_http_service.py
+++ b/teaseldale/upstreams/_http_service.py
@@ -6,6 +6,7 @@
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._clients import (
     BaseServiceClient,
+    FailureKind,
     ServiceAnswer,
     ServiceCall,
     UpstreamError,
@@ -47,13 +48,18 @@
     def __init__(self) -> None:
         """Creates a client without open connections."""
         self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        self._fresh_pool = UpstreamPool(
+            max_connections=_MAX_CONNECTIONS,
+            reuses_connections=False,
+        )
 
     async def call(
         self, upstream: Upstream, call: ServiceCall
     ) -> ServiceAnswer:
         """Sends the call and reads the whole answer."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            response = await self._pool.request(
+            response = await pool.request(
                 call.method,
                 upstream.url + call.path,
                 headers=_headers(call),
@@ -113,4 +119,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -18,6 +18,7 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
+ABORT_KEY = 'teaseldale.abort'  # function that closes the connection
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 
 
@@ -104,6 +105,10 @@
             if message['type'] == 'http.disconnect':
                 return
 
+    def abort(self) -> None:
+        """Closes the connection at once and drops what was not sent."""
+        self._scope[ABORT_KEY]()
+
     async def start(
         self,
         status: int,
--- a/teaseldale/web/_protocol.py
+++ b/teaseldale/web/_protocol.py
@@ -6,9 +6,11 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.web._exchange import ABORT_KEY
 from teaseldale.web._refusal_answer import refusal_body
 
 _HEAD_LIMIT_BYTES = 65_536
+_WRITE_LIMIT_BYTES = 8192  # unsent bytes after which writers wait
 _LINGER_SECONDS = 1
 _SINGLE_HEADERS = frozenset(
     (
@@ -48,10 +50,17 @@
         self._head_bytes = 0
         self._is_refused = False
 
+    def connection_made(self, transport: Any) -> None:
+        """Bounds what a slow reader makes the process hold."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=_WRITE_LIMIT_BYTES)
+
     def on_message_begin(self) -> None:
         """Starts counting the head of the next request."""
         self._head_bytes = 0
         super().on_message_begin()
+        scope: Any = self.scope
+        scope[ABORT_KEY] = self.transport.abort
 
     def on_url(self, url: bytes) -> None:
         """Takes a part of the target."""
