Give the stand-in test's exchange its headers

Cause: the interface reads the content length before the body; the test's scope had none. Change: an empty list of headers. Conclusion: the check is unchanged.

--- a/teaseldale/standins/tests/steps_standins.py
+++ b/teaseldale/standins/tests/steps_standins.py
@@ -153,4 +153,4 @@
     async def send(message):
         assert message['type'].startswith('http.response')
 
-    return Exchange(scope={}, receive=receive, send=send)
+    return Exchange(scope={'headers': []}, receive=receive, send=send)
