--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -5,14 +5,16 @@
 """
 
 import hashlib
+import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from types import TracebackType
 
 import attrs
@@ -23,14 +25,35 @@
 ACCOUNT_KEY = 'account-key'
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
+_PORT_RANGE = (10_240, 32_768)
+_port_source = random.SystemRandom()
+_ports_given: set[int] = set()
 _STOP_TIMEOUT_SECONDS = 30
+_SETTLED_AFTER_SECONDS = 3
+_UNPACK_FOLDER = pathlib.Path('build/unpacked')  # of the built file
 
 
 def free_port() -> int:
-    """Returns a TCP port of loopback that nothing listens on now."""
+    """Returns a TCP port of loopback that nothing listens on now.
+
+    It lies below the range from which the system takes ports for outgoing
+    connections, and is given out once in a process.
+    """
+    while True:
+        port = _port_source.randrange(*_PORT_RANGE)
+        if port not in _ports_given and _can_listen(port):
+            _ports_given.add(port)
+            return port
+
+
+def _can_listen(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -61,7 +84,7 @@
         slot_count: int = 64,
         token_interval_ms: float = 5,
         first_token_ms: int = 10,
-        balancer_grace_ms: int = 50,
+        limits: Mapping[str, int] | None = None,
         note: str = '',
         program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
     ) -> None:
@@ -75,7 +98,7 @@
         self.service = _address()
         self.engines = [_address() for _ in range(engine_count)]
         self.slot_count = slot_count
-        self.balancer_grace_ms = balancer_grace_ms
+        self._limits = {'balancer_grace_ms': 50, **(limits or {})}
         self._token_interval_ms = token_interval_ms
         self._first_token_ms = first_token_ms
         self.vms = [
@@ -164,7 +187,7 @@
 membership_url = "http://{self.platform}"
 
 [limits]
-balancer_grace_ms = {self.balancer_grace_ms}
+{_toml(self._limits)}
 
 [logs]
 format = "key_value"
@@ -250,6 +273,19 @@
             return response.content.decode()
         return msgspec.json.decode(response.content)
 
+    def billed_tokens(self, budget: str = 'drafting') -> int:
+        """Returns what is billed once no settlement has come for a while."""
+        path = f'/budget?name={budget}'
+        billed = -1
+        quiet_since = time.monotonic()
+        while time.monotonic() - quiet_since < _SETTLED_AFTER_SECONDS:
+            state = self.operate(self.vms[0], 'GET', path)
+            if state['billed_tokens'] != billed:
+                billed = state['billed_tokens']
+                quiet_since = time.monotonic()
+            time.sleep(0.1)
+        return billed
+
     def set_faults(self, address: str, **faults: object) -> None:
         """Switches faults of a stand-in; all others are switched off."""
         response = httpcore.request(
@@ -287,18 +323,24 @@
 
     def stop(self) -> None:
         """Ends all processes started here."""
-        for process in self.processes.values():
+        vm_names = {vm.name for vm in self.vms}
+        self._end({name for name in self.processes if name in vm_names})
+        self._end(set(self.processes))
+        self._folder.cleanup()
+
+    def _end(self, names: set[str]) -> None:
+        ending = [self.processes[name] for name in names]
+        for process in ending:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.terminate()
         deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
-        for process in self.processes.values():
+        for process in ending:
             try:
                 process.wait(max(0.1, deadline - time.monotonic()))
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
-        self._folder.cleanup()
 
     def _spawn(self, name: str, *arguments: str) -> None:
         log = (self.path / f'{name}.log').open('wb')
@@ -306,6 +348,7 @@
             (*self._program, *arguments),
             stdout=log,
             stderr=log,
+            env={**os.environ, 'SHIV_ROOT': str(_UNPACK_FOLDER.resolve())},
         )
         log.close()
 
@@ -329,3 +372,7 @@
 
 def _address() -> str:
     return f'127.0.0.1:{free_port()}'
+
+
+def _toml(fields: Mapping[str, int]) -> str:
+    return '\n'.join(f'{name} = {amount}' for name, amount in fields.items())
--- a/teaseldale/command/_endpoints.py
+++ b/teaseldale/command/_endpoints.py
@@ -6,9 +6,11 @@
 from teaseldale.operations import (
     BudgetEndpoints,
     OperatorsInterface,
+    QuarantineEndpoints,
     StatusEndpoint,
 )
 from teaseldale.peers import BasePeerNetwork
+from teaseldale.upstreams import CrashQuarantine
 
 
 def add_endpoints(
@@ -18,12 +20,16 @@
     moves: MovesService,
     ledger: TableLedger,
     peers: BasePeerNetwork,
+    quarantine: CrashQuarantine,
 ) -> None:
     """Registers every endpoint that operators can call."""
     status = StatusEndpoint(configuration=configuration, peers=peers)
     operators.add_endpoint('GET', '/status', status.show)
     notes = ReleaseNoteEndpoints(configuration=configuration)
     operators.add_endpoint('POST', '/notes', notes.apply)
+    suspects = QuarantineEndpoints(quarantine=quarantine)
+    operators.add_endpoint('GET', '/quarantine', suspects.show)
+    operators.add_endpoint('POST', '/quarantine/release', suspects.release)
     operators.add_endpoint('GET', '/notes', notes.list)
     operators.add_endpoint('GET', '/notes/{name}', notes.show)
     operators.add_endpoint('POST', '/notes/{name}/cancel', notes.cancel)
--- a/teaseldale/command/_load_run.py
+++ b/teaseldale/command/_load_run.py
@@ -9,11 +9,12 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from teaseldale.upstreams import StreamNetworkBackend
+from teaseldale.upstreams import UpstreamPool
 
 _STATUS_OK = 200
 _US_PER_SECOND = 1_000_000
 _US_PER_MS = 1000
+_MS_PER_SECOND = 1000
 _LOWEST_US = 1
 _HIGHEST_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 3
@@ -30,13 +31,14 @@
     """What is sent, and its bounds."""
 
     urls: tuple[str, ...]  # callers' addresses, taken in turn
-    key: str = attrs.field(repr=False)  # of a client account
+    keys: tuple[str, ...] = attrs.field(repr=False)  # of client accounts
     route: str
     stream_count: int  # at once
     request_count: int
     duration_seconds: float  # no request starts after it
     output_tokens: int  # of each request
     prompt: str = 'a chestnut sack'
+    start_interval_ms: float = 0  # between the first requests of streams
 
 
 @attrs.frozen(kw_only=True)
@@ -69,11 +71,7 @@
         self._request = _histogram()
         self._started = float(0)
         self._duration = float(0)
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=plan.stream_count,
-            max_keepalive_connections=plan.stream_count,
-            network_backend=StreamNetworkBackend(),
-        )
+        self._pool = UpstreamPool(max_connections=plan.stream_count)
 
     async def run(self) -> None:
         """Sends until the count or the duration is reached."""
@@ -81,6 +79,9 @@
         async with self._pool, anyio.create_task_group() as tasks:
             for _ in range(self._plan.stream_count):
                 tasks.start_soon(self._send_in_turn)
+                await anyio.sleep(
+                    self._plan.start_interval_ms / _MS_PER_SECOND,
+                )
         self._duration = time.perf_counter() - self._started
 
     def report(self) -> LoadReport:
@@ -120,11 +121,12 @@
     async def _send(self, number: int) -> None:
         plan = self._plan
         base_url = plan.urls[number % len(plan.urls)]
+        key = plan.keys[number % len(plan.keys)]
         sent = time.perf_counter()
         async with self._pool.stream(
             'POST',
             f'{base_url}/v1/chat/completions',
-            headers={'authorization': f'Bearer {plan.key}'},
+            headers={'authorization': f'Bearer {key}'},
             content=_body(plan),
             extensions={'timeout': {'read': _READ_TIMEOUT_SECONDS}},
         ) as response:
--- a/teaseldale/entry/_callers.py
+++ b/teaseldale/entry/_callers.py
@@ -21,9 +21,10 @@
     unauthorized,
     unknown_route,
 )
+from teaseldale.entry._write_pacer import WritePacer
 from teaseldale.kernel import BaseService
 from teaseldale.notes import ClientAccount, RouteKind
-from teaseldale.outcomes import Refusal
+from teaseldale.outcomes import Refusal, RefusalCode
 from teaseldale.settings import LimitSettings
 from teaseldale.web import BodyTooLargeError, EmbeddedServer, Exchange
 
@@ -31,6 +32,7 @@
 _COMPLETIONS_PATH = '/v1/chat/completions'
 _MODELS_PATH = '/v1/models'
 _SERVICES_PATH = '/services/'
+_CLOSE = ((b'connection', b'close'),)
 _STATUS_OK = 200
 _MS_PER_SECOND = 1000
 
@@ -50,6 +52,10 @@
         self._limits = limits
         self._account_keys = AccountKeys()
         self._runs = BackgroundRuns(metrics=parts.metrics)
+        self._pacer = WritePacer(
+            clock=parts.clock,
+            interval_ms=limits.coalesce_ms,
+        )
         self._tools = HandlerTools(
             parts=parts,
             limits=limits,
@@ -57,7 +63,7 @@
             writer=AnswerWriter(
                 clock=parts.clock,
                 metrics=parts.metrics,
-                coalesce_ms=limits.coalesce_ms,
+                pacer=self._pacer,
             ),
         )
         self._completions = CompletionHandler(tools=self._tools)
@@ -76,6 +82,7 @@
     async def start(self, tasks: TaskGroup) -> None:
         """Starts listening."""
         self._runs.open(tasks)
+        tasks.start_soon(self._pacer.run)
         await self._server.start(tasks)
 
     async def drain(self) -> None:
@@ -96,7 +103,8 @@
         outcome = await self._dispatch(exchange)
         if outcome is not None:
             self._parts.metrics.increment('refusals', outcome.code)
-            await exchange.refuse(outcome)
+            closing = outcome.code is RefusalCode.DRAINING
+            await exchange.refuse(outcome, _CLOSE if closing else ())
 
     async def _dispatch(self, exchange: Exchange) -> Refusal | None:
         account = self._authenticate(exchange)
--- a/teaseldale/entry/_service_call.py
+++ b/teaseldale/entry/_service_call.py
@@ -6,20 +6,24 @@
 
 from teaseldale.answers import StoredAnswer
 from teaseldale.budgets import Reservation
+from teaseldale.entry._attempts import AttemptPlacer, Attempts
 from teaseldale.entry._lifecycle import (
     RequestLifecycle,
     WorkOutcome,
     charged_budgets,
 )
 from teaseldale.entry._parts import RequestParts
-from teaseldale.notes import ClientAccount, Route, Upstream
-from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.entry._upstream_refusals import upstream_failed
+from teaseldale.notes import ClientAccount, Route
+from teaseldale.outcomes import Refusal
 from teaseldale.requests import OpenedRequest
 from teaseldale.routing import Placement, RoutingRequest
-from teaseldale.upstreams import ServiceAnswer, ServiceCall, UpstreamError
-
-_ATTEMPTS = 3
-_RETRY_AFTER_MS = 500
+from teaseldale.upstreams import (
+    ServiceAnswer,
+    ServiceCall,
+    UpstreamError,
+    fingerprint_of,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +45,7 @@
         """Uses the given parts."""
         self._parts = parts
         self._lifecycle = RequestLifecycle(parts=parts)
+        self._placer = AttemptPlacer(parts=parts)
 
     async def run(self, job: ServiceJob) -> None:
         """Runs a job to its end; the outcome is in the answer log."""
@@ -48,89 +53,75 @@
             job.opened,
             budgets=charged_budgets(job.account, job.route),
             tokens=job.route.tokens_per_call,
-            work=functools.partial(self._dispatch, job),
+            work=functools.partial(self._try_upstreams, job),
         )
 
-    async def _dispatch(
+    async def _try_upstreams(
         self,
         job: ServiceJob,
         reserved: Reservation,
     ) -> WorkOutcome:
-        excluded: frozenset[str] = frozenset()
-        outcome: StoredAnswer | Refusal = _no_attempt()
-        for _ in range(_ATTEMPTS):
-            placed = await self._parts.router.place(
-                _routing_request(job, excluded),
-            )
+        attempts = Attempts(
+            route=job.route,
+            fingerprint=_fingerprint(job),
+        )
+        while True:
+            placed = await self._placer.place(_routing_request(job), attempts)
             if isinstance(placed, Refusal):
-                return _priced(_worse(outcome, placed), reserved.tokens)
-            outcome = await self._call_at(job, reserved, placed)
-            if not _may_repeat(job, outcome):
-                break
-            excluded |= {placed.upstream.name}
-        return _priced(outcome, reserved.tokens)
-
-    async def _call_at(
+                return _priced(placed, reserved.tokens)
+            outcome = await self._run_at(job, reserved, placed, attempts)
+            await self._placer.end_trial(attempts)
+            if not isinstance(outcome, Refusal):
+                await self._placer.note_success(attempts)
+                return _priced(outcome, reserved.tokens)
+            attempts.note_failure(outcome, placed.upstream.name)
+            if not self._may_repeat(job, attempts, outcome):
+                return _priced(attempts.last or outcome, reserved.tokens)
+
+    def _may_repeat(
         self,
         job: ServiceJob,
-        reserved: Reservation,
-        placed: Placement,
-    ) -> StoredAnswer | Refusal:
-        failed = True
-        try:
-            outcome = await self._recorded_call(job, reserved, placed.upstream)
-            failed = isinstance(outcome, Refusal)
-        finally:
-            self._parts.router.release(placed, failed=failed)
-        if isinstance(outcome, Refusal):
-            self._parts.metrics.increment('retries', outcome.code)
-        return outcome
-
-    async def _recorded_call(
+        attempts: Attempts,
+        refusal: Refusal,
+    ) -> bool:
+        if not refusal.not_run and not job.opened.repeatable:
+            return False
+        return self._placer.may_retry(attempts, refusal)
+
+    async def _run_at(
         self,
         job: ServiceJob,
         reserved: Reservation,
-        upstream: Upstream,
+        placed: Placement,
+        attempts: Attempts,
     ) -> StoredAnswer | Refusal:
-        refused = await self._parts.registry.record_dispatch(
-            job.opened,
-            upstream=upstream.name,
-            reserved_tokens=reserved.tokens,
-        )
-        if refused is not None:
-            return refused
-        try:
-            answer = await self._parts.services.call(upstream, job.call)
-        except UpstreamError as error:
-            return _failed(error, repeatable=job.opened.repeatable)
-        return _stored(answer, job.route.tokens_per_call)
-
-
-def _may_repeat(job: ServiceJob, outcome: StoredAnswer | Refusal) -> bool:
-    if not isinstance(outcome, Refusal):
-        return False
-    if outcome.code is not RefusalCode.UPSTREAM_FAILED:
-        return False
-    return outcome.not_run or job.opened.repeatable
-
-
-def _worse(
-    earlier: StoredAnswer | Refusal,
-    later: Refusal,
-) -> StoredAnswer | Refusal:
-    if isinstance(earlier, Refusal) and earlier.not_run:
-        return later
-    return earlier
-
-
-def _no_attempt() -> Refusal:
-    return Refusal(
-        code=RefusalCode.NO_UPSTREAM,
-        message='No upstream was tried; ask again later.',
-        not_run=True,
-        step=Step.CHOOSE_UPSTREAM,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
+        with self._placer.released(placed) as outcome:
+            refused = await self._parts.registry.record_dispatch(
+                job.opened,
+                upstream=placed.upstream.name,
+                reserved_tokens=reserved.tokens,
+            )
+            if refused is not None:
+                return refused
+            call = attrs.evolve(
+                job.call,
+                fresh_connection=attempts.fresh_connection,
+            )
+            try:
+                answer = await self._parts.services.call(placed.upstream, call)
+            except UpstreamError as error:
+                failure = error
+                outcome.blame(error)
+            else:
+                return _stored(answer, job.route.tokens_per_call)
+        await self._placer.note_error(failure, placed, attempts)
+        return upstream_failed(failure, repeatable=job.opened.repeatable)
+
+
+def _fingerprint(job: ServiceJob) -> str:
+    call = job.call
+    content = b'\0'.join((call.method.encode(), call.path.encode(), call.body))
+    return fingerprint_of(job.route.name, content)
 
 
 def _priced(outcome: StoredAnswer | Refusal, tokens: int) -> WorkOutcome:
@@ -138,17 +129,14 @@
     return WorkOutcome(answer=outcome, used_tokens=0 if not_run else tokens)
 
 
-def _routing_request(
-    job: ServiceJob,
-    excluded: frozenset[str],
-) -> RoutingRequest:
+def _routing_request(job: ServiceJob) -> RoutingRequest:
     return RoutingRequest(
         route=job.route.name,
         version=job.route.version,
         prompt='',
         priority=job.priority,
         deadline_ms=job.deadline_ms,
-        excluded=excluded,
+        client_account=job.account.name,
     )
 
 
@@ -160,15 +148,3 @@
         prompt_tokens=0,
         output_tokens=used_tokens,
     )
-
-
-def _failed(error: UpstreamError, *, repeatable: bool) -> Refusal:
-    in_doubt = error.may_have_run and not repeatable
-    return Refusal(
-        code=RefusalCode.IN_DOUBT if in_doubt else RefusalCode.UPSTREAM_FAILED,
-        message=f'The service did not answer: {error.reason}.',
-        not_run=not error.may_have_run,
-        step=error.step,
-        peer=error.peer,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
--- a/teaseldale/peers/tests/steps_links.py
+++ b/teaseldale/peers/tests/steps_links.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from unittest import mock
 
 import anyio
 from behave import given, then, when
@@ -9,6 +10,7 @@
 from benchmarks.fleet import free_port
 from teaseldale.outcomes import PeerUnreachableError
 from teaseldale.peers import CellMap, VmIdentity, _links
+from teaseldale.peers._link import PeerLink
 from teaseldale.peers.tests.network import (
     Answer,
     MemberList,
@@ -338,3 +340,63 @@
 @then('it runs at most {limit:d} threads')
 def few_threads(context, limit):
     assert context.thread_count <= limit, context.thread_count
+
+
+@given('a fleet so large that its list is read once a minute')
+def large_fleet(context):
+    context.members = MemberList()
+    for index in range(2400):  # 2,400 VMs make an interval of a minute
+        list_other(context.members, f'other-{index}', 'port')
+    context.first = make_node(context.members, 'a', port=free_port())
+
+
+@when('a VM joins that lists and greets the others')
+def join(context):
+    async def main():
+        reads = 0
+        read = context.members.members
+
+        async def counted_read():
+            nonlocal reads
+            reads += 1
+            return await read()
+
+        context.members.members = counted_read
+        async with running(context.first):
+            await wait_until(lambda: context.first.network.known_peers())
+            joining = make_node(context.members, 'b', port=free_port())
+            async with running(joining):
+                await wait_until(lambda: context.first.reaches(joining))
+        context.reads = reads
+
+    anyio.run(main)
+
+
+@then('the others reach it before the next regular reading')
+def found_early(context):
+    # Two readings by the first VM and one or two by the one that joined.
+    assert context.reads in {3, 4}, context.reads
+
+
+@given('links that keep their sockets for good')
+def keep_sockets(context):
+    context.cleanup.enter_context(
+        mock.patch.object(PeerLink, 'replace_socket', _keep_socket)
+    )
+
+
+def _keep_socket(_link, _reason):
+    """Leaves the socket as it is."""
+
+
+@then('a call of VM a fails because of its time limit')
+def call_times_out(context):
+    async def act():
+        try:
+            await context.pair.a.ask(context.pair.b, timeout_ms=4000)
+        except PeerUnreachableError as error:
+            context.error = error
+
+    context.story.append(act)
+    _play(context)
+    assert context.error.reason == 'timeout', context.error
--- a/teaseldale/requests/_answer_reader.py
+++ b/teaseldale/requests/_answer_reader.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from teaseldale.answers import AnswerLog, AnswerPart, StoredAnswer
+from teaseldale.answers import AnswerLog, AnswerPart
 from teaseldale.peers import BasePeerNetwork, VmIdentity
 from teaseldale.requests._identity import RequestIdentity
 from teaseldale.requests._intent_guard import IntentGuard
@@ -44,9 +44,7 @@
             known=True,
             failed=answer.refusal is not None,
             cancelled_attempt='',
-            parts=tuple(
-                part for part in answer.parts if part.offset >= asked.offset
-            ),
+            parts=_tail(asked, answer.text(), answer.output_tokens),
             stored=answer.stored,
         )
 
@@ -64,15 +62,26 @@
             known=True,
             failed=False,
             cancelled_attempt='',
-            parts=(_tail(asked, record.stored),),
+            parts=_tail(
+                asked,
+                record.stored.body,
+                record.stored.output_tokens,
+            ),
             stored=record.stored,
         )
 
 
-def _tail(asked: ReadAnswer, stored: StoredAnswer) -> AnswerPart:
-    text = stored.body.decode(errors='replace')
-    return AnswerPart(
+def _tail(
+    asked: ReadAnswer,
+    body: bytes,
+    output_tokens: int,
+) -> tuple[AnswerPart, ...]:
+    if output_tokens <= asked.offset:
+        return ()
+    text = body.decode(errors='replace')
+    part = AnswerPart(
         offset=asked.offset,
-        token_count=stored.output_tokens - asked.offset,
+        token_count=output_tokens - asked.offset,
         text=text[asked.character_count :],
     )
+    return (part,)
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -16,9 +16,10 @@
     EngineCall,
     EngineEvents,
     EngineFinished,
+    FailureKind,
     UpstreamError,
 )
-from teaseldale.upstreams._network_backend import StreamNetworkBackend
+from teaseldale.upstreams._http_connection import UpstreamPool
 
 _MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 1000
@@ -71,9 +72,10 @@
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
-            network_backend=StreamNetworkBackend(),
+            reuses_connections=False,
         )
 
     @asynccontextmanager
@@ -83,8 +85,9 @@
         call: EngineCall,
     ) -> AsyncIterator[EngineEvents]:
         """Opens a stream; a refusal before running is told as such."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            async with self._pool.stream(
+            async with pool.stream(
                 'POST',
                 f'{upstream.url}/v1/chat/completions',
                 headers=_headers(call),
@@ -110,7 +113,7 @@
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Asks the engine to stop a run."""
         try:
-            await self._pool.request(
+            await self._fresh_pool.request(
                 'DELETE',
                 f'{upstream.url}/v1/requests/{quote(request_id)}',
                 extensions={'timeout': _timeouts(_CANCEL_TIMEOUT_MS)},
@@ -129,7 +132,7 @@
     response: httpcore.Response,
 ) -> EngineEvents:
     buffer = b''
-    async for chunk in response.aiter_stream():
+    async for chunk in response.stream:  # type: ignore[union-attr]
         *encoded_events, buffer = (buffer + chunk).split(_EVENT_END)
         for encoded in encoded_events:
             payload = encoded.removeprefix(_DATA_PREFIX)
@@ -167,6 +170,7 @@
             peer=upstream.name,
             reason=f'answer of another request: {event.id}',
             may_have_run=True,
+            kind=FailureKind.CROSSED,
         )
     if event.usage is not None:
         return EngineFinished(
@@ -213,6 +217,7 @@
         peer=upstream.name,
         reason=reason,
         may_have_run=not before_running,
+        kind=FailureKind.REFUSED if before_running else FailureKind.FAILED,
     )
 
 
@@ -227,4 +232,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
