--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -68,9 +68,8 @@
     foundation = _build_foundation(settings)
     services = _build_coordination(foundation)
     limits = settings.limits
-    kernel = Kernel(
-        end_timeout_ms=limits.balancer_grace_ms + limits.drain_timeout_ms,
-    )
+    end_timeout_ms = limits.balancer_grace_ms + limits.drain_timeout_ms
+    kernel = Kernel(end_timeout_ms=end_timeout_ms)
     kernel.register(_build_operators(foundation, services, shutdown))
     kernel.register(foundation.peers)
     kernel.register(services.configuration)
--- a/teaseldale/requests/_records.py
+++ b/teaseldale/requests/_records.py
@@ -33,6 +33,7 @@
     runner: str  # key of the VM that runs it
     state: RecordState
     repeatable: bool = True
+    attempt: str = ''  # opening of the request, as in its intent
     takeover_of: str = ''  # key of a runner that was found dead
     budgets: tuple[str, ...] = ()
     reserved_tokens: int = 0
@@ -47,6 +48,7 @@
 
     settlements: tuple[Settlement, ...] = ()
     in_doubt: tuple[RequestRecord, ...] = ()  # may have run, not repeatable
+    finished: tuple[str, ...] = ()  # attempts that were settled
 
 
 class RecordStore:
@@ -84,7 +86,7 @@
         """Takes a record in, or returns the one of another run instead."""
         existing = self.find(record.request)
         if existing is not None and _is_late(record, existing):
-            return None
+            return existing
         self._note_spending(record)
         if existing is not None and not _replaces(record, existing):
             return existing
@@ -110,6 +112,11 @@
             in_doubt=tuple(
                 record for record in unsettled if not record.repeatable
             ),
+            finished=tuple(
+                record.attempt
+                for record in self._records.values()
+                if record.holder == holder and record.settlement is not None
+            ),
         )
 
     def is_fenced(self, holder: str) -> bool:
@@ -151,14 +158,21 @@
         existing.runner == record.runner
         and existing.state is RecordState.SETTLED
         and record.state is not RecordState.SETTLED
+        and not _asks_again(record, existing)
     )
 
 
+def _asks_again(record: RequestRecord, existing: RequestRecord) -> bool:
+    """Whether a retry came to the VM that has the whole answer."""
+    claims = record.state is RecordState.CLAIMED
+    return claims and existing.stored is not None
+
+
 def _replaces(record: RequestRecord, existing: RequestRecord) -> bool:
     if record.digest != existing.digest:
         return False
     if record.runner == existing.runner:
-        return True
+        return not _asks_again(record, existing)
     if existing.state is RecordState.SETTLED:
         return False
     return (
