--- a/teaseldale/answers/_answer_log.py
+++ b/teaseldale/answers/_answer_log.py
@@ -2,11 +2,11 @@
 
 from collections.abc import AsyncIterator
 
-import anyio
 import attrs
 
 from teaseldale.answers._answer_text import AnswerText
 from teaseldale.answers._stored_answer import StoredAnswer
+from teaseldale.answers._wake_signal import WakeSignal
 from teaseldale.outcomes import Refusal
 
 WINDOW_BYTES = 16_384
@@ -42,8 +42,8 @@
         self._window_bytes = window_bytes
         self._text = AnswerText()
         self._readers: list[_Reader] = []
-        self._changed = anyio.Event()
-        self._read = anyio.Event()
+        self._changed = WakeSignal()
+        self._read = WakeSignal()
 
     @classmethod
     def replayed(cls, stored: StoredAnswer) -> 'AnswerLog':
@@ -94,17 +94,17 @@
         """Adds a part and wakes the readers."""
         self._text.append(part.text)
         self.output_tokens = part.offset + part.token_count
-        self._wake()
+        self._changed.wake()
 
     def finish(self, stored: StoredAnswer) -> None:
         """Marks the answer as whole; its bill is in ``stored``."""
         self.stored = stored
-        self._wake()
+        self._changed.wake()
 
     def fail(self, refusal: Refusal) -> None:
         """Ends the answer with a refusal."""
         self.refusal = refusal
-        self._wake()
+        self._changed.wake()
 
     async def batches(self) -> AsyncIterator[list[AnswerPart]]:
         """Yields all text in order, as much at once as is there."""
@@ -122,7 +122,7 @@
                     await self._changed.wait()
         finally:
             self._readers.remove(reader)
-            self._wake_writer()
+            self._read.wake()
 
     async def wait_for_room(self) -> None:
         """Returns when readers have read half of the window, or left."""
@@ -155,17 +155,7 @@
             reader.position_bytes += len(part.text.encode())
             reader.offset += part.token_count
         self._text.compress_until(self._slowest_bytes())
-        self._wake_writer()
+        self._read.wake()
 
     def _slowest_bytes(self) -> int:
         return min(reader.position_bytes for reader in self._readers)
-
-    def _wake(self) -> None:
-        changed = self._changed
-        self._changed = anyio.Event()
-        changed.set()
-
-    def _wake_writer(self) -> None:
-        read = self._read
-        self._read = anyio.Event()
-        read.set()
