--- a/benchmarks/simulated_fleet.py
+++ b/benchmarks/simulated_fleet.py
@@ -37,6 +37,8 @@
     BaseRequestRegistry,
     OpenedRequest,
     RequestIdentity,
+    RequestStatus,
+    Settlement,
 )
 from teaseldale.routing import (
     AffinityChoice,
@@ -105,6 +107,12 @@
     async def settle(self, reservation, *, used_tokens):
         """Bills."""
         self.billed[reservation.request.text] += used_tokens
+        return Settlement(
+            holder='',
+            sequence=0,
+            budgets=reservation.budgets,
+            used_tokens=used_tokens,
+        )
 
 
 class OpenRegistry(BaseRequestRegistry):
@@ -123,12 +131,17 @@
         """Allows the dispatch."""
         return None
 
-    async def finish(self, opened, stored):
+    async def finish(self, opened, stored, settlement):
         """Ends."""
+        return None
 
-    async def abandon(self, opened, *, not_run):
+    async def abandon(self, opened, *, not_run, settlement=None):
         """Ends."""
 
+    async def status(self, request):
+        """Knows nothing of requests that have ended."""
+        return RequestStatus.UNKNOWN
+
 
 @attrs.define(kw_only=True)
 class CallerOutcome:
