--- a/teaseldale/requests/_records.py
+++ b/teaseldale/requests/_records.py
@@ -158,14 +158,21 @@
         existing.runner == record.runner
         and existing.state is RecordState.SETTLED
         and record.state is not RecordState.SETTLED
+        and not _asks_again(record, existing)
     )
 
 
+def _asks_again(record: RequestRecord, existing: RequestRecord) -> bool:
+    """Whether a retry came to the VM that has the whole answer."""
+    claims = record.state is RecordState.CLAIMED
+    return claims and existing.stored is not None
+
+
 def _replaces(record: RequestRecord, existing: RequestRecord) -> bool:
     if record.digest != existing.digest:
         return False
     if record.runner == existing.runner:
-        return True
+        return not _asks_again(record, existing)
     if existing.state is RecordState.SETTLED:
         return False
     return (
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -17,7 +17,6 @@
     UpstreamRejectedError,
 )
 from teaseldale.upstreams._http_service import HttpServiceClient
-from teaseldale.upstreams._network_backend import StreamNetworkBackend
 from teaseldale.upstreams._quarantine import (
     CrashQuarantine,
     SuspectState,
@@ -55,7 +54,6 @@
     'NoQuarantine',
     'ServiceAnswer',
     'ServiceCall',
-    'StreamNetworkBackend',
     'SuspectState',
     'UpstreamError',
     'UpstreamPool',
--- a/teaseldale/upstreams/_reports.py
+++ b/teaseldale/upstreams/_reports.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from teaseldale.notes import Upstream
-from teaseldale.upstreams._network_backend import StreamNetworkBackend
+from teaseldale.upstreams._http_connection import UpstreamPool
 
 _MS_PER_SECOND = 1000
 _TIMEOUT_MS = 1000
@@ -70,14 +70,10 @@
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
-            network_backend=StreamNetworkBackend(),
-        )
-        self._fresh_pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            max_keepalive_connections=0,
-            network_backend=StreamNetworkBackend(),
+            reuses_connections=False,
         )
 
     async def is_up(self, upstream: Upstream) -> bool:
