--- /dev/null
+++ b/teaseldale/requests/tests/steps_killed_vm.py
@@ -0,0 +1,141 @@
+"""Steps that kill a VM process while it streams."""
+
+import concurrent.futures
+import signal
+import time
+
+import httpcore
+import msgspec
+from behave import given, then, when
+
+from benchmarks.fleet import ACCOUNT_KEY, Fleet
+
+_WORDS = 100
+_STREAMS = 50
+_ORDERS = 10
+_BILLED_WITHIN_SECONDS = 60
+
+
+@given('a fleet of {count:d} VMs whose budget is settled')
+def start(context, count):
+    fleet = Fleet(vm_count=count, token_interval_ms=20)
+    context.killed = context.cleanup.enter_context(fleet)
+
+
+def send(vm, path, key, body):
+    """Returns status and text, or None if the connection broke."""
+    try:
+        response = httpcore.request(
+            'POST',
+            vm.url + path,
+            headers={
+                'authorization': f'Bearer {ACCOUNT_KEY}',
+                'idempotency-key': key,
+            },
+            content=msgspec.json.encode(body),
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return None
+    return response.status, response.content.decode()
+
+
+def stream(vm, key):
+    body = {
+        'model': 'drafts',
+        'messages': [{'role': 'user', 'content': 'a chestnut sack'}],
+        'max_tokens': _WORDS,
+        'stream': True,
+    }
+    return send(vm, '/v1/chat/completions', key, body)
+
+
+def stream_until_whole(vm, key):
+    deadline = time.monotonic() + _BILLED_WITHIN_SECONDS
+    while time.monotonic() < deadline:
+        outcome = stream(vm, key)
+        if outcome and outcome[1].endswith('data: [DONE]\n\n'):
+            return outcome[1]
+        time.sleep(0.5)
+    raise AssertionError((key, outcome))
+
+
+@when(
+    'VM {index:d} is killed with {count:d} streams open '
+    'and the callers retry elsewhere',
+)
+def kill(context, index, count):
+    fleet = context.killed
+    keys = [f'stream-{number}' for number in range(count)]
+    others = [vm for vm in fleet.vms if vm is not fleet.vms[index]]
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        first = [pool.submit(stream, fleet.vms[index], key) for key in keys]
+        time.sleep(1)
+        fleet.signal(fleet.vms[index].name, signal.SIGKILL)
+        broken = [future.result() for future in first]
+        assert not any(
+            outcome and outcome[1].endswith('[DONE]\n\n') for outcome in broken
+        ), 'the streams ended before the VM was killed'
+        context.streams = list(
+            pool.map(
+                lambda number: stream_until_whole(
+                    others[number % len(others)],
+                    keys[number],
+                ),
+                range(count),
+            ),
+        )
+
+
+@when('{count:d} orders are sent through VM 0 and again through VM 2')
+def send_orders(context, count):
+    for vm in (context.killed.vms[0], context.killed.vms[2]):
+        for number in range(count):
+            outcome = send(
+                vm,
+                '/services/orders/orders',
+                f'order-{number}',
+                {'article': 'sack'},
+            )
+            assert outcome is not None and outcome[0] == 200, outcome
+
+
+@then('every retried stream is whole')
+def whole(context):
+    for text in context.streams:
+        words = [
+            msgspec.json.decode(line[6:])['choices'][0]['delta'].get('content')
+            for line in text.splitlines()
+            if line.startswith('data: {')
+        ]
+        answer = ''.join(word for word in words if word)
+        assert len(answer.split()) == _WORDS, answer
+
+
+@then('each stream is billed once')
+def billed(context):
+    expected = _STREAMS * (_WORDS + 3) + _ORDERS
+    deadline = time.monotonic() + _BILLED_WITHIN_SECONDS
+    state = None
+    while time.monotonic() < deadline:
+        state = context.killed.operate(
+            context.killed.vms[0],
+            'GET',
+            '/budget?name=drafting',
+        )
+        if state['billed_tokens'] >= expected:
+            break
+        time.sleep(0.5)
+    time.sleep(3)
+    state = context.killed.operate(
+        context.killed.vms[0],
+        'GET',
+        '/budget?name=drafting',
+    )
+    assert state['billed_tokens'] == expected, (state, expected)
+
+
+@then('no order ran twice at the service')
+def orders_once(context):
+    counted = context.killed.statistics(context.killed.service)
+    assert len(counted) == _ORDERS, counted
+    assert set(counted.values()) == {1}, counted
