--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -5,15 +5,18 @@
 """
 
 import hashlib
+import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from types import TracebackType
+from typing import Any
 
 import attrs
 import httpcore
@@ -23,14 +26,35 @@
 ACCOUNT_KEY = 'account-key'
 EMPTY_ACCOUNT_KEY = 'empty-account-key'
 _START_TIMEOUT_SECONDS = 30
+_PORT_RANGE = (10_240, 32_768)
+_port_source = random.SystemRandom()
+_ports_given: set[int] = set()
 _STOP_TIMEOUT_SECONDS = 30
+_SETTLED_SECONDS = 2
+_UNPACK_FOLDER = pathlib.Path('build/unpacked')  # of the built file
 
 
 def free_port() -> int:
-    """Returns a TCP port of loopback that nothing listens on now."""
+    """Returns a TCP port of loopback that nothing listens on now.
+
+    It lies below the range from which the system takes ports for outgoing
+    connections, and is given out once in a process.
+    """
+    while True:
+        port = _port_source.randrange(*_PORT_RANGE)
+        if port not in _ports_given and _can_listen(port):
+            _ports_given.add(port)
+            return port
+
+
+def _can_listen(port: int) -> bool:
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -61,10 +85,13 @@
         slot_count: int = 64,
         token_interval_ms: float = 5,
         first_token_ms: int = 10,
+        limits: Mapping[str, int] | None = None,
+        note: str = '',
         program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
     ) -> None:
         """Chooses free ports; nothing runs before ``start``."""
         self._program = tuple(program)
+        self._note = note  # applied first; empty for the fleet's own
         self._folder = tempfile.TemporaryDirectory(prefix='teaseldale-')
         self.path = pathlib.Path(self._folder.name)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
@@ -72,6 +99,7 @@
         self.service = _address()
         self.engines = [_address() for _ in range(engine_count)]
         self.slot_count = slot_count
+        self._limits = {'balancer_grace_ms': 50, **(limits or {})}
         self._token_interval_ms = token_interval_ms
         self._first_token_ms = first_token_ms
         self.vms = [
@@ -118,7 +146,7 @@
             self.start_vm(vm)
         for vm in self.vms:
             wait_for_port(vm.operators)
-        self.apply_note(self.first_note())
+        self.apply_note(self._note or self.first_note())
         for vm in self.vms:
             self.wait_until_ready(vm)
 
@@ -159,6 +187,9 @@
 table_url = "http://{self.platform}"
 membership_url = "http://{self.platform}"
 
+[limits]
+{_toml(self._limits)}
+
 [logs]
 format = "key_value"
 """
@@ -243,6 +274,30 @@
             return response.content.decode()
         return msgspec.json.decode(response.content)
 
+    def settled_tokens(self, name: str, expected: int) -> int:
+        """Returns what is billed to a budget once settlements are through.
+
+        Waits until ``expected`` tokens are billed and then a little longer,
+        so that a second bill would show.
+        """
+        path = f'/budget?name={name}'
+        deadline = time.monotonic() + _START_TIMEOUT_SECONDS
+        settled_since = None
+        while time.monotonic() < deadline:
+            state: Any = self.operate(self.vms[-1], 'GET', path)
+            billed = int(state['billed_tokens'])
+            if billed > expected:
+                return billed
+            now = time.monotonic()
+            if billed < expected:
+                settled_since = None
+            elif settled_since is None:
+                settled_since = now
+            elif now - settled_since > _SETTLED_SECONDS:
+                return billed
+            time.sleep(0.1)
+        return billed
+
     def set_faults(self, address: str, **faults: object) -> None:
         """Switches faults of a stand-in; all others are switched off."""
         response = httpcore.request(
@@ -279,18 +334,10 @@
             print(f'--- {log.name}', log.read_text()[-2000:], sep='\n')
 
     def stop(self) -> None:
-        """Ends all processes started here."""
-        for process in self.processes.values():
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
-        for process in self.processes.values():
-            try:
-                process.wait(max(0.1, deadline - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        """Ends all processes started here, the VMs first."""
+        names = {vm.name for vm in self.vms}
+        _end_all([self.processes[name] for name in names & set(self.processes)])
+        _end_all(list(self.processes.values()))
         self._folder.cleanup()
 
     def _spawn(self, name: str, *arguments: str) -> None:
@@ -299,6 +346,7 @@
             (*self._program, *arguments),
             stdout=log,
             stderr=log,
+            env={**os.environ, 'SHIV_ROOT': str(_UNPACK_FOLDER.resolve())},
         )
         log.close()
 
@@ -322,3 +370,21 @@
 
 def _address() -> str:
     return f'127.0.0.1:{free_port()}'
+
+
+def _end_all(processes: Sequence[subprocess.Popen[bytes]]) -> None:
+    for process in processes:
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+    deadline = time.monotonic() + _STOP_TIMEOUT_SECONDS
+    for process in processes:
+        try:
+            process.wait(max(0.1, deadline - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def _toml(fields: Mapping[str, int]) -> str:
+    return '\n'.join(f'{name} = {amount}' for name, amount in fields.items())
--- /dev/null
+++ b/teaseldale/entry/_answers.py
@@ -0,0 +1,188 @@
+"""Writing of answers: streamed, whole, or of a plain service."""
+
+import math
+from collections.abc import Awaitable
+
+import anyio
+
+from teaseldale.answers import AnswerLog, AnswerPart, StoredAnswer
+from teaseldale.clock import BaseClock
+from teaseldale.entry._arrival import KEY_HEADER
+from teaseldale.entry._chat import (
+    AnswerHead,
+    ChatRequest,
+    EventEncoder,
+    last_events,
+    usage_of,
+    whole_answer,
+)
+from teaseldale.entry._refusals import deadline_exceeded
+from teaseldale.entry._write_pacer import WritePacer
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import Refusal
+from teaseldale.web import Exchange
+
+_STATUS_OK = 200
+_MS_PER_SECOND = 1000
+_STALL_LIMIT_SECONDS = 30  # of a reader that takes no byte
+
+
+class AnswerWriter:
+    """Writes the answer of a request to one of its callers."""
+
+    def __init__(
+        self,
+        *,
+        clock: BaseClock,
+        metrics: Metrics,
+        pacer: WritePacer,
+    ) -> None:
+        """Sends the parts of fast streams together, as ``pacer`` says."""
+        self._clock = clock
+        self._metrics = metrics
+        self._pacer = pacer
+
+    async def stream(
+        self,
+        exchange: Exchange,
+        answer: AnswerLog,
+        chat: ChatRequest,
+        head: AnswerHead,
+        duration_ms: int,
+    ) -> Refusal | None:
+        """Streams; the first part has to come within ``duration_ms``."""
+        arrived_ms = self._clock.monotonic_ms()
+        if not await _within(duration_ms, answer.wait_for_start()):
+            return deadline_exceeded()
+        if answer.refusal is not None and not answer.output_tokens:
+            return answer.refusal
+        self._record('first_token', arrived_ms)
+        await exchange.start(
+            _STATUS_OK,
+            (
+                (b'content-type', b'text/event-stream'),
+                (b'cache-control', b'no-store'),
+                (KEY_HEADER, head.answer_id.encode()),
+            ),
+        )
+        if not await self._write_parts(
+            exchange,
+            answer,
+            EventEncoder(head=head),
+        ):
+            self._metrics.increment('readers_cut')
+            exchange.abort()
+            return None
+        if answer.stored is None:
+            return answer.refusal
+        usage = _usage_of_stream(chat, answer.stored)
+        await exchange.write(
+            last_events(head, answer.stored.finish_reason, usage),
+            last=True,
+        )
+        self._record('request', arrived_ms)
+        return None
+
+    async def _write_parts(
+        self,
+        exchange: Exchange,
+        answer: AnswerLog,
+        encoder: EventEncoder,
+    ) -> bool:
+        """Sends a slow answer's parts at once, a fast one's together.
+
+        Returns False when the reader took no byte for too long.
+        """
+        phase = self._pacer.next_phase()
+        written_ms = 0
+        with anyio.CancelScope() as scope:
+            async for batch in answer.batches():
+                scope.deadline = anyio.current_time() + _STALL_LIMIT_SECONDS
+                await exchange.write(encoder.encode(batch))
+                scope.deadline = math.inf
+                now_ms = self._clock.monotonic_ms()
+                is_fast = now_ms - written_ms < self._pacer.interval_ms
+                written_ms = now_ms
+                if is_fast or _token_count(batch) > 1:
+                    await self._pacer.wait(phase)
+            return True
+        return False
+
+    async def complete(
+        self,
+        exchange: Exchange,
+        answer: AnswerLog,
+        head: AnswerHead,
+        duration_ms: int,
+    ) -> Refusal | None:
+        """Sends a completion as one document."""
+        stored = await self._stored(answer, duration_ms)
+        if isinstance(stored, Refusal):
+            return stored
+        await exchange.answer_json(
+            _STATUS_OK,
+            whole_answer(
+                head,
+                stored.body.decode(),
+                stored.finish_reason,
+                usage_of(stored.prompt_tokens, stored.output_tokens),
+            ),
+            ((KEY_HEADER, head.answer_id.encode()),),
+        )
+        return None
+
+    async def pass_on(
+        self,
+        exchange: Exchange,
+        answer: AnswerLog,
+        key: str,
+        duration_ms: int,
+    ) -> Refusal | None:
+        """Sends a plain service's answer as it came."""
+        stored = await self._stored(answer, duration_ms)
+        if isinstance(stored, Refusal):
+            return stored
+        await exchange.answer(
+            stored.status,
+            stored.body,
+            (
+                (b'content-type', stored.content_type.encode()),
+                (KEY_HEADER, key.encode()),
+            ),
+        )
+        return None
+
+    async def _stored(
+        self,
+        answer: AnswerLog,
+        duration_ms: int,
+    ) -> StoredAnswer | Refusal:
+        arrived_ms = self._clock.monotonic_ms()
+        if not await _within(duration_ms, answer.wait_for_end()):
+            return deadline_exceeded()
+        self._record('request', arrived_ms)
+        return answer.stored or answer.refusal or deadline_exceeded()
+
+    def _record(self, name: str, since_ms: int) -> None:
+        self._metrics.record_ms(name, self._clock.monotonic_ms() - since_ms)
+
+
+async def _within(duration_ms: int, work: Awaitable[None]) -> bool:
+    with anyio.move_on_after(duration_ms / _MS_PER_SECOND):
+        await work
+        return True
+    return False
+
+
+def _token_count(batch: list[AnswerPart]) -> int:
+    return sum(part.token_count for part in batch)
+
+
+def _usage_of_stream(
+    chat: ChatRequest,
+    stored: StoredAnswer,
+) -> dict[str, int] | None:
+    options = chat.stream_options
+    if options is None or not options.include_usage:
+        return None
+    return usage_of(stored.prompt_tokens, stored.output_tokens)
--- a/teaseldale/entry/_lifecycle.py
+++ b/teaseldale/entry/_lifecycle.py
@@ -8,6 +8,7 @@
 from teaseldale.answers import StoredAnswer
 from teaseldale.budgets import Reservation
 from teaseldale.entry._parts import RequestParts
+from teaseldale.entry._refusals import run_failed
 from teaseldale.notes import ClientAccount, Route
 from teaseldale.outcomes import PlatformError, Refusal, RefusalCode
 from teaseldale.requests import OpenedRequest, ReservedFunds, Settlement
@@ -56,7 +57,7 @@
             tokens=tokens,
         )
         self._parts.registry.record_funds(opened, funds)
-        outcome = await work(reserved)
+        outcome = await self._guarded(opened, reserved, work)
         settlement = await self._settle(reserved, outcome)
         if isinstance(settlement, Refusal):
             await self._give_up(opened, _after_run(settlement), None)
@@ -66,6 +67,20 @@
         else:
             await self._finish(opened, outcome.answer, settlement)
 
+    async def _guarded(
+        self,
+        opened: OpenedRequest,
+        reserved: Reservation,
+        work: Work,
+    ) -> WorkOutcome:
+        try:
+            return await work(reserved)
+        except Exception:
+            refusal = run_failed()
+            await self._settle(reserved, WorkOutcome(answer=refusal))
+            await self._give_up(opened, refusal, None)
+            raise
+
     async def _settle(
         self,
         reserved: Reservation,
--- a/teaseldale/requests/_following.py
+++ b/teaseldale/requests/_following.py
@@ -59,7 +59,7 @@
         asked = ReadAnswer(
             request=request,
             offset=answer.output_tokens,
-            character_count=sum(len(part.text) for part in answer.parts),
+            character_count=len(answer.text().decode()),
         )
         try:
             reply: ReadAnswerReply = await self._peers.request(
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from urllib.parse import quote
 
 import attrs
 import httpcore
@@ -15,15 +16,19 @@
     EngineCall,
     EngineEvents,
     EngineFinished,
+    FailureKind,
     UpstreamError,
 )
-from teaseldale.upstreams._network_backend import StreamNetworkBackend
+from teaseldale.upstreams._http_connection import UpstreamPool
 
 _MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 1000
 _CANCEL_TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 4096
 _STATUS_OK = 200
+_STATUS_SERVER_ERROR = 500
+_STATUS_BUSY = 503
+_REJECTIONS = frozenset((400, 413, 422))
 _EVENT_END = b'\n\n'
 _DATA_PREFIX = b'data: '
 _DONE = b'[DONE]'
@@ -58,14 +63,19 @@
 _decoder = msgspec.json.Decoder(_Event)
 
 
+class UpstreamRejectedError(UpstreamError):
+    """The engine cannot run this prompt, and no other engine could."""
+
+
 class HttpEngineClient(BaseEngineClient):
     """Engine client over pooled httpcore connections."""
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
-            network_backend=StreamNetworkBackend(),
+            reuses_connections=False,
         )
 
     @asynccontextmanager
@@ -75,8 +85,9 @@
         call: EngineCall,
     ) -> AsyncIterator[EngineEvents]:
         """Opens a stream; a refusal before running is told as such."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            async with self._pool.stream(
+            async with pool.stream(
                 'POST',
                 f'{upstream.url}/v1/chat/completions',
                 headers=_headers(call),
@@ -86,7 +97,11 @@
                 if response.status != _STATUS_OK:
                     raise _refused(upstream, response.status)
                 yield _events(upstream, call, response)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
             raise _failed(upstream, error, may_have_run=False) from error
         except (
             httpcore.TimeoutException,
@@ -98,12 +113,16 @@
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Asks the engine to stop a run."""
         try:
-            await self._pool.request(
+            await self._fresh_pool.request(
                 'DELETE',
-                f'{upstream.url}/v1/requests/{request_id}',
+                f'{upstream.url}/v1/requests/{quote(request_id)}',
                 extensions={'timeout': _timeouts(_CANCEL_TIMEOUT_MS)},
             )
-        except (httpcore.TimeoutException, httpcore.NetworkError):
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ):
             return
 
 
@@ -113,13 +132,13 @@
     response: httpcore.Response,
 ) -> EngineEvents:
     buffer = b''
-    async for chunk in response.aiter_stream():
+    async for chunk in response.stream:  # type: ignore[union-attr]
         *encoded_events, buffer = (buffer + chunk).split(_EVENT_END)
         for encoded in encoded_events:
             payload = encoded.removeprefix(_DATA_PREFIX)
             if payload == _DONE:
                 return
-            yield _typed(upstream, call, _decoder.decode(payload))
+            yield _typed(upstream, call, _decoded(upstream, payload))
     raise UpstreamError(
         step=Step.STREAM,
         peer=upstream.name,
@@ -128,6 +147,18 @@
     )
 
 
+def _decoded(upstream: Upstream, payload: bytes) -> _Event:
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise UpstreamError(
+            step=Step.STREAM,
+            peer=upstream.name,
+            reason=f'event that cannot be read: {error}',
+            may_have_run=True,
+        ) from error
+
+
 def _typed(
     upstream: Upstream,
     call: EngineCall,
@@ -139,6 +170,7 @@
             peer=upstream.name,
             reason=f'answer of another request: {event.id}',
             may_have_run=True,
+            kind=FailureKind.CROSSED,
         )
     if event.usage is not None:
         return EngineFinished(
@@ -171,11 +203,21 @@
 
 
 def _refused(upstream: Upstream, status: int) -> UpstreamError:
+    reason = f'refused with status {status}'
+    if status in _REJECTIONS:
+        return UpstreamRejectedError(
+            step=Step.DISPATCH,
+            peer=upstream.name,
+            reason=reason,
+            may_have_run=False,
+        )
+    before_running = status < _STATUS_SERVER_ERROR or status == _STATUS_BUSY
     return UpstreamError(
         step=Step.DISPATCH,
         peer=upstream.name,
-        reason=f'refused with status {status}',
-        may_have_run=False,
+        reason=reason,
+        may_have_run=not before_running,
+        kind=FailureKind.REFUSED if before_running else FailureKind.FAILED,
     )
 
 
@@ -190,4 +232,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
--- a/teaseldale/upstreams/_http_service.py
+++ b/teaseldale/upstreams/_http_service.py
@@ -6,23 +6,36 @@
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._clients import (
     BaseServiceClient,
+    FailureKind,
     ServiceAnswer,
     ServiceCall,
     UpstreamError,
 )
-from teaseldale.upstreams._network_backend import StreamNetworkBackend
+from teaseldale.upstreams._http_connection import UpstreamPool
 
 _MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 512
+_NOT_SENT = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.LocalProtocolError,
+    httpcore.PoolTimeout,
+)
 _NOT_FORWARDED = frozenset(
     (
+        b'accept-encoding',
         b'authorization',
         b'connection',
         b'content-length',
+        b'expect',
         b'host',
         b'idempotency-key',
         b'keep-alive',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
         b'transfer-encoding',
         b'upgrade',
     )
@@ -34,24 +47,26 @@
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
-            network_backend=StreamNetworkBackend(),
+            reuses_connections=False,
         )
 
     async def call(
         self, upstream: Upstream, call: ServiceCall
     ) -> ServiceAnswer:
         """Sends the call and reads the whole answer."""
+        pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            response = await self._pool.request(
+            response = await pool.request(
                 call.method,
                 upstream.url + call.path,
                 headers=_headers(call),
                 content=call.body,
                 extensions={'timeout': _timeouts(call.timeout_ms)},
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+        except _NOT_SENT as error:
             raise _failed(upstream, error, may_have_run=False) from error
         except (
             httpcore.TimeoutException,
@@ -104,4 +119,11 @@
         peer=upstream.name,
         reason=type(error).__name__,
         may_have_run=may_have_run,
+        kind=_kind_of(error) if may_have_run else FailureKind.REFUSED,
     )
+
+
+def _kind_of(error: Exception) -> FailureKind:
+    if isinstance(error, httpcore.TimeoutException):
+        return FailureKind.SILENT
+    return FailureKind.BROKEN
