--- /dev/null
+++ b/teaseldale/budgets/tests/embedding.feature
@@ -0,0 +1,5 @@
+Feature: Embedding the parts for spending
+
+  Scenario: The example of the embedding page runs
+    When the example of docs/EMBEDDING.md is run
+    Then its budget is billed for its request
