Ask for more than half of a unit before a cut-off VM serves

Change: more than half, as for leaving a silent VM out. A scenario is added in which the same version fails on another route only. Ruled out: the first name breaking a tie (the same fault if it is the first one that is cut off).

--- a/teaseldale/moves/tests/moves.feature
+++ b/teaseldale/moves/tests/moves.feature
@@ -34,6 +34,12 @@
     When requests run for 400 seconds
     Then the move is done and the route is at version v2
 
+  Scenario: A version that fails on another route only is still moved
+    Given a fleet with a running move
+    And the new version fails on another route
+    When requests run for 400 seconds
+    Then the move is done and the route is at version v2
+
   Scenario: A bad version is taken back by the whole fleet
     Given a fleet with a running move
     And the new version fails
--- a/teaseldale/moves/tests/moves_world.py
+++ b/teaseldale/moves/tests/moves_world.py
@@ -56,6 +56,7 @@
         self.orders = FakeOrders()
         self.new_fails = False
         self.new_hangs = False
+        self.fails_elsewhere = False
         self.sent = []
         self.taken_back_ms = None
         self.cut_ms = None
@@ -97,6 +98,16 @@
         self.number += 1
         request = RequestIdentity(client_account='a', key=str(self.number))
         version = vm.moves.assignment.version_for(route, request)
+        if self.fails_elsewhere:
+            vm.moves.assignment.record(
+                EvidenceSample(
+                    route='summaries',
+                    version='v2',
+                    failed=True,
+                    first_token_ms=None,
+                    largest_gap_ms=None,
+                ),
+            )
         running = vm.moves.assignment.begin('drafts', version)
         new = version == 'v2'
         if new:
--- a/teaseldale/moves/tests/steps_moves.py
+++ b/teaseldale/moves/tests/steps_moves.py
@@ -231,6 +231,14 @@
     context.actions.append(act)
 
 
+@given('the new version fails on another route')
+def new_fails_elsewhere(context):
+    async def act(world):
+        world.fails_elsewhere = True
+
+    context.actions.append(act)
+
+
 @given('the new version hangs')
 def new_hangs(context):
     async def act(world):
--- a/teaseldale/notes/_contact.py
+++ b/teaseldale/notes/_contact.py
@@ -56,8 +56,3 @@
 def is_majority(present: set[str], everyone: set[str]) -> bool:
     """Whether ``present`` outnumbers the rest, which then may not serve."""
     return 2 * len(present & everyone) > len(everyone)
-
-
-def is_half(present: set[str], everyone: set[str]) -> bool:
-    """Whether the rest does not outnumber ``present``, which may serve."""
-    return 2 * len(present & everyone) >= len(everyone)
--- a/teaseldale/notes/_follower.py
+++ b/teaseldale/notes/_follower.py
@@ -6,7 +6,7 @@
 import attrs
 
 from teaseldale.clock import BaseClock
-from teaseldale.notes._contact import ContactLog, is_half
+from teaseldale.notes._contact import ContactLog, is_majority
 from teaseldale.notes._exchange import (
     NotesExchange,
     NotesExchangeReply,
@@ -98,15 +98,15 @@
     def may_serve(self) -> bool:
         """Whether serving on this copy can keep every promise.
 
-        Either the view of the table is young, or this VM is with half of its
-        unit, which then confirms nothing newer without it.
+        Either the view of the table is young, or this VM is with more than
+        half of its unit, which then confirms nothing newer without it.
         """
         sequence = self.state.sequence
         if not self.caught_up or sequence == 0:
             return False
         if sequence < self._highest_in_zone:
             return False
-        return self.contact.fresh or self._with_half()
+        return self.contact.fresh or self._with_majority()
 
     async def refresh(self) -> ReadHead:
         """Reads the head, and the items or entries that are missing."""
@@ -154,11 +154,11 @@
         if members and all(answers) and self.state.sequence > 0:
             self.caught_up = True
 
-    def _with_half(self) -> bool:
+    def _with_majority(self) -> bool:
         own_key = self._peers.identity.key
         keys = {peer.key for peer in self.unit_peers()}
         present = {key for key in keys if self.contact.peer_fresh(key)}
-        return is_half({own_key, *present}, {own_key, *keys})
+        return is_majority({own_key, *present}, {own_key, *keys})
 
     async def _catch_up(self, read: ReadHead) -> None:
         target = read.head.sequence
