--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -67,7 +67,9 @@
     """Creates all services of one VM in their order of start."""
     foundation = _build_foundation(settings)
     services = _build_coordination(foundation)
-    kernel = Kernel()
+    limits = settings.limits
+    end_timeout_ms = limits.balancer_grace_ms + limits.drain_timeout_ms
+    kernel = Kernel(end_timeout_ms=end_timeout_ms)
     kernel.register(_build_operators(foundation, services, shutdown))
     kernel.register(foundation.peers)
     kernel.register(services.configuration)
