--- a/benchmarks/simulated_fleet.py
+++ b/benchmarks/simulated_fleet.py
@@ -38,6 +38,7 @@
     OpenedRequest,
     RequestIdentity,
     RequestStatus,
+    Settlement,
 )
 from teaseldale.routing import (
     AffinityChoice,
@@ -106,6 +107,12 @@
     async def settle(self, reservation, *, used_tokens):
         """Bills."""
         self.billed[reservation.request.text] += used_tokens
+        return Settlement(
+            holder='',
+            sequence=0,
+            budgets=reservation.budgets,
+            used_tokens=used_tokens,
+        )
 
 
 class OpenRegistry(BaseRequestRegistry):
@@ -126,12 +133,13 @@
 
     async def finish(self, opened, stored, settlement):
         """Ends."""
+        return None
 
     async def abandon(self, opened, *, not_run, settlement=None):
         """Ends."""
 
     async def status(self, request):
-        """Knows no request once it has ended."""
+        """Knows nothing of requests that have ended."""
         return RequestStatus.UNKNOWN
 
 
