--- a/teaseldale/routing/_admission.py
+++ b/teaseldale/routing/_admission.py
@@ -99,7 +99,7 @@
 
 
 def _expected_wait_ms(pool: UpstreamPool, ahead: int) -> float:
-    if not pool.limit_slots:
+    if not pool.limit_slots or any(runner.may_get_slots for runner in pool):
         return 0
     return (ahead + 1) * pool.mean_hold_ms / pool.limit_slots
 
--- a/teaseldale/routing/_fleet_router.py
+++ b/teaseldale/routing/_fleet_router.py
@@ -249,7 +249,12 @@
         self.table.follow()
         return SlotDemand(
             runners=tuple(self.table),
-            waiting=sum(len(found.queue) for found in self.table.pools()),
+            waiting={
+                runner.name: -(-len(found.queue) // len(found.pool.runners))
+                for found in self.table.pools()
+                if found.queue
+                for runner in found.pool
+            },
         )
 
     def _limits_changed(self, runners: Iterable[Runner]) -> None:
--- a/teaseldale/routing/_pool.py
+++ b/teaseldale/routing/_pool.py
@@ -18,6 +18,7 @@
     in_flight: int = 0  # requests that this VM runs there in its slots
     lent_out: int = 0  # slots of this VM that others use for a request
     borrowed: int = 0  # requests that this VM runs there in others' slots
+    refused_slots: bool = False  # the last renewal lent less than wanted
     demand: int = 0  # requests that wanted a slot and found none
     reported_running: int = 0  # requests of all VMs, by the last report
     own_at_report: int = 0  # requests of this VM when the report was made
@@ -56,6 +57,15 @@
         """Whether this VM may start a request there now."""
         return self.used_slots < self._allowed and self._takes_work
 
+    @property
+    def may_get_slots(self) -> bool:
+        """Whether its owner has not yet refused what this VM wants."""
+        return (
+            self._takes_work
+            and not self.refused_slots
+            and self.limit < self.upstream.slot_count
+        )
+
     @property
     def lacks_slot(self) -> bool:
         """Whether only another slot is needed to start a request there."""
--- a/teaseldale/routing/_slot_holder.py
+++ b/teaseldale/routing/_slot_holder.py
@@ -1,7 +1,7 @@
 """This VM's slots: leases from slot owners, or its fixed share."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import anyio
 import attrs
@@ -35,6 +35,7 @@
     slots: int
     until_ms: int  # monotonic, counted from before the renewal was sent
     sequence: int  # of the renewal
+    refused: bool  # whether fewer slots were lent than wanted
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +43,7 @@
     """What the router wants slots for."""
 
     runners: tuple[Runner, ...]
-    waiting: int  # requests in queues
+    waiting: Mapping[str, int]  # requests in queues, for each of its runners
 
     def spare_zones(self, own_zone: str) -> frozenset[str]:
         """Zones of the runners at which a spare slot is wanted."""
@@ -51,12 +52,6 @@
         )
         return frozenset((own_zone,)) if own_zone in zones else zones
 
-    def queue_part(self) -> int:
-        """Slots wanted at each runner for waiting requests."""
-        if not self.waiting:
-            return 0
-        return -(-self.waiting // max(len(self.runners), 1))
-
 
 class SlotHolder(BaseService):
     """Keeps ``Runner.limit`` of all runners up to date."""
@@ -141,6 +136,8 @@
         changed = []
         for runner in runners:
             limit = 0 if self._draining else self._limit_of(runner)
+            lease = self._leases.get(runner.name)
+            runner.refused_slots = lease is None or lease.refused
             if limit > runner.limit:
                 self._interval_ms = _LEAST_INTERVAL_MS
             if limit != runner.limit:
@@ -171,7 +168,7 @@
             self._metrics.increment('slot_renewals', 'unreachable')
             return
         self._metrics.increment('slot_renewals', 'renewed')
-        self._take_leases(reply.leases, sent_ms, renewal.sequence)
+        self._take_leases(reply.leases, sent_ms, renewal)
 
     async def _reply_of(
         self,
@@ -197,15 +194,17 @@
         self,
         leases: tuple[SlotLease, ...],
         sent_ms: int,
-        sequence: int,
+        renewal: SlotRenewal,
     ) -> None:
+        wanted = {want.upstream: want.wanted for want in renewal.wants}
         for lease in leases:
             held = self._leases.get(lease.upstream)
-            if held is None or held.sequence < sequence:
+            if held is None or held.sequence < renewal.sequence:
                 self._leases[lease.upstream] = _HeldLease(
                     slots=lease.slots,
                     until_ms=sent_ms + LEASE_VALIDITY_MS,
-                    sequence=sequence,
+                    sequence=renewal.sequence,
+                    refused=lease.slots < wanted.get(lease.upstream, 0),
                 )
 
     async def _take_renewal(
@@ -218,11 +217,11 @@
 
     def _wants_by_owner(self, demand: SlotDemand) -> dict[str, list[SlotWant]]:
         wants: dict[str, list[SlotWant]] = defaultdict(list)
-        queued = demand.queue_part()
         zones = demand.spare_zones(self._identity.availability_zone)
         for runner in demand.runners:
             near = runner.upstream.availability_zone in zones
-            want = self._want_of(runner, queued + _SPARE_SLOTS * near)
+            extra = demand.waiting.get(runner.name, 0) + _SPARE_SLOTS * near
+            want = self._want_of(runner, extra)
             if want is not None:
                 owner = self._shares.owner_of(runner.name)
                 wants[owner].append(want)
--- a/teaseldale/routing/tests/admission.feature
+++ b/teaseldale/routing/tests/admission.feature
@@ -5,6 +5,11 @@
     When 16 slots are in use and a request has a deadline of 50 ms
     Then it is refused within 1 ms with deadline_exceeded and a time to come back
 
+  Scenario: A burst on an idle VM is served by slots that nobody uses
+    Given 4 VMs before 2 runners
+    When VM 0 has answered a request of 5 s and 20 come at once
+    Then all 20 are placed within 600 ms
+
   Scenario: A full queue refuses at once and displaces the least important
     Given 1 VMs before 1 runners
     When 16 slots are in use and 300 requests of low priority wait
--- a/teaseldale/routing/tests/steps_admission.py
+++ b/teaseldale/routing/tests/steps_admission.py
@@ -168,3 +168,34 @@
         retries = vm.metrics.count_of('retries', RefusalCode.UPSTREAM_FAILED)
         allowed = burst + context.count / vm_count * share / 100
         assert 0 < retries <= allowed, (retries, allowed)
+
+
+@when('VM 0 has answered a request of 5 s and {count:d} come at once')
+def burst(context, count):
+    context.placed = []
+
+    async def scenario(fleet):
+        router = fleet.vms[0].router
+        placed = await router.place(request_of(fleet))
+        await fleet.clock.sleep_ms(5000)
+        router.release(placed, failed=False)
+        started_ms = fleet.clock.monotonic_ms()
+
+        async def place():
+            outcome = await router.place(request_of(fleet))
+            waited_ms = fleet.clock.monotonic_ms() - started_ms
+            context.placed.append((waited_ms, outcome))
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(place)
+
+    run(context, scenario)
+
+
+@then('all {count:d} are placed within {limit:d} ms')
+def all_placed(context, count, limit):
+    assert len(context.placed) == count
+    for waited_ms, outcome in context.placed:
+        assert hasattr(outcome, 'upstream'), outcome
+        assert waited_ms <= limit, waited_ms
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -72,10 +72,8 @@
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            network_backend=StreamNetworkBackend(),
-        )
+        # A pool's work for each request grows with its open connections.
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
         self._fresh_pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             max_keepalive_connections=0,
@@ -89,7 +87,9 @@
         call: EngineCall,
     ) -> AsyncIterator[EngineEvents]:
         """Opens a stream; a refusal before running is told as such."""
-        pool = self._fresh_pool if call.fresh_connection else self._pool
+        pool = self._fresh_pool
+        if not call.fresh_connection:
+            pool = self._pool_of(upstream)
         try:
             async with pool.stream(
                 'POST',
@@ -114,6 +114,16 @@
         ) as error:
             raise _failed(upstream, error, may_have_run=True) from error
 
+    def _pool_of(self, upstream: Upstream) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(upstream.name)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=_MAX_CONNECTIONS,
+                network_backend=StreamNetworkBackend(),
+            )
+            self._pools[upstream.name] = pool
+        return pool
+
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Asks the engine to stop a run."""
         try:
