--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -72,7 +72,8 @@
 
     def __init__(self) -> None:
         """Creates a client without open connections."""
-        self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+        # A pool's work for each request grows with its open connections.
+        self._pools: dict[str, UpstreamPool] = {}
         self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
             reuses_connections=False,
@@ -85,7 +86,9 @@
         call: EngineCall,
     ) -> AsyncIterator[EngineEvents]:
         """Opens a stream; a refusal before running is told as such."""
-        pool = self._fresh_pool if call.fresh_connection else self._pool
+        pool = self._fresh_pool
+        if not call.fresh_connection:
+            pool = self._pool_of(upstream)
         try:
             async with pool.stream(
                 'POST',
@@ -110,6 +113,13 @@
         ) as error:
             raise _failed(upstream, error, may_have_run=True) from error
 
+    def _pool_of(self, upstream: Upstream) -> UpstreamPool:
+        pool = self._pools.get(upstream.name)
+        if pool is None:
+            pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
+            self._pools[upstream.name] = pool
+        return pool
+
     async def cancel(self, upstream: Upstream, request_id: str) -> None:
         """Asks the engine to stop a run."""
         try:
