--- a/teaseldale/requests/_witness_service.py
+++ b/teaseldale/requests/_witness_service.py
@@ -126,7 +126,7 @@
         record = self._store.find(request)
         missing = self._missing(record) if record else []
         if record is None or not missing:
-            self._release(request)
+            self._unconfirmed.pop(request, None)
             return
         try:
             reached, found = await self._links.send_to_any(
@@ -144,12 +144,6 @@
         if reached and record.settlement is not None:
             self._holder.note_witnessed(record.settlement)
 
-    def _release(self, request: RequestIdentity) -> None:
-        home = self._links.home_of(request)
-        witnesses = self._witnessed.get(request, frozenset())
-        if home == self._peers.identity or home.key in witnesses:
-            self._unconfirmed.pop(request, None)
-
     async def _take_batch(
         self,
         sender: VmIdentity,
