--- a/benchmarks/slow_readers.py
+++ b/benchmarks/slow_readers.py
@@ -68,7 +68,7 @@
     slow_count: int,
     *,
     settle_seconds: int,
-    program: Sequence[str] = (sys.executable, '-m', 'teaseldale'),
+    program: Sequence[str] = (sys.executable, '-m', 'benchmarks.answers_vm'),
 ) -> SlowReadersOutcome:
     """Runs one VM with ``slow_count`` slow readers."""
     fleet = _SlowFleet(
