--- a/teaseldale/budgets/_ledger.py
+++ b/teaseldale/budgets/_ledger.py
@@ -14,6 +14,7 @@
 from teaseldale.platform import (
     BaseTableService,
     Committed,
+    Conflicted,
     Row,
     RowCheck,
     RowWrite,
@@ -21,6 +22,7 @@
 )
 
 LEDGER_TABLE = 'ledger'
+TOP_UPS_TABLE = 'top_ups'
 
 
 @attrs.frozen(kw_only=True)
@@ -115,29 +117,92 @@
         )
         return isinstance(outcome, Committed)
 
-    async def top_up(self, name: str, tokens: int) -> BudgetState | Refusal:
-        """Credits ``tokens``; refused when the budget is unknown."""
+    async def top_up(
+        self,
+        name: str,
+        tokens: int,
+        *,
+        top_up_id: str,
+    ) -> BudgetState | Refusal:
+        """Credits ``tokens`` once for each ``top_up_id`` of a budget.
+
+        Refused when the budget is unknown or the id was used for another
+        number of tokens. Raises ``PlatformError``; ask again with the same id.
+        """
+        receipt = _Receipt(name=name, top_up_id=top_up_id, tokens=tokens)
         while True:
             found = await self.read(name)
             if found is None:
                 return _unknown_budget(name)
-            credited = attrs.evolve(
+            row = attrs.evolve(
                 found.row,
                 topped_up_tokens=found.row.topped_up_tokens + tokens,
             )
             outcome = await self._table.commit(
                 make_transaction(
-                    checks=(found.check(),),
-                    writes=(found.write(credited),),
+                    checks=(found.check(), receipt.check()),
+                    writes=(found.write(row), receipt.write()),
                 ),
             )
             if isinstance(outcome, Committed):
-                return BudgetState(
-                    name=name,
-                    topped_up_tokens=credited.topped_up_tokens,
-                    billed_tokens=credited.billed_tokens,
-                    open_tokens=credited.open_tokens,
-                )
+                return _state_of(name, row)
+            known = _receipt_row(outcome)
+            if known is not None:
+                return _credited_before(found, known, receipt)
+
+
+@attrs.frozen(kw_only=True)
+class _Receipt:
+    """Row that says that a top-up has been credited."""
+
+    name: str
+    top_up_id: str
+    tokens: int
+
+    @property
+    def key(self) -> str:
+        return f'{self.name}/{self.top_up_id}'
+
+    def check(self) -> RowCheck:
+        return RowCheck(table=TOP_UPS_TABLE, key=self.key, revision=0)
+
+    def write(self) -> RowWrite:
+        return RowWrite(
+            table=TOP_UPS_TABLE,
+            key=self.key,
+            value=msgspec.msgpack.encode(self.tokens),
+        )
+
+
+def _receipt_row(outcome: Conflicted) -> Row | None:
+    for row in outcome.rows:
+        if row.table == TOP_UPS_TABLE:
+            return row
+    return None
+
+
+def _credited_before(
+    found: ReadLedgerRow,
+    known: Row,
+    receipt: _Receipt,
+) -> BudgetState | Refusal:
+    if known.value != receipt.write().value:
+        return Refusal(
+            code=RefusalCode.CONFLICT,
+            message='The id was used for another top-up; choose a new id.',
+            not_run=True,
+            step=Step.RESERVE,
+        )
+    return _state_of(found.name, found.row)
+
+
+def _state_of(name: str, row: LedgerRow) -> BudgetState:
+    return BudgetState(
+        name=name,
+        topped_up_tokens=row.topped_up_tokens,
+        billed_tokens=row.billed_tokens,
+        open_tokens=row.open_tokens,
+    )
 
 
 def decode_ledger_row(row: Row) -> ReadLedgerRow:
--- a/teaseldale/budgets/tests/histories.py
+++ b/teaseldale/budgets/tests/histories.py
@@ -182,7 +182,11 @@
 
     async def top_up(self):
         budget = self.random.choice(_BUDGETS)
-        await self.fleet.ledger.top_up(budget, self.random.choice((100, 1000)))
+        await self.fleet.ledger.top_up(
+            budget,
+            self.random.choice((100, 1000)),
+            top_up_id=str(len(self.log)),
+        )
 
     async def table_down(self):
         self.fleet.set_table(down=True)
--- a/teaseldale/budgets/tests/steps_spending.py
+++ b/teaseldale/budgets/tests/steps_spending.py
@@ -112,7 +112,7 @@
     assert isinstance(await fleet.ask(1, spent), StoredAnswer)
     refused = await fleet.ask(0, Call(key='b'))
     assert refused.code is RefusalCode.BUDGET_EXHAUSTED, refused
-    await fleet.ledger.top_up('drafting', 500)
+    await fleet.ledger.top_up('drafting', 500, top_up_id='first')
     assert isinstance(await fleet.ask(0, Call(key='b')), StoredAnswer)
     assert isinstance(await fleet.ask(2, Call(key='c')), StoredAnswer)
     fleet.fabric.heal()
@@ -157,7 +157,7 @@
     both = ('drafting', 'empty')
     refused = await fleet.ask(0, Call(key='a', budgets=both))
     assert refused.code is RefusalCode.BUDGET_EXHAUSTED, refused
-    await fleet.ledger.top_up('empty', 100)
+    await fleet.ledger.top_up('empty', 100, top_up_id='first')
     outcome = await fleet.ask(0, Call(key='a', budgets=both))
     assert isinstance(outcome, StoredAnswer), outcome
 
--- a/teaseldale/command/_fleet.py
+++ b/teaseldale/command/_fleet.py
@@ -86,12 +86,17 @@
         query = urlencode({'name': text_of(name, 'NAME')})
         return self._call('GET', f'/budget?{query}')
 
-    def topup(self, name: str, tokens: int) -> Any:
-        """Credits TOKENS to budget NAME."""
+    def topup(self, name: str, tokens: int, *, top_up_id: str = '') -> Any:
+        """Credits TOKENS to budget NAME, once for each TOP_UP_ID.
+
+        After an error send the same command with the same TOP_UP_ID again;
+        without one it is not known whether the tokens were credited.
+        """
         query = urlencode(
             {
                 'name': text_of(name, 'NAME'),
                 'tokens': count_of(tokens, 'TOKENS', most=_MOST_TOKENS),
+                'id': str(top_up_id),
             },
         )
         return self._call('POST', f'/budget/topup?{query}')
--- a/teaseldale/operations/_budget_endpoints.py
+++ b/teaseldale/operations/_budget_endpoints.py
@@ -1,5 +1,7 @@
 """Endpoints of budgets."""
 
+import uuid
+
 from teaseldale.budgets import TableLedger
 from teaseldale.operations._refusals import bad_request, not_found
 from teaseldale.outcomes import Step
@@ -19,8 +21,12 @@
         return not_found() if state is None else state
 
     async def top_up(self, call: EndpointCall) -> object:
-        """Credits the tokens named in the query."""
+        """Credits the tokens named in the query, once for each ``id``."""
         tokens = call.query('tokens')
         if not tokens.isdecimal():
             return bad_request('tokens must be a whole number', Step.RESERVE)
-        return await self._ledger.top_up(call.query('name'), int(tokens))
+        return await self._ledger.top_up(
+            call.query('name'),
+            int(tokens),
+            top_up_id=call.query('id') or uuid.uuid4().hex,
+        )
