--- a/benchmarks/capacity_target.py
+++ b/benchmarks/capacity_target.py
@@ -49,7 +49,8 @@
         kind=LimitKind.SUM_OF_SLOPES,
         words=('',),
         units=('% of a core',),
-        needed='several requests in a frame, or links without native threads',
+        needed='slots renewed for the runners in use only, several requests in '
+        'a frame, or links without native threads',
     ),
     Limit(
         name='memory for control, each VM',
@@ -67,8 +68,9 @@
         kind=LimitKind.SUM_OF_SLOPES,
         words=('',),
         units=('B/s',),
-        needed='one call for each request at most, several requests in a '
-        'frame, and a membership list that gives changes only',
+        needed='slots lent within groups of VMs and not by every VM, one call '
+        'for each request at most, several requests in a frame, and a '
+        'membership list that gives changes only',
     ),
     Limit(
         name='writes at the table service, all VMs',
--- a/benchmarks/measure_routing.py
+++ b/benchmarks/measure_routing.py
@@ -25,6 +25,8 @@
 )
 
 _SEED = 1
+_MS_PER_PERCENT = 10  # of a second of one core
+_BYTES_PER_MB = 1_000_000
 _CAPACITY = 86.0  # whole answers a second of six runners of 16 slots
 _SLOT_COUNT = 16
 _LOADS = (0.5, 1, 2, 3)
@@ -83,17 +85,19 @@
             'routing.renewal_cpu',
             'runners',
             _RUNNERS_AT_TARGET,
-            'ms/s',
-            [(count, renewal_cpu_ms_per_second(count)) for count in (10, 1000)]
-            + [(10_000, renewal_cpu_ms_per_second(10_000))],
+            '% of a core',
+            [
+                (count, renewal_cpu_ms_per_second(count) / _MS_PER_PERCENT)
+                for count in (10, 1000, 10_000)
+            ],
         ),
         _slope(
             'routing.memory',
             'runners',
             _RUNNERS_AT_TARGET,
-            'bytes',
+            'MB',
             [
-                (count, memory_bytes_per_runner(count))
+                (count, memory_bytes_per_runner(count) / _BYTES_PER_MB)
                 for count in runner_counts
             ],
         ),
@@ -101,7 +105,7 @@
             'routing.messages',
             'VMs',
             _VMS_AT_TARGET,
-            'bytes/s',
+            'B/s',
             [(count, message_bytes_per_second(count)) for count in vm_counts],
         ),
         _slope(
