--- a/benchmarks/measure_partition.py
+++ b/benchmarks/measure_partition.py
@@ -9,7 +9,7 @@
 from teaseldale.answers import StoredAnswer
 from teaseldale.budgets.tests.fleet import Call, EmbeddedFleet, EmbeddedVm
 from teaseldale.fakes import run_in_virtual_time
-from teaseldale.requests._holder import HOLDER_VALIDITY_MS
+from teaseldale.requests import HOLDER_VALIDITY_MS
 
 _SEED = 5
 _VMS = 8
