--- a/benchmarks/peers_membership.py
+++ b/benchmarks/peers_membership.py
@@ -7,7 +7,7 @@
 from benchmarks.rows import Slope, SlopePoint
 from teaseldale.peers import CellMap, VmIdentity
 from teaseldale.peers._directory import refresh_interval_ms
-from teaseldale.platform import MemberState, VmMember
+from teaseldale.tables import MemberState, VmMember
 
 _SIZES = (8, 100, 500, 1000, 2700)
 _TARGET_VMS = 2700
--- a/benchmarks/peers_process.py
+++ b/benchmarks/peers_process.py
@@ -21,7 +21,7 @@
 from teaseldale.clock import SystemClock
 from teaseldale.metrics import Metrics
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
-from teaseldale.platform import BaseMembershipList, VmMember
+from teaseldale.tables import BaseMembershipList, VmMember
 
 _SEQUENTIAL_CALLS = 1000
 _CONCURRENT_TASKS = 50
--- a/benchmarks/simulated_fleet.py
+++ b/benchmarks/simulated_fleet.py
@@ -32,7 +32,6 @@
 )
 from teaseldale.outcomes import Refusal
 from teaseldale.peers import VmIdentity
-from teaseldale.platform import BaseMembershipList, MemberState, VmMember
 from teaseldale.requests import (
     BaseRequestRegistry,
     OpenedRequest,
@@ -48,6 +47,7 @@
     PrefixIndex,
     RunnerWatch,
 )
+from teaseldale.tables import BaseMembershipList, MemberState, VmMember
 from teaseldale.upstreams import CrashQuarantine
 
 ZONES = ('mill', 'port', 'office')
--- a/features/steps/drain.py
+++ b/features/steps/drain.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 
 from benchmarks.fleet import ACCOUNT_KEY, Fleet
-from features.steps.whole_path import call, chat
+from teaseldale.command.tests.steps_whole_path import call, chat
 
 _TIMEOUT_SECONDS = 60
 _OPENED_AT_ONCE = 5
--- a/teaseldale/budgets/_duplicate_credits.py
+++ b/teaseldale/budgets/_duplicate_credits.py
@@ -5,19 +5,19 @@
 
 from teaseldale.budgets._ledger import TableLedger
 from teaseldale.outcomes import PlatformError
-from teaseldale.platform import (
-    Committed,
-    Row,
-    RowCheck,
-    RowWrite,
-    make_transaction,
-)
 from teaseldale.requests import (
     DuplicateBill,
     HolderParts,
     RequestRecord,
     Settlement,
 )
+from teaseldale.tables import (
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
 
 DUPLICATES_TABLE = 'duplicates'
 _INTERVAL_MS = 2000
--- a/teaseldale/budgets/_grant_rounds.py
+++ b/teaseldale/budgets/_grant_rounds.py
@@ -27,7 +27,8 @@
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
-from teaseldale.platform import (
+from teaseldale.requests import Settlement, SpendingHolder
+from teaseldale.tables import (
     Committed,
     Conflicted,
     RetryingTableService,
@@ -35,7 +36,6 @@
     Transaction,
     make_transaction,
 )
-from teaseldale.requests import Settlement, SpendingHolder
 
 _BUDGETS_PER_ROUND = 64
 _RESEND_INTERVAL_MS = 500
--- a/teaseldale/budgets/_grant_rows.py
+++ b/teaseldale/budgets/_grant_rows.py
@@ -5,8 +5,8 @@
 import attrs
 import msgspec
 
-from teaseldale.platform import Row, RowCheck, RowWrite
 from teaseldale.requests import Settlement
+from teaseldale.tables import Row, RowCheck, RowWrite
 
 HOLDERS_TABLE = 'holders'
 GRANTS_TABLE = 'grants'
--- a/teaseldale/budgets/_holder_close.py
+++ b/teaseldale/budgets/_holder_close.py
@@ -13,8 +13,8 @@
     decode_grant,
 )
 from teaseldale.budgets._ledger import ReadLedgerRow, TableLedger
-from teaseldale.platform import Committed, make_transaction
 from teaseldale.requests import HolderParts
+from teaseldale.tables import Committed, make_transaction
 
 _ATTEMPTS = 8
 
--- a/teaseldale/budgets/_holder_registration.py
+++ b/teaseldale/budgets/_holder_registration.py
@@ -10,8 +10,8 @@
     decode_holder,
     grant_key,
 )
-from teaseldale.platform import Committed, make_transaction
 from teaseldale.requests import HolderParts
+from teaseldale.tables import Committed, make_transaction
 
 
 class HolderRegistration:
--- a/teaseldale/budgets/_ledger.py
+++ b/teaseldale/budgets/_ledger.py
@@ -11,7 +11,7 @@
 )
 from teaseldale.budgets._spending import BudgetState
 from teaseldale.outcomes import Refusal, RefusalCode, Step
-from teaseldale.platform import (
+from teaseldale.tables import (
     BaseTableService,
     Committed,
     Conflicted,
--- a/teaseldale/budgets/_recovery.py
+++ b/teaseldale/budgets/_recovery.py
@@ -14,7 +14,6 @@
 from teaseldale.budgets._holder_close import HolderClose
 from teaseldale.outcomes import PeerUnreachableError, PlatformError
 from teaseldale.peers import BasePeerNetwork, VmIdentity
-from teaseldale.platform import Committed, make_transaction
 from teaseldale.requests import (
     HOLDER_DRIFT_MS,
     FenceHolder,
@@ -25,6 +24,7 @@
     RequestRecord,
     Settlement,
 )
+from teaseldale.tables import Committed, make_transaction
 
 _INTERVAL_MS = 2000
 _SCAN_INTERVAL_MS = 30_000
--- a/teaseldale/budgets/_transactional_spending.py
+++ b/teaseldale/budgets/_transactional_spending.py
@@ -5,12 +5,12 @@
 from teaseldale.budgets._ledger import LedgerRow, ReadLedgerRow, TableLedger
 from teaseldale.budgets._spending import BaseSpending, Reservation
 from teaseldale.outcomes import PlatformError, Refusal, RefusalCode, Step
-from teaseldale.platform import (
+from teaseldale.requests import RequestIdentity, Settlement
+from teaseldale.tables import (
     BaseTableService,
     Committed,
     make_transaction,
 )
-from teaseldale.requests import RequestIdentity, Settlement
 
 _ATTEMPTS = 20
 _RETRY_AFTER_MS = 1000
--- a/teaseldale/budgets/tests/fleet.py
+++ b/teaseldale/budgets/tests/fleet.py
@@ -18,13 +18,13 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal
 from teaseldale.peers import VmIdentity
-from teaseldale.platform import InMemoryTable
 from teaseldale.requests import (
     HolderParts,
     OpenedRequest,
     RequestIdentity,
     WitnessedRegistry,
 )
+from teaseldale.tables import InMemoryTable
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/budgets/tests/steps_spending.py
+++ b/teaseldale/budgets/tests/steps_spending.py
@@ -17,10 +17,10 @@
 )
 from teaseldale.fakes import run_in_virtual_time
 from teaseldale.outcomes import RefusalCode
-from teaseldale.platform import RetryingTableService
 from teaseldale.requests import SpendingHolder
 from teaseldale.requests._bill_safety import BillSafety
 from teaseldale.requests._intent_guard import IntentGuard
+from teaseldale.tables import RetryingTableService
 
 _LONG = 1500
 
--- a/teaseldale/budgets/tests/steps_top_up.py
+++ b/teaseldale/budgets/tests/steps_top_up.py
@@ -7,7 +7,7 @@
 from teaseldale.budgets import TableLedger
 from teaseldale.fakes import FakeTableService, run_in_virtual_time
 from teaseldale.outcomes import PlatformError, RefusalCode
-from teaseldale.platform import InMemoryTable
+from teaseldale.tables import InMemoryTable
 
 
 @given('a budget of {tokens:d} tokens and a table service that loses answers')
--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -17,10 +17,13 @@
     NoteCommands,
 )
 from teaseldale.command._load import run_load
+from teaseldale.command._node_program import build_node_kernel, settings_path
 from teaseldale.command._program import build_kernel
 from teaseldale.command._standins import StandinCommands
 from teaseldale.command._usage import CommandFailedError, UsageError, text_of
-from teaseldale.logs import make_log_handler
+from teaseldale.forwarding import NodeSettings
+from teaseldale.logs import LogFormat, make_log_handler
+from teaseldale.platform import read_settings_file
 from teaseldale.settings import Settings, SettingsError, load_settings
 
 _EXIT_FAILED = 1
@@ -47,6 +50,17 @@
         with handler.applicationbound():
             run_until_signal(functools.partial(_serve, loaded))
 
+    def node(self) -> None:
+        """Runs one VM on the platform, by the settings file it names."""
+        loaded = read_settings_file(settings_path())
+        handler = make_log_handler(
+            LogFormat.JSON,
+            loaded.name,
+            stream=sys.stdout,
+        )
+        with handler.applicationbound():
+            run_until_signal(functools.partial(_serve_node, loaded))
+
     def check(self, *, settings: str) -> str:
         """Checks the settings file SETTINGS and lists every mistake."""
         load_settings(text_of(settings, '--settings'))
@@ -76,6 +90,10 @@
     await build_kernel(settings, shutdown).run(shutdown)
 
 
+async def _serve_node(settings: NodeSettings, shutdown: anyio.Event) -> None:
+    await build_node_kernel(settings).run(shutdown)
+
+
 def _fail(text: str, status: int) -> NoReturn:
     print(text, file=sys.stderr)  # noqa: WPS421
     sys.exit(status)
--- /dev/null
+++ b/teaseldale/command/_node_program.py
@@ -0,0 +1,149 @@
+"""Assembly of one VM's services on the users' platform."""
+
+import os
+import random
+import signal
+import uuid
+
+import anyio
+from anyio.abc import TaskGroup
+
+from teaseldale.budgets import AccountGrants, HolderKey
+from teaseldale.clock import SystemClock
+from teaseldale.forwarding import (
+    ConfigurationHolder,
+    ConnectionBook,
+    FleetWatch,
+    ForwardingEntry,
+    ForwardingParts,
+    MetricsPage,
+    NodeSettings,
+    RequestLog,
+    RunnerDirectory,
+    WatchedState,
+)
+from teaseldale.kernel import BaseService, Kernel
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.platform import (
+    SETTINGS_VARIABLE,
+    PlatformFleetFormat,
+    PlatformStore,
+    PlatformWireFormat,
+    read_settings_file,
+)
+from teaseldale.routing import BacklogChoice, RetryWindow
+from teaseldale.settings import SettingsError
+
+
+def settings_path() -> str:
+    """Returns the path of the settings file; raises ``SettingsError``."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f'{SETTINGS_VARIABLE}: not set')
+    return path
+
+
+def build_node_kernel(settings: NodeSettings) -> Kernel:
+    """Creates all services of one VM in their order of start."""
+    metrics = Metrics()
+    clock = SystemClock()
+    store = PlatformStore(address=settings.store_address, metrics=metrics)
+    parts = _build_parts(settings, store, clock, metrics)
+    kernel = Kernel(end_timeout_ms=settings.grace_ms)
+    if settings.metrics_address is not None:
+        kernel.register(
+            MetricsPage(address=settings.metrics_address, metrics=metrics),
+        )
+    kernel.register(SettingsReload())
+    kernel.register(_build_watch(parts, store))
+    kernel.register(parts.grants)
+    kernel.register(
+        ForwardingEntry(
+            settings=settings,
+            parts=parts,
+            request_log=RequestLog(clock=clock, metrics=metrics),
+        ),
+    )
+    return kernel
+
+
+class SettingsReload(BaseService):
+    """Checks the settings file again when the platform says it changed."""
+
+    def __init__(self) -> None:
+        """Waits for the signal once started."""
+        self._log = StateLog(channel='settings')
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'settings_reload'
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts to wait for SIGHUP."""
+        tasks.start_soon(self._reload_on_signal)
+
+    async def _reload_on_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = read_settings_file(settings_path())
+        except SettingsError as error:
+            self._log.changed('settings_not_reloaded', reason=str(error))
+            return
+        self._log.changed('settings_reloaded', node=settings.name)
+
+
+def _build_parts(
+    settings: NodeSettings,
+    store: PlatformStore,
+    clock: SystemClock,
+    metrics: Metrics,
+) -> ForwardingParts:
+    random_source = random.Random()  # noqa: S311
+    bounds = settings.retry_bounds
+    return ForwardingParts(
+        wire=PlatformWireFormat(),
+        configuration=ConfigurationHolder(),
+        directory=RunnerDirectory(),
+        connections=ConnectionBook(clock=clock, metrics=metrics),
+        choice=BacklogChoice(clock=clock, random_source=random_source),
+        retries=RetryWindow(
+            clock=clock,
+            share=bounds.share,
+            extra_count=bounds.extra_count,
+            window_ms=bounds.window_ms,
+        ),
+        grants=AccountGrants(
+            holder=HolderKey(
+                vm_name=settings.name,
+                incarnation=uuid.uuid4().hex,
+            ),
+            table=store,
+            clock=clock,
+            metrics=metrics,
+        ),
+        clock=clock,
+        metrics=metrics,
+        random_source=random_source,
+        log=StateLog(channel='entry'),
+    )
+
+
+def _build_watch(parts: ForwardingParts, store: PlatformStore) -> FleetWatch:
+    return FleetWatch(
+        feed=store,
+        format=PlatformFleetFormat(),
+        state=WatchedState(
+            configuration=parts.configuration,
+            directory=parts.directory,
+            connections=parts.connections,
+            choice=parts.choice,
+        ),
+        clock=parts.clock,
+        metrics=parts.metrics,
+    )
--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -16,12 +16,6 @@
 from teaseldale.notes import FleetConfiguration, NotesParts
 from teaseldale.operations import OperatorsInterface, OperatorsParts
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
-from teaseldale.platform import (
-    BaseMembershipList,
-    BaseTableService,
-    HttpMembershipList,
-    HttpTableService,
-)
 from teaseldale.requests import HolderParts, WitnessedRegistry
 from teaseldale.routing import (
     AffinityChoice,
@@ -30,6 +24,12 @@
     RunnerWatch,
 )
 from teaseldale.settings import Settings, read_secret
+from teaseldale.tables import (
+    BaseMembershipList,
+    BaseTableService,
+    HttpMembershipList,
+    HttpTableService,
+)
 from teaseldale.upstreams import (
     CrashQuarantine,
     HttpEngineClient,
--- a/teaseldale/fakes/_table.py
+++ b/teaseldale/fakes/_table.py
@@ -7,7 +7,7 @@
 
 from teaseldale.fakes._pause import PauseGate
 from teaseldale.outcomes import PlatformError, Step
-from teaseldale.platform import (
+from teaseldale.tables import (
     BaseTableService,
     Committed,
     Conflicted,
--- /dev/null
+++ b/teaseldale/forwarding/__init__.py
@@ -0,0 +1,66 @@
+"""Forwarding of requests of any route to the runners of its services."""
+
+from teaseldale.forwarding._configuration import (
+    ConfigurationHolder,
+    EngineLimits,
+    EntryLimits,
+    ForwardingConfiguration,
+    ForwardingRoute,
+    ForwardingService,
+    PrepaidAccount,
+    Repetition,
+    WeightedService,
+)
+from teaseldale.forwarding._connection_book import ConnectionBook
+from teaseldale.forwarding._entry import ForwardingEntry
+from teaseldale.forwarding._fleet_watch import (
+    BaseFleetFormat,
+    FleetWatch,
+    UnreadableRowError,
+    WatchedState,
+)
+from teaseldale.forwarding._metrics_page import MetricsPage
+from teaseldale.forwarding._node import Address, NodeSettings, RetryBounds
+from teaseldale.forwarding._parts import ForwardingParts
+from teaseldale.forwarding._request_log import RequestLog
+from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
+from teaseldale.forwarding._wire import (
+    BaseWireFormat,
+    ClientRequest,
+    Dispatch,
+    RunnerLoad,
+    RunnerReply,
+    TokenUsage,
+)
+
+__all__ = (
+    'Address',
+    'BaseFleetFormat',
+    'BaseWireFormat',
+    'ClientRequest',
+    'ConfigurationHolder',
+    'ConnectionBook',
+    'Dispatch',
+    'EngineLimits',
+    'EntryLimits',
+    'FleetWatch',
+    'ForwardingConfiguration',
+    'ForwardingEntry',
+    'ForwardingParts',
+    'ForwardingRoute',
+    'ForwardingRunner',
+    'ForwardingService',
+    'MetricsPage',
+    'NodeSettings',
+    'PrepaidAccount',
+    'Repetition',
+    'RequestLog',
+    'RetryBounds',
+    'RunnerDirectory',
+    'RunnerLoad',
+    'RunnerReply',
+    'TokenUsage',
+    'UnreadableRowError',
+    'WatchedState',
+    'WeightedService',
+)
--- /dev/null
+++ b/teaseldale/forwarding/_admission.py
@@ -0,0 +1,125 @@
+"""What is checked before a request is sent to a runner."""
+
+import attrs
+
+from teaseldale.budgets import AccountReservation
+from teaseldale.forwarding._configuration import (
+    ForwardingConfiguration,
+    ForwardingRoute,
+    PrepaidAccount,
+    WeightedService,
+)
+from teaseldale.forwarding._parts import ForwardingParts
+from teaseldale.forwarding._refusals import (
+    not_ready,
+    unknown_key,
+    unknown_route,
+)
+from teaseldale.forwarding._wire import ClientRequest
+from teaseldale.outcomes import Refusal
+
+
+@attrs.frozen(kw_only=True)
+class AdmittedRequest:
+    """A request that the configuration allows."""
+
+    request: ClientRequest
+    route: ForwardingRoute
+    service: str  # one of the route's services
+    account: PrepaidAccount | None
+    tokens_per_event: int  # what an event of a stream costs the account
+    configuration_version: int
+    arrival_ms: int  # monotonic
+    ends_ms: float  # monotonic time by which the final answer is due
+
+    @property
+    def priority(self) -> int:
+        """The account's priority, or else the route's."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
+
+class RequestAdmission:
+    """Checks requests against the configuration in force."""
+
+    def __init__(self, *, parts: ForwardingParts) -> None:
+        """Uses the shared parts."""
+        self._parts = parts
+
+    def admit(
+        self,
+        request: ClientRequest,
+        arrival_ms: int,
+    ) -> AdmittedRequest | Refusal:
+        """Finds route, account and service of a request."""
+        configuration = self._parts.configuration.current
+        if configuration is None or not self._parts.directory.is_known:
+            return not_ready()
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return unknown_route()
+        account = configuration.find_account(request.key)
+        if _lacks_key(configuration, route, account):
+            return unknown_key()
+        service = self._draw(route.services)
+        return AdmittedRequest(
+            request=request,
+            route=route,
+            service=service,
+            account=account,
+            tokens_per_event=_tokens_per_event(configuration, service),
+            configuration_version=configuration.version,
+            arrival_ms=arrival_ms,
+            ends_ms=arrival_ms + _allowed_ms(request, route),
+        )
+
+    async def reserve(
+        self,
+        admitted: AdmittedRequest,
+    ) -> AccountReservation | Refusal | None:
+        """Sets the request's tokens aside; None if it costs nothing."""
+        account = admitted.account
+        usage = admitted.request.usage
+        if account is None or account.prepaid_tokens is None or usage is None:
+            return None
+        return await self._parts.grants.reserve(
+            account=account.name,
+            prepaid_tokens=account.prepaid_tokens,
+            most_tokens=usage.most_tokens,
+        )
+
+    def _draw(self, services: tuple[WeightedService, ...]) -> str:
+        if len(services) == 1:
+            return services[0].service
+        drawn = self._parts.random_source.choices(
+            services,
+            weights=[part.weight for part in services],
+        )
+        return drawn[0].service
+
+
+def _lacks_key(
+    configuration: ForwardingConfiguration,
+    route: ForwardingRoute,
+    account: PrepaidAccount | None,
+) -> bool:
+    return (
+        configuration.needs_keys and not route.is_anonymous and account is None
+    )
+
+
+def _tokens_per_event(
+    configuration: ForwardingConfiguration,
+    service: str,
+) -> int:
+    known = configuration.services.get(service)
+    if known is None or known.engine is None:
+        return 1
+    return known.engine.tokens_per_event
+
+
+def _allowed_ms(request: ClientRequest, route: ForwardingRoute) -> float:
+    if request.deadline_ms is None:
+        return route.timeout_ms
+    return min(request.deadline_ms, route.timeout_ms)
--- /dev/null
+++ b/teaseldale/forwarding/_attempt.py
@@ -0,0 +1,135 @@
+"""One attempt of a request at one runner."""
+
+import attrs
+
+from teaseldale.forwarding._parts import ForwardingParts
+from teaseldale.forwarding._runners import ForwardingRunner
+from teaseldale.forwarding._wire import (
+    ClientRequest,
+    Dispatch,
+    RunnerReply,
+)
+from teaseldale.outcomes import Step
+from teaseldale.routing import PlacedWork, PlannedWork, RunnerBacklog
+from teaseldale.upstreams import (
+    FailureKind,
+    RunnerAnswer,
+    RunnerMessage,
+    UpstreamError,
+    WireHeaders,
+)
+
+
+@attrs.frozen(kw_only=True)
+class NotRun:
+    """The runner surely did not run the request."""
+
+    reason: str
+    has_arrived: bool  # whether the runner saw the request
+
+
+@attrs.frozen(kw_only=True)
+class BrokeOff:
+    """The runner may have run the request and gave no whole answer."""
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class Replied:
+    """The head of the runner's answer has arrived."""
+
+    answer: RunnerAnswer
+    reply: RunnerReply
+
+
+class Attempt:
+    """Sends a request to a runner and keeps count of it there."""
+
+    def __init__(
+        self,
+        *,
+        parts: ForwardingParts,
+        runner: ForwardingRunner,
+        backlog: RunnerBacklog,
+        work: PlannedWork,
+    ) -> None:
+        """Counts the request at the runner at once."""
+        self._parts = parts
+        self.runner = runner
+        self._placed: PlacedWork = parts.choice.place(work, backlog)
+        self._is_read = False
+        self._has_ended = False
+
+    async def send(
+        self,
+        request: ClientRequest,
+        body: bytes,
+        dispatch: Dispatch,
+    ) -> NotRun | BrokeOff | Replied:
+        """Sends the request and waits for the head of the answer."""
+        connections = self._parts.connections.of(self.runner)
+        try:
+            answer = await connections.send(
+                RunnerMessage(
+                    method=request.method,
+                    target=request.target,
+                    headers=self._parts.wire.runner_headers(request, dispatch),
+                    body=body,
+                ),
+                belongs=self._belongs_to(request),
+                timeout_ms=dispatch.left_ms,
+            )
+        except UpstreamError as error:
+            return self._failed(error)
+        reply = self._parts.wire.read_reply(answer.status, answer.headers)
+        self._note_load(reply)
+        if reply.is_not_run:
+            answer.release()
+            return NotRun(reason=f'status {reply.status}', has_arrived=True)
+        return Replied(answer=answer, reply=reply)
+
+    def has_read(self) -> None:
+        """Notes that the runner has begun to answer."""
+        if not self._is_read:
+            self._is_read = True
+            self._parts.choice.has_read(self._placed)
+
+    def end(self) -> None:
+        """Notes that the runner has nothing more to do for the request."""
+        if not self._has_ended:
+            self._has_ended = True
+            self.has_read()
+            self._parts.choice.has_ended(self._placed)
+
+    def _belongs_to(self, request: ClientRequest):  # type: ignore[no-untyped-def]
+        def belongs(status: int, headers: WireHeaders) -> bool:  # noqa: WPS430
+            return self._parts.wire.answers(request, status, headers)
+
+        return belongs
+
+    def _failed(self, error: UpstreamError) -> NotRun | BrokeOff:
+        if error.may_have_run:
+            return BrokeOff(reason=f'{error.kind}: {error.reason}')
+        return NotRun(reason=error.reason, has_arrived=False)
+
+    def _note_load(self, reply: RunnerReply) -> None:
+        if reply.load is not None:
+            self._parts.choice.note_report(
+                self._placed.runner,
+                request_count=(
+                    reply.load.running_count + reply.load.waiting_count
+                ),
+                slot_count=reply.load.slot_count,
+            )
+
+
+def crossed(runner: ForwardingRunner, reason: str) -> UpstreamError:
+    """Returns the error of a stream that does not fit the one before."""
+    return UpstreamError(
+        step=Step.STREAM,
+        peer=str(runner.address),
+        reason=reason,
+        may_have_run=True,
+        kind=FailureKind.CROSSED,
+    )
--- /dev/null
+++ b/teaseldale/forwarding/_entry.py
@@ -0,0 +1,240 @@
+"""Service that takes callers' requests and answers the balancer."""
+
+import anyio
+from anyio.abc import TaskGroup
+
+from teaseldale.budgets import AccountReservation
+from teaseldale.forwarding._admission import (
+    AdmittedRequest,
+    RequestAdmission,
+)
+from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._node import NodeSettings
+from teaseldale.forwarding._parts import ForwardingParts
+from teaseldale.forwarding._refusals import (
+    bad_request,
+    body_too_large,
+    internal_error,
+    timed_out,
+)
+from teaseldale.forwarding._request_log import RequestLog
+from teaseldale.forwarding._request_run import RequestRun
+from teaseldale.forwarding._wire import ClientRequest
+from teaseldale.kernel import BaseService
+from teaseldale.outcomes import Refusal
+from teaseldale.web import BodyTooLargeError, EmbeddedServer, Exchange
+
+_MS_PER_SECOND = 1000
+# The balancer asks once a second and takes a VM out after two misses.
+_BALANCER_MS = 2500
+# Left of the time until the process is killed, to return grants and exit.
+_EXIT_RESERVE_MS = 700
+_POLL_MS = 20
+_EXPIRY_CHECK_MS = 200  # how often idle connections to runners are looked at
+_STATUS_OK = 200
+_STATUS_UNAVAILABLE = 503
+
+
+class ForwardingEntry(BaseService):
+    """Serves requests of any route."""
+
+    def __init__(
+        self,
+        *,
+        settings: NodeSettings,
+        parts: ForwardingParts,
+        request_log: RequestLog,
+    ) -> None:
+        """Listens on the addresses of ``settings`` once started."""
+        self._settings = settings
+        self._parts = parts
+        self._admission = RequestAdmission(parts=parts)
+        self._request_log = request_log
+        self._is_draining = False
+        self._running_count = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self._callers = EmbeddedServer(
+            address=str(settings.callers_address),
+            respond=self._respond,
+            metrics=parts.metrics,
+        )
+        self._readiness = EmbeddedServer(
+            address=str(settings.readiness_address),
+            respond=self._respond_ready,
+            metrics=parts.metrics,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'forwarding_entry'
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send new connections."""
+        return (
+            not self._is_draining
+            and self._parts.configuration.current is not None
+            and self._parts.directory.is_known
+        )
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Opens both addresses."""
+        await self._readiness.start(tasks)
+        await self._callers.start(tasks)
+        tasks.start_soon(self._close_idle_connections)
+
+    async def drain(self) -> None:
+        """Serves until the balancer has noticed, then ends what runs."""
+        self._is_draining = True
+        started_ms = self._parts.clock.monotonic_ms()
+        await self._parts.clock.sleep_ms(_BALANCER_MS)
+        ends_ms = started_ms + self._settings.grace_ms - _EXIT_RESERVE_MS
+        while self._running_count:
+            if self._parts.clock.monotonic_ms() >= ends_ms:
+                break
+            await self._parts.clock.sleep_ms(_POLL_MS)
+        self._parts.log.changed('drained', left_count=self._running_count)
+        for scope in tuple(self._scopes):
+            scope.cancel()
+
+    async def _respond_ready(self, exchange: Exchange) -> None:
+        status = _STATUS_OK if self.is_ready else _STATUS_UNAVAILABLE
+        await exchange.answer(status, b'', ())
+
+    async def _close_idle_connections(self) -> None:
+        while True:
+            await self._parts.clock.sleep_ms(_EXPIRY_CHECK_MS)
+            self._parts.connections.close_expired()
+
+    async def _respond(self, exchange: Exchange) -> None:
+        arrival_ms = self._parts.clock.monotonic_ms()
+        answer = CallerAnswer(
+            exchange=exchange,
+            wire=self._parts.wire,
+            closes_connection=self._is_draining,
+        )
+        try:
+            request = self._parts.wire.read_request(
+                method=exchange.method,
+                target=exchange.target,
+                path=exchange.path,
+                headers=exchange.headers(),
+            )
+        except ValueError as error:
+            await self._refuse(answer, None, bad_request(str(error)))
+            return
+        admitted = self._admission.admit(request, arrival_ms)
+        if isinstance(admitted, Refusal):
+            await self._refuse(answer, request, admitted)
+            return
+        self._running_count += 1
+        try:
+            await self._serve(exchange, admitted, answer)
+        finally:
+            self._running_count -= 1
+
+    async def _serve(
+        self,
+        exchange: Exchange,
+        admitted: AdmittedRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        limit_bytes = self._body_limit_bytes()
+        try:
+            body = await exchange.body(limit_bytes)
+        except BodyTooLargeError:
+            refusal = body_too_large(limit_bytes)
+            await self._refuse(answer, admitted.request, refusal)
+            return
+        run = RequestRun(
+            parts=self._parts,
+            admitted=admitted,
+            body=body,
+            answer=answer,
+        )
+        async with anyio.create_task_group() as tasks:
+            self._scopes.add(tasks.cancel_scope)
+            tasks.start_soon(_cancel_when_gone, exchange, tasks.cancel_scope)
+            try:
+                await self._run_in_time(run, admitted, answer)
+            finally:
+                self._scopes.discard(tasks.cancel_scope)
+                tasks.cancel_scope.cancel()
+                self._request_log.ended(admitted, run, answer)
+
+    async def _run_in_time(
+        self,
+        run: RequestRun,
+        admitted: AdmittedRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        left_ms = admitted.ends_ms - self._parts.clock.monotonic_ms()
+        with anyio.move_on_after(left_ms / _MS_PER_SECOND) as limit:
+            await self._reserve_and_run(run, admitted, answer)
+        if not limit.cancelled_caught:
+            return
+        if answer.has_started:
+            answer.abort()
+            return
+        refusal = timed_out(not_run=not run.record.may_have_run)
+        await answer.refuse(refusal, admitted.request)
+
+    async def _reserve_and_run(
+        self,
+        run: RequestRun,
+        admitted: AdmittedRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        reserved = await self._admission.reserve(admitted)
+        if isinstance(reserved, Refusal):
+            await answer.refuse(reserved, admitted.request)
+            return
+        try:
+            await run.run()
+        except Exception as error:
+            self._request_log.failed(admitted, error)
+            if answer.has_started:
+                answer.abort()
+            else:
+                await answer.refuse(internal_error(), admitted.request)
+        finally:
+            self._settle(run, admitted, reserved)
+
+    def _settle(
+        self,
+        run: RequestRun,
+        admitted: AdmittedRequest,
+        reserved: AccountReservation | None,
+    ) -> None:
+        """Bills the prompt if a runner may have read it, and the output."""
+        usage = admitted.request.usage
+        if reserved is None or usage is None:
+            return
+        used_tokens = run.delivered_tokens
+        if run.record.arrival_count:
+            used_tokens += usage.prompt_tokens
+        self._parts.grants.settle(reserved, used_tokens=used_tokens)
+
+    async def _refuse(
+        self,
+        answer: CallerAnswer,
+        request: ClientRequest | None,
+        refusal: Refusal,
+    ) -> None:
+        self._request_log.refused(request, refusal)
+        await answer.refuse(refusal, request)
+
+    def _body_limit_bytes(self) -> int:
+        configuration = self._parts.configuration.current
+        if configuration is None:
+            return 0
+        return configuration.limits.body_bytes
+
+
+async def _cancel_when_gone(
+    exchange: Exchange,
+    scope: anyio.CancelScope,
+) -> None:
+    await exchange.wait_for_disconnect()
+    scope.cancel()
--- /dev/null
+++ b/teaseldale/forwarding/_events.py
@@ -0,0 +1,60 @@
+"""Splitting of an event stream into whole events."""
+
+import re
+
+import attrs
+
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
+_EVENT_ID = re.compile(rb'^id: ?(\d+)\s*$', re.MULTILINE)
+
+
+class StreamOrderError(ValueError):
+    """A stream does not go on where the one before it broke off."""
+
+
+@attrs.define(kw_only=True)
+class EventSplitter:
+    """Collects bytes and gives whole events, with a count and the last id."""
+
+    last_id: int | None = None  # of the events given so far
+    event_count: int = 0  # events given so far
+    _rest: bytearray = attrs.field(factory=bytearray, init=False)
+    _must_follow: bool = attrs.field(default=False, init=False)
+
+    def feed(self, received: bytes) -> bytes:
+        """Returns the events that ``received`` makes whole.
+
+        Raises ``StreamOrderError`` if a resumed stream leaves events out or
+        repeats them.
+        """
+        self._rest += received
+        end = 0
+        for found in _EVENT_END.finditer(self._rest):
+            self._take(bytes(self._rest[end : found.end()]))
+            end = found.end()
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
+        return whole
+
+    def resume(self) -> None:
+        """Drops what is not whole; the next event must follow the last."""
+        self._rest.clear()
+        self._must_follow = self.last_id is not None
+
+    def take_rest(self) -> bytes:
+        """Returns what a stream that ended left behind its last event."""
+        rest = bytes(self._rest)
+        self._rest.clear()
+        return rest
+
+    def _take(self, event: bytes) -> None:
+        found = _EVENT_ID.search(event)
+        if found is None:
+            return
+        event_id = int(found.group(1))
+        if self._must_follow and event_id != (self.last_id or 0) + 1:
+            raise StreamOrderError(
+                f'event {event_id} after event {self.last_id}'
+            )
+        self.last_id = event_id
+        self.event_count += 1
--- /dev/null
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -0,0 +1,187 @@
+"""Follows the configuration and the list of runners in the store."""
+
+import abc
+from collections.abc import Callable
+
+import attrs
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.forwarding._configuration import (
+    ConfigurationHolder,
+    ForwardingConfiguration,
+)
+from teaseldale.forwarding._connection_book import ConnectionBook
+from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.routing import BacklogChoice
+from teaseldale.tables import BaseRowFeed, Row, TableFollower
+
+
+class UnreadableRowError(ValueError):
+    """A row was written by somebody who does not know the format."""
+
+
+class BaseFleetFormat(abc.ABC):
+    """Decodes the rows that operators and runners write."""
+
+    @property
+    @abc.abstractmethod
+    def operator_table(self) -> str:
+        """Table of the operators' rows."""
+
+    @property
+    @abc.abstractmethod
+    def runner_table(self) -> str:
+        """Table of the runners' entries, keyed by runner id."""
+
+    @abc.abstractmethod
+    def decode_configuration(self, row: Row) -> ForwardingConfiguration | None:
+        """Returns the configuration; None if the row is another one.
+
+        Raises ``UnreadableRowError``.
+        """
+
+    @abc.abstractmethod
+    def decode_runner(self, row: Row) -> ForwardingRunner:
+        """Returns the runner of an entry; raises ``UnreadableRowError``."""
+
+
+@attrs.frozen(kw_only=True)
+class WatchedState:
+    """What the watch keeps up to date."""
+
+    configuration: ConfigurationHolder
+    directory: RunnerDirectory
+    connections: ConnectionBook
+    choice: BacklogChoice
+
+
+class FleetWatch(BaseService):
+    """Service that keeps configuration and runners up to date."""
+
+    def __init__(
+        self,
+        *,
+        feed: BaseRowFeed,
+        format: BaseFleetFormat,  # noqa: WPS125
+        state: WatchedState,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Follows two tables of ``feed`` once started."""
+        self._format = format
+        self._state = state
+        self._clock = clock
+        self._metrics = metrics
+        self._log = StateLog(channel='fleet')
+        self._operators = self._follower(
+            feed,
+            format.operator_table,
+            self._take_operator_rows,
+            self._take_operator_rows,
+        )
+        self._runners = self._follower(
+            feed,
+            format.runner_table,
+            self._take_all_runners,
+            self._take_changed_runners,
+        )
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'fleet_watch'
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts to follow both tables."""
+        tasks.start_soon(self._operators.run)
+        tasks.start_soon(self._runners.run)
+
+    def _follower(
+        self,
+        feed: BaseRowFeed,
+        table: str,
+        take_all: Callable[[tuple[Row, ...]], None],
+        take_changes: Callable[[tuple[Row, ...]], None],
+    ) -> TableFollower:
+        return TableFollower(
+            feed=feed,
+            table=table,
+            clock=self._clock,
+            metrics=self._metrics,
+            take_all=take_all,
+            take_changes=take_changes,
+        )
+
+    def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            try:
+                configuration = self._format.decode_configuration(row)
+            except UnreadableRowError as error:
+                self._unreadable(row, error)
+                continue
+            if configuration is not None:
+                self._take_configuration(configuration)
+
+    def _take_configuration(self, offered: ForwardingConfiguration) -> None:
+        if self._state.configuration.offer(offered):
+            self._metrics.set_gauge('configuration_version', offered.version)
+            self._log.changed(
+                'configuration_in_force',
+                version=offered.version,
+                routes=len(offered.routes),
+                accounts=len(offered.accounts),
+            )
+
+    def _take_all_runners(self, rows: tuple[Row, ...]) -> None:
+        read = (self._runner_of(row) for row in rows)
+        self._state.directory.replace_all(
+            runner for runner in read if runner is not None
+        )
+        self._log.changed(
+            'runners_read',
+            count=len(self._state.directory.all_runners()),
+        )
+        self._forget_others()
+
+    def _take_changed_runners(self, rows: tuple[Row, ...]) -> None:
+        changed = {row.key: self._runner_of(row) for row in rows}
+        self._state.directory.change(changed)
+        for runner_id, runner in changed.items():
+            self._log.changed(
+                'runner_changed',
+                runner=runner_id,
+                is_known=runner is not None,
+                is_leaving=runner is not None and runner.is_leaving,
+                service='' if runner is None else runner.service,
+            )
+        self._forget_others()
+
+    def _runner_of(self, row: Row) -> ForwardingRunner | None:
+        if row.value is None:
+            return None
+        try:
+            return self._format.decode_runner(row)
+        except UnreadableRowError as error:
+            self._unreadable(row, error)
+            return None
+
+    def _unreadable(self, row: Row, error: UnreadableRowError) -> None:
+        self._metrics.increment('rows_unreadable', row.table)
+        self._log.changed(
+            'row_unreadable',
+            table=row.table,
+            key=row.key,
+            reason=str(error),
+        )
+
+    def _forget_others(self) -> None:
+        runners = self._state.directory.all_runners()
+        self._state.connections.keep_only(runners)
+        self._state.choice.keep_only(
+            frozenset(runner.runner_id for runner in runners),
+        )
+        self._metrics.set_gauge('runners_known', len(runners))
--- /dev/null
+++ b/teaseldale/forwarding/_parts.py
@@ -0,0 +1,32 @@
+"""What every request on its way uses."""
+
+import random
+
+import attrs
+
+from teaseldale.budgets import AccountGrants
+from teaseldale.clock import BaseClock
+from teaseldale.forwarding._configuration import ConfigurationHolder
+from teaseldale.forwarding._connection_book import ConnectionBook
+from teaseldale.forwarding._runners import RunnerDirectory
+from teaseldale.forwarding._wire import BaseWireFormat
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.routing import BacklogChoice, RetryWindow
+
+
+@attrs.frozen(kw_only=True)
+class ForwardingParts:
+    """Services and state shared by the requests of a VM."""
+
+    wire: BaseWireFormat
+    configuration: ConfigurationHolder
+    directory: RunnerDirectory
+    connections: ConnectionBook
+    choice: BacklogChoice
+    retries: RetryWindow
+    grants: AccountGrants
+    clock: BaseClock
+    metrics: Metrics
+    random_source: random.Random
+    log: StateLog
--- /dev/null
+++ b/teaseldale/forwarding/_request_log.py
@@ -0,0 +1,81 @@
+"""One log line for each request, and its counters."""
+
+from teaseldale.clock import BaseClock
+from teaseldale.forwarding._admission import AdmittedRequest
+from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._request_run import RequestRun
+from teaseldale.forwarding._wire import ClientRequest
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import Refusal
+
+
+class RequestLog:
+    """Writes how each request ended and why."""
+
+    def __init__(self, *, clock: BaseClock, metrics: Metrics) -> None:
+        """Counts in ``metrics``."""
+        self._clock = clock
+        self._metrics = metrics
+        self._log = StateLog(channel='requests')
+
+    def ended(
+        self,
+        admitted: AdmittedRequest,
+        run: RequestRun,
+        answer: CallerAnswer,
+    ) -> None:
+        """Writes the line of a request that was admitted."""
+        now_ms = self._clock.monotonic_ms()
+        duration_ms = now_ms - admitted.arrival_ms
+        self._metrics.record_ms('request', duration_ms)
+        self._metrics.increment('answers', str(answer.status))
+        record = run.record
+        if record.first_event_ms is not None:
+            self._metrics.record_ms('first_event', record.first_event_ms)
+        refusal = answer.refusal
+        if refusal is not None:
+            self._metrics.increment('refusals', refusal.code)
+        self._log.changed(
+            'request_ended',
+            request=admitted.request.request_id,
+            route=admitted.route.name,
+            service=admitted.service,
+            account='' if admitted.account is None else admitted.account.name,
+            configuration=admitted.configuration_version,
+            status=answer.status,
+            refusal='' if refusal is None else refusal.code,
+            is_aborted=answer.is_aborted,
+            runners=record.runners,
+            reasons=record.reasons,
+            may_have_run=record.may_have_run,
+            first_event_ms=record.first_event_ms,
+            duration_ms=duration_ms,
+            left_ms=int(admitted.ends_ms - now_ms),
+        )
+
+    def refused(
+        self,
+        request: ClientRequest | None,
+        refusal: Refusal,
+    ) -> None:
+        """Writes the line of a request that was not admitted."""
+        self._metrics.increment('refusals', refusal.code)
+        self._log.changed(
+            'request_refused',
+            request='' if request is None else request.request_id,
+            host='' if request is None else request.host,
+            path='' if request is None else request.path,
+            refusal=refusal.code,
+            text=refusal.message,
+        )
+
+    def failed(self, admitted: AdmittedRequest, error: Exception) -> None:
+        """Writes that the VM itself failed."""
+        self._metrics.increment('runs_failed', type(error).__name__)
+        self._log.changed(
+            'run_failed',
+            request=admitted.request.request_id,
+            reason=type(error).__name__,
+            text=str(error),
+        )
--- /dev/null
+++ b/teaseldale/forwarding/_request_run.py
@@ -0,0 +1,257 @@
+"""A request on its way: attempts at runners until there is a final answer."""
+
+import attrs
+
+from teaseldale.forwarding._admission import AdmittedRequest
+from teaseldale.forwarding._attempt import (
+    Attempt,
+    BrokeOff,
+    NotRun,
+    Replied,
+)
+from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._configuration import Repetition
+from teaseldale.forwarding._events import EventSplitter, StreamOrderError
+from teaseldale.forwarding._parts import ForwardingParts
+from teaseldale.forwarding._refusals import broke_off, no_runner
+from teaseldale.forwarding._wire import Dispatch
+from teaseldale.outcomes import Refusal
+from teaseldale.routing import PlannedWork, RunnerBacklog
+from teaseldale.upstreams import (
+    RunnerAnswer,
+    UpstreamError,
+    WireHeaders,
+    header_of,
+)
+
+_STATUS_OK = 200
+_FIRST_FAILURE_STATUS = 500
+# Statuses that promise that a request has not run.
+_PROMISING_STATUSES = frozenset((408, 421, 429, 503))
+# Whole answers up to this size are held back until they are complete, so that
+# a broken one can be replaced. Larger ones are passed on as they arrive.
+_HELD_BYTES = 262_144
+
+
+@attrs.frozen(kw_only=True)
+class _WholeReply:
+    status: int
+    headers: WireHeaders
+    body: bytes
+
+
+@attrs.define(kw_only=True)
+class RunRecord:
+    """What is known of a run, for its log line and its bill."""
+
+    arrival_count: int = 0  # runners that saw the request
+    may_have_run: bool = False
+    runners: list[str] = attrs.field(factory=list)
+    reasons: list[str] = attrs.field(factory=list)  # why attempts failed
+    first_event_ms: int | None = None  # after the request's arrival
+
+
+class RequestRun:
+    """Runs one admitted request."""
+
+    def __init__(
+        self,
+        *,
+        parts: ForwardingParts,
+        admitted: AdmittedRequest,
+        body: bytes,
+        answer: CallerAnswer,
+    ) -> None:
+        """Answers by ``answer``."""
+        self._parts = parts
+        self._admitted = admitted
+        self._route = admitted.route
+        self._body = body
+        self._answer = answer
+        self._work = _work_of(admitted)
+        self._events = EventSplitter(last_id=admitted.request.last_event_id)
+        self._failure: _WholeReply | None = None  # a runner's own, kept
+        self._tried: set[str] = set()
+        self.record = RunRecord()
+
+    @property
+    def delivered_tokens(self) -> int:
+        """Output tokens of the events that were passed on."""
+        usage = self._admitted.request.usage
+        if usage is None:
+            return 0
+        delivered = self._events.event_count * self._admitted.tokens_per_event
+        return min(delivered, usage.output_limit_tokens)
+
+    async def run(self) -> None:
+        """Tries runners until the caller has its final answer."""
+        self._parts.retries.note_request(self._admitted.service)
+        while True:
+            attempt = self._next_attempt()
+            if attempt is None:
+                await self._give_up()
+                return
+            try:
+                if await self._run_at(attempt):
+                    return
+            finally:
+                attempt.end()
+
+    def _next_attempt(self) -> Attempt | None:
+        if not self._may_try():
+            return None
+        candidates = self._candidates()
+        backlog = self._parts.choice.choose(self._work, candidates)
+        if backlog is None:
+            return None
+        if self.record.arrival_count and not self._parts.retries.take_retry(
+            self._admitted.service,
+        ):
+            self._parts.metrics.increment('retries_refused', 'budget')
+            return None
+        runner = self._parts.directory.find(backlog.runner)
+        if runner is None:
+            return None
+        self._tried.add(runner.runner_id)
+        self.record.runners.append(runner.runner_id)
+        return Attempt(
+            parts=self._parts,
+            runner=runner,
+            backlog=backlog,
+            work=self._work,
+        )
+
+    def _may_try(self) -> bool:
+        if self.record.may_have_run and not self._route.may_run_again:
+            return False
+        return self.record.arrival_count < max(self._route.runner_limit, 1)
+
+    def _candidates(self) -> tuple[RunnerBacklog, ...]:
+        usable = self._parts.directory.usable(self._admitted.service)
+        return tuple(
+            self._parts.choice.backlog(runner.runner_id, runner.slot_count)
+            for runner in usable
+            if runner.runner_id not in self._tried
+        )
+
+    async def _run_at(self, attempt: Attempt) -> bool:
+        """Returns whether the caller has its final answer."""
+        self.record.arrival_count += 1
+        sent = await attempt.send(
+            self._admitted.request,
+            self._body,
+            self._dispatch(attempt),
+        )
+        if isinstance(sent, Replied):
+            return await self._take(attempt, sent)
+        if isinstance(sent, NotRun) and not sent.has_arrived:
+            self.record.arrival_count -= 1
+        if isinstance(sent, BrokeOff):
+            self.record.may_have_run = True
+        self._note_failure(attempt, sent.reason)
+        return False
+
+    def _dispatch(self, attempt: Attempt) -> Dispatch:
+        account = self._admitted.account
+        left_ms = self._admitted.ends_ms - self._parts.clock.monotonic_ms()
+        return Dispatch(
+            runner=attempt.runner,
+            left_ms=max(1, int(left_ms)),
+            account=None if account is None else account.name,
+            priority=self._admitted.priority,
+            last_event_id=self._events.last_id,
+        )
+
+    async def _take(self, attempt: Attempt, sent: Replied) -> bool:
+        self.record.may_have_run = True
+        is_stream = self._route.repetition is Repetition.STREAM
+        try:
+            if is_stream and sent.reply.status == _STATUS_OK:
+                return await self._relay(attempt, sent.answer)
+            return await self._take_whole(sent)
+        except (UpstreamError, StreamOrderError) as error:
+            self._note_failure(attempt, str(error))
+            self._events.resume()
+            return False
+        finally:
+            sent.answer.release()
+
+    async def _relay(self, attempt: Attempt, answer: RunnerAnswer) -> bool:
+        """Passes on the events of a stream as they become whole."""
+        while received := await answer.read():
+            events = self._events.feed(received)
+            if not events:
+                continue
+            if self.record.first_event_ms is None:
+                now_ms = self._parts.clock.monotonic_ms()
+                self.record.first_event_ms = now_ms - self._admitted.arrival_ms
+            attempt.has_read()
+            await self._answer.start(answer.status, answer.headers)
+            await self._answer.write(events)
+        await self._answer.start(answer.status, answer.headers)
+        await self._answer.finish(self._events.take_rest())
+        return True
+
+    async def _take_whole(self, sent: Replied) -> bool:
+        """Passes on an answer that is not a stream of events."""
+        answer = sent.answer
+        held = bytearray()
+        while received := await answer.read():
+            held += received
+            if len(held) > _HELD_BYTES:
+                await self._answer.start(answer.status, answer.headers)
+                await self._answer.write(bytes(held))
+                held.clear()
+        if self._answer.has_started:
+            await self._answer.finish(bytes(held))
+            return True
+        return await self._deliver(
+            _WholeReply(
+                status=answer.status,
+                headers=answer.headers,
+                body=bytes(held),
+            )
+        )
+
+    async def _deliver(self, reply: _WholeReply) -> bool:
+        is_encoded = header_of(reply.headers, b'content-encoding') is not None
+        if reply.status in _PROMISING_STATUSES or is_encoded:
+            # The runner ran the request, so the status may not be passed on.
+            self.record.reasons.append(f'unusable answer {reply.status}')
+            return False
+        if reply.status >= _FIRST_FAILURE_STATUS and self._route.may_run_again:
+            self.record.reasons.append(f'status {reply.status}')
+            self._failure = reply
+            return False
+        await self._answer.whole(reply.status, reply.headers, reply.body)
+        return True
+
+    async def _give_up(self) -> None:
+        if self._answer.has_started:
+            self._answer.abort()
+        elif self._failure is not None:
+            await self._answer.whole(
+                self._failure.status,
+                self._failure.headers,
+                self._failure.body,
+            )
+        else:
+            await self._answer.refuse(self._refusal(), self._admitted.request)
+
+    def _refusal(self) -> Refusal:
+        reasons = '; '.join(self.record.reasons)
+        if self.record.may_have_run:
+            return broke_off(reasons, ','.join(self.record.runners))
+        return no_runner(self._admitted.service)
+
+    def _note_failure(self, attempt: Attempt, reason: str) -> None:
+        self.record.reasons.append(f'{attempt.runner.runner_id}: {reason}')
+        self._parts.metrics.increment('attempts_failed')
+
+
+def _work_of(admitted: AdmittedRequest) -> PlannedWork:
+    usage = admitted.request.usage
+    return PlannedWork(
+        parts=admitted.request.prompt_parts,
+        prompt_tokens=0 if usage is None else usage.prompt_tokens,
+    )
--- /dev/null
+++ b/teaseldale/forwarding/_runners.py
@@ -0,0 +1,75 @@
+"""Runners that a VM knows, as they have registered themselves."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from teaseldale.forwarding._node import Address
+
+
+@attrs.frozen(kw_only=True)
+class ForwardingRunner:
+    """One start of a runner."""
+
+    runner_id: str  # names the runner in every request sent to it
+    started_wall_ms: int  # tells two starts under one id apart
+    service: str
+    address: Address
+    availability_zone: str
+    version: str  # of the runner's software
+    slot_count: int  # requests it works on at once
+    is_leaving: bool = False  # takes no new requests soon
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Key of this start."""
+        return self.runner_id, self.started_wall_ms
+
+
+class RunnerDirectory:
+    """Runners by service; each change gives the differences."""
+
+    def __init__(self) -> None:
+        """Knows no runners."""
+        self._runners: dict[str, ForwardingRunner] = {}
+        self._by_service: dict[str, tuple[ForwardingRunner, ...]] = {}
+        self.is_known = False  # whether the list has been read once
+
+    def usable(self, service: str) -> tuple[ForwardingRunner, ...]:
+        """Returns the runners of ``service`` that take new requests."""
+        return self._by_service.get(service, ())
+
+    def all_runners(self) -> tuple[ForwardingRunner, ...]:
+        """Returns every runner, leaving ones too."""
+        return tuple(self._runners.values())
+
+    def find(self, runner_id: str) -> ForwardingRunner | None:
+        """Returns the runner registered under an id."""
+        return self._runners.get(runner_id)
+
+    def replace_all(self, runners: Iterable[ForwardingRunner]) -> None:
+        """Takes the whole list anew."""
+        self._runners = {runner.runner_id: runner for runner in runners}
+        self.is_known = True
+        self._index()
+
+    def change(
+        self,
+        changed: Mapping[str, ForwardingRunner | None],
+    ) -> None:
+        """Takes changed entries by id; None removes one."""
+        for runner_id, runner in changed.items():
+            if runner is None:
+                self._runners.pop(runner_id, None)
+            else:
+                self._runners[runner_id] = runner
+        self._index()
+
+    def _index(self) -> None:
+        grouped: dict[str, list[ForwardingRunner]] = {}
+        for runner in self._runners.values():
+            if not runner.is_leaving:
+                grouped.setdefault(runner.service, []).append(runner)
+        self._by_service = {
+            service: tuple(members) for service, members in grouped.items()
+        }
--- a/teaseldale/logs/_logs.py
+++ b/teaseldale/logs/_logs.py
@@ -2,7 +2,7 @@
 
 import enum
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import logbook
 import msgspec
@@ -28,9 +28,14 @@
         self._logger.info(event, extra=fields)
 
 
-def make_log_handler(log_format: LogFormat, vm_name: str) -> Any:
-    """Creates the handler that writes lines to standard error."""
-    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
+def make_log_handler(
+    log_format: LogFormat,
+    vm_name: str,
+    *,
+    stream: TextIO | None = None,
+) -> Any:
+    """Creates the handler that writes lines, by default to standard error."""
+    handler = logbook.StreamHandler(stream or sys.stderr, level=logbook.INFO)
     handler.formatter = _LineFormatter(log_format, vm_name)
     return handler
 
--- a/teaseldale/moves/_records.py
+++ b/teaseldale/moves/_records.py
@@ -7,7 +7,7 @@
 
 from teaseldale.moves._outcome_notes import MoveNames
 from teaseldale.notes import NoteBook, NoteState
-from teaseldale.platform import (
+from teaseldale.tables import (
     BaseTableService,
     RowCheck,
     RowWrite,
--- a/teaseldale/moves/_steering.py
+++ b/teaseldale/moves/_steering.py
@@ -44,7 +44,7 @@
 )
 from teaseldale.outcomes import PlatformError, Refusal
 from teaseldale.peers import BasePeerNetwork, VmIdentity
-from teaseldale.platform import BaseTableService, TableLease
+from teaseldale.tables import BaseTableService, TableLease
 
 _TICK_MS = 1000
 _CANDIDATES = 3  # VMs that try to steer a move
--- a/teaseldale/moves/_take_back.py
+++ b/teaseldale/moves/_take_back.py
@@ -16,7 +16,7 @@
     ReadNote,
 )
 from teaseldale.outcomes import Refusal, RefusalCode, Step
-from teaseldale.platform import RowCheck
+from teaseldale.tables import RowCheck
 
 _ATTEMPTS = 20
 
--- a/teaseldale/moves/tests/steps_moves.py
+++ b/teaseldale/moves/tests/steps_moves.py
@@ -31,8 +31,8 @@
 from teaseldale.moves._windows import EvidenceWindows
 from teaseldale.moves.tests.moves_world import run_script
 from teaseldale.notes import MovePhase, MoveStep, VersionMove
-from teaseldale.platform import RowCheck, TableLease
 from teaseldale.requests import RequestIdentity
+from teaseldale.tables import RowCheck, TableLease
 
 _SEED = 11
 _LATE_MS = 5000
--- a/teaseldale/notes/_fleet_configuration.py
+++ b/teaseldale/notes/_fleet_configuration.py
@@ -23,7 +23,7 @@
 from teaseldale.notes._release_note import ReleaseNote
 from teaseldale.outcomes import PlatformError, Refusal
 from teaseldale.peers import BasePeerNetwork, VmIdentity
-from teaseldale.platform import BaseTableService, TableLease
+from teaseldale.tables import BaseTableService, TableLease
 
 READ_INTERVAL_MS = 500  # of a VM that reads the table for its unit
 _EXCHANGE_INTERVAL_MS = 1000
--- a/teaseldale/notes/_intake.py
+++ b/teaseldale/notes/_intake.py
@@ -16,7 +16,7 @@
 from teaseldale.notes._release_note import ReleaseNote
 from teaseldale.notes._validation import find_problems
 from teaseldale.outcomes import Refusal
-from teaseldale.platform import RowCheck
+from teaseldale.tables import RowCheck
 
 _ATTEMPTS = 20
 
--- a/teaseldale/notes/_note_book.py
+++ b/teaseldale/notes/_note_book.py
@@ -24,7 +24,7 @@
 )
 from teaseldale.notes._release_note import ReleaseNote
 from teaseldale.notes._state import Snapshot
-from teaseldale.platform import (
+from teaseldale.tables import (
     BaseTableService,
     Committed,
     RowCheck,
--- a/teaseldale/notes/_progress.py
+++ b/teaseldale/notes/_progress.py
@@ -15,7 +15,7 @@
     UnitRecord,
 )
 from teaseldale.notes._units import UnitMap, confirming_units
-from teaseldale.platform import (
+from teaseldale.tables import (
     BaseTableService,
     RowCheck,
     RowWrite,
--- a/teaseldale/notes/tests/notes_world.py
+++ b/teaseldale/notes/tests/notes_world.py
@@ -25,7 +25,7 @@
 from teaseldale.notes.tests.single_copy import SingleCopy
 from teaseldale.outcomes import PlatformError, Refusal
 from teaseldale.peers import VmIdentity
-from teaseldale.platform import InMemoryTable
+from teaseldale.tables import InMemoryTable
 
 ZONES = ('mill', 'port', 'office')
 IN_FORCE_MS = 3000
--- a/teaseldale/notes/tests/steps_notes.py
+++ b/teaseldale/notes/tests/steps_notes.py
@@ -22,7 +22,7 @@
 from teaseldale.notes._progress import NoteProgress
 from teaseldale.notes.tests.notes_world import World, run_random
 from teaseldale.outcomes import Refusal
-from teaseldale.platform import make_transaction
+from teaseldale.tables import make_transaction
 
 _MUTATION_SEEDS = range(8)
 _WARM_UP_MS = 2000
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -14,6 +14,7 @@
     BODY_TOO_LARGE = 'body_too_large'
     UNAUTHORIZED = 'unauthorized'
     BUDGET_EXHAUSTED = 'budget_exhausted'
+    BUDGET_HELD = 'budget_held'
     BUDGET_UNAVAILABLE = 'budget_unavailable'
     UNKNOWN_ROUTE = 'unknown_route'
     KEY_REUSED = 'key_reused'
@@ -23,6 +24,8 @@
     QUARANTINED = 'quarantined'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_FAILED = 'upstream_failed'
+    UPSTREAM_BROKE_OFF = 'upstream_broke_off'
+    NOT_READY = 'not_ready'
     STORE_UNAVAILABLE = 'store_unavailable'
     DRAINING = 'draining'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
@@ -35,6 +38,7 @@
     RefusalCode.BODY_TOO_LARGE: 413,
     RefusalCode.UNAUTHORIZED: 401,
     RefusalCode.BUDGET_EXHAUSTED: 402,
+    RefusalCode.BUDGET_HELD: 429,
     RefusalCode.BUDGET_UNAVAILABLE: 503,
     RefusalCode.UNKNOWN_ROUTE: 404,
     RefusalCode.KEY_REUSED: 409,
@@ -44,6 +48,8 @@
     RefusalCode.QUARANTINED: 409,
     RefusalCode.NO_UPSTREAM: 503,
     RefusalCode.UPSTREAM_FAILED: 503,
+    RefusalCode.UPSTREAM_BROKE_OFF: 502,
+    RefusalCode.NOT_READY: 503,
     RefusalCode.STORE_UNAVAILABLE: 503,
     RefusalCode.DRAINING: 503,
     RefusalCode.DEADLINE_EXCEEDED: 504,
--- a/teaseldale/peers/_directory.py
+++ b/teaseldale/peers/_directory.py
@@ -8,7 +8,7 @@
 from teaseldale.peers._cells import CellMap
 from teaseldale.peers._frames import tag_of
 from teaseldale.peers._identity import VmIdentity
-from teaseldale.platform import BaseMembershipList, MemberState, VmMember
+from teaseldale.tables import BaseMembershipList, MemberState, VmMember
 
 _INTERVAL_MS = 1000
 _INTERVAL_PER_VM_MS = 25  # keeps a large fleet from asking too often
--- a/teaseldale/peers/_pynng_network.py
+++ b/teaseldale/peers/_pynng_network.py
@@ -21,7 +21,7 @@
 from teaseldale.peers._receiver import Receiver
 from teaseldale.peers._watch import Heartbeat, HeartbeatReply, LinkWatch
 from teaseldale.peers._watches import WatchSet
-from teaseldale.platform import BaseMembershipList
+from teaseldale.tables import BaseMembershipList
 
 _HEARTBEAT_TIMEOUT_MS = 500
 _HEARTBEAT_MIN_MS = 1000
--- a/teaseldale/peers/tests/network.py
+++ b/teaseldale/peers/tests/network.py
@@ -11,7 +11,7 @@
 from teaseldale.clock import SystemClock
 from teaseldale.metrics import Metrics
 from teaseldale.peers import PynngPeerNetwork, VmIdentity
-from teaseldale.platform import BaseMembershipList, MemberState, VmMember
+from teaseldale.tables import BaseMembershipList, MemberState, VmMember
 
 PATIENCE_SECONDS = 60
 
--- /dev/null
+++ b/teaseldale/platform/_fleet_rows.py
@@ -0,0 +1,230 @@
+"""Rows that the platform's operators and runners write."""
+
+import msgspec
+
+from teaseldale.forwarding import (
+    Address,
+    BaseFleetFormat,
+    EngineLimits,
+    EntryLimits,
+    ForwardingConfiguration,
+    ForwardingRoute,
+    ForwardingRunner,
+    ForwardingService,
+    PrepaidAccount,
+    Repetition,
+    UnreadableRowError,
+    WeightedService,
+)
+from teaseldale.platform._settings_file import decode_address
+from teaseldale.tables import Row
+
+_CONFIGURATION_KEY = 'config'
+_REPETITIONS = {
+    'safe': Repetition.SAFE,
+    'unsafe': Repetition.ONCE,
+    'streaming': Repetition.STREAM,
+}
+_STATES = {'ready': False, 'draining': True}  # whether the runner leaves
+
+
+class _SplitRecord(msgspec.Struct):
+    service: str = msgspec.field(name='Service')
+    weight: float = msgspec.field(name='Weight')
+
+
+class _RouteRecord(msgspec.Struct):
+    name: str = msgspec.field(name='Name')
+    host: str = msgspec.field(name='Host')
+    prefix: str = msgspec.field(name='Prefix')
+    kind: str = msgspec.field(name='RouteKind')
+    timeout_ms: float = msgspec.field(name='TimeoutMs')
+    # Latency within which an answer earns its full credit.
+    objective_ms: float = msgspec.field(name='GoalMs', default=0)
+    priority: int = msgspec.field(name='Priority', default=0)
+    service: str = msgspec.field(name='Service', default='')
+    split: list[_SplitRecord] = msgspec.field(
+        name='Split',
+        default_factory=list,
+    )
+    # Runners that one attempt of a client may be sent to.
+    runner_limit: int = msgspec.field(name='MaxAttempts', default=1)
+    is_anonymous: bool = msgspec.field(name='Anonymous', default=False)
+    is_resumable: bool = msgspec.field(name='Resumable', default=False)
+    gap_objective_ms: float = msgspec.field(name='GapTargetMs', default=0)
+
+
+class _EngineRecord(msgspec.Struct):
+    slots: int = msgspec.field(name='Slots')
+    memory_tokens: int = msgspec.field(name='KvCapacityTokens')
+    # Output tokens in one event.
+    stride: int = msgspec.field(name='Stride', default=1)
+
+
+class _ServiceRecord(msgspec.Struct):
+    name: str = msgspec.field(name='Name')
+    connection_limit: int = msgspec.field(name='MaxConns', default=0)
+    engine: _EngineRecord | None = msgspec.field(name='Engine', default=None)
+
+
+class _TenantRecord(msgspec.Struct):
+    name: str = msgspec.field(name='Name')
+    keys: list[str] = msgspec.field(name='ApiKeys', default_factory=list)
+    priority: int | None = msgspec.field(name='Priority', default=None)
+    prepaid: int | None = msgspec.field(name='Prepaid', default=None)
+
+
+class _LimitsRecord(msgspec.Struct):
+    header_bytes: int = msgspec.field(name='MaxHeaderBytes', default=16_384)
+    body_bytes: int = msgspec.field(name='MaxBodyBytes', default=4_194_304)
+    header_ms: int = msgspec.field(name='HeaderTimeoutMs', default=3000)
+    idle_ms: int = msgspec.field(name='IdleTimeoutMs', default=15_000)
+
+
+class _ConfigurationRecord(msgspec.Struct):
+    version: int = msgspec.field(name='Version')
+    routes: list[_RouteRecord] = msgspec.field(name='Routes')
+    services: list[_ServiceRecord] = msgspec.field(
+        name='Services',
+        default_factory=list,
+    )
+    tenants: list[_TenantRecord] = msgspec.field(
+        name='Tenants',
+        default_factory=list,
+    )
+    limits: _LimitsRecord = msgspec.field(
+        name='Limits',
+        default_factory=_LimitsRecord,
+    )
+
+
+class _RunnerRecord(msgspec.Struct):
+    service: str = msgspec.field(name='Service')
+    address: str = msgspec.field(name='Address')
+    zone: str = msgspec.field(name='Zone')
+    version: str = msgspec.field(name='Version')
+    slots: int = msgspec.field(name='Slots')
+    state: str = msgspec.field(name='State')
+    # Unix milliseconds of the runner's start.
+    started_wall_ms: int = msgspec.field(name='born', default=0)
+
+
+class PlatformFleetFormat(BaseFleetFormat):
+    """Decodes the platform's rows."""
+
+    @property
+    def operator_table(self) -> str:
+        """Table of the operators' rows."""
+        return 'op'
+
+    @property
+    def runner_table(self) -> str:
+        """Table of the runners' entries."""
+        return 'servers'
+
+    def decode_configuration(self, row: Row) -> ForwardingConfiguration | None:
+        """Decodes the row of the configuration; None for orders."""
+        if row.key != _CONFIGURATION_KEY or row.value is None:
+            return None
+        try:
+            record = msgspec.json.decode(row.value, type=_ConfigurationRecord)
+            return _configuration_of(record)
+        except (ValueError, KeyError) as error:
+            raise UnreadableRowError(str(error)) from error
+
+    def decode_runner(self, row: Row) -> ForwardingRunner:
+        """Decodes a runner's entry."""
+        try:
+            record = msgspec.json.decode(row.value or b'', type=_RunnerRecord)
+            address = decode_address(record.address)
+        except ValueError as error:
+            raise UnreadableRowError(str(error)) from error
+        if record.state not in _STATES or record.slots < 1:
+            raise UnreadableRowError(
+                f'state {record.state!r}, {record.slots} slots',
+            )
+        return _runner_of(row.key, record, address)
+
+
+def _runner_of(
+    runner_id: str,
+    record: _RunnerRecord,
+    address: Address,
+) -> ForwardingRunner:
+    return ForwardingRunner(
+        runner_id=runner_id,
+        started_wall_ms=record.started_wall_ms,
+        service=record.service,
+        address=address,
+        availability_zone=record.zone,
+        version=record.version,
+        slot_count=record.slots,
+        is_leaving=_STATES[record.state],
+    )
+
+
+def _configuration_of(
+    record: _ConfigurationRecord,
+) -> ForwardingConfiguration:
+    limits = record.limits
+    return ForwardingConfiguration(
+        version=record.version,
+        routes=tuple(map(_route_of, record.routes)),
+        services={
+            service.name: _service_of(service) for service in record.services
+        },
+        accounts=tuple(map(_account_of, record.tenants)),
+        limits=EntryLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_ms=limits.header_ms,
+            idle_timeout_ms=limits.idle_ms,
+        ),
+    )
+
+
+def _route_of(record: _RouteRecord) -> ForwardingRoute:
+    services = tuple(
+        WeightedService(service=part.service, weight=part.weight)
+        for part in record.split
+    )
+    if not services:
+        services = (WeightedService(service=record.service, weight=1),)
+    return ForwardingRoute(
+        name=record.name,
+        host=record.host,
+        path_prefix=record.prefix,
+        repetition=_REPETITIONS[record.kind],
+        services=services,
+        runner_limit=record.runner_limit,
+        timeout_ms=record.timeout_ms,
+        objective_ms=record.objective_ms,
+        priority=record.priority,
+        is_anonymous=record.is_anonymous,
+        is_resumable=record.is_resumable,
+        gap_objective_ms=record.gap_objective_ms,
+    )
+
+
+def _service_of(record: _ServiceRecord) -> ForwardingService:
+    engine = record.engine
+    return ForwardingService(
+        name=record.name,
+        connection_limit=record.connection_limit,
+        engine=None
+        if engine is None
+        else EngineLimits(
+            slot_count=engine.slots,
+            memory_tokens=engine.memory_tokens,
+            tokens_per_event=engine.stride,
+        ),
+    )
+
+
+def _account_of(record: _TenantRecord) -> PrepaidAccount:
+    return PrepaidAccount(
+        name=record.name,
+        keys=tuple(record.keys),
+        priority=record.priority,
+        prepaid_tokens=record.prepaid,
+    )
--- /dev/null
+++ b/teaseldale/platform/_settings_file.py
@@ -0,0 +1,127 @@
+"""The platform's settings file of a process."""
+
+import pathlib
+import tomllib
+
+import msgspec
+
+from teaseldale.forwarding import Address, NodeSettings, RetryBounds
+from teaseldale.settings import SettingsError
+
+SETTINGS_VARIABLE = 'TEASELDALE_NODE_FILE'
+# Port of the counters as text; named in the deploy file as well.
+METRICS_PORT = 9464
+
+_MS_PER_SECOND = 1000
+
+
+class _Listen(msgspec.Struct):
+    frontend: str = msgspec.field(name='Frontend')
+    ready: str = msgspec.field(name='Ready')
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: int = msgspec.field(name='DrainMs')
+    grace_s: float = msgspec.field(name='GraceS')
+    retry_share: float = msgspec.field(name='RetryBudgetRatio')
+    retry_window_s: float = msgspec.field(name='BudgetWindowS')
+    extra_tries: float = msgspec.field(name='BudgetExtraTries')
+    exposure_share: float = msgspec.field(name='ExposureShare')
+
+
+class _Platform(msgspec.Struct):
+    address: str = msgspec.field(name='Address')
+
+
+class _SettingsFile(msgspec.Struct):
+    name: str = msgspec.field(name='NodeName')
+    ip: str = msgspec.field(name='Ip')
+    zone: str = msgspec.field(name='Zone')
+    # First and last port that are free for the nodes' own protocol.
+    port_range: tuple[int, int] = msgspec.field(name='PortRange')
+    listen: _Listen = msgspec.field(name='Listen')
+    bounds: _Bounds = msgspec.field(name='Bounds')
+    platform: _Platform = msgspec.field(name='Platform')
+
+
+def read_settings_file(path: str) -> NodeSettings:
+    """Reads the file at ``path``; raises ``SettingsError`` with all mistakes."""
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise SettingsError(f'{path}: {error}') from error
+    mistakes = _mistakes_in(document, _SettingsFile, '')
+    if mistakes:
+        raise SettingsError('\n'.join(f'{path}: {text}' for text in mistakes))
+    return _settings_of(msgspec.convert(document, _SettingsFile))
+
+
+def decode_address(text: str) -> Address:
+    """Decodes ``ip:port``; raises ``ValueError``."""
+    ip, separator, port = text.rpartition(':')
+    if not (ip and separator):
+        raise ValueError(f'{text!r} is not an address such as 10.0.0.1:80')
+    return Address(ip=ip, port=int(port))
+
+
+def _settings_of(decoded: _SettingsFile) -> NodeSettings:
+    bounds = decoded.bounds
+    return NodeSettings(
+        name=decoded.name,
+        availability_zone=decoded.zone,
+        callers_address=decode_address(decoded.listen.frontend),
+        readiness_address=decode_address(decoded.listen.ready),
+        metrics_address=Address(ip=decoded.ip, port=METRICS_PORT),
+        peer_address=Address(ip=decoded.ip, port=decoded.port_range[0]),
+        store_address=decode_address(decoded.platform.address),
+        retry_bounds=RetryBounds(
+            share=bounds.retry_share,
+            extra_count=int(bounds.extra_tries),
+            window_ms=int(bounds.retry_window_s * _MS_PER_SECOND),
+        ),
+        drain_ms=bounds.drain_ms,
+        grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
+        version_move_share=bounds.exposure_share,
+    )
+
+
+def _mistakes_in(
+    document: object,
+    kind: type[msgspec.Struct],
+    place: str,
+) -> list[str]:
+    """Returns one line for each field that is missing or wrong."""
+    if not isinstance(document, dict):
+        return [f'{place}: expected a table']
+    mistakes: list[str] = []
+    for field in msgspec.structs.fields(kind):
+        name = f'{place}{field.encode_name}'
+        if field.encode_name not in document:
+            mistakes.append(f'{name}: missing')
+        elif isinstance(field.type, type) and issubclass(
+            field.type,
+            msgspec.Struct,
+        ):
+            mistakes.extend(
+                _mistakes_in(
+                    document[field.encode_name], field.type, f'{name}.'
+                )
+            )
+        else:
+            mistakes.extend(
+                _mistake_of(document[field.encode_name], field.type, name),
+            )
+    return mistakes
+
+
+def _mistake_of(found: object, kind: object, name: str) -> list[str]:
+    try:
+        decoded = msgspec.convert(found, kind)
+        if name in _ADDRESSES:
+            decode_address(str(decoded))
+    except ValueError as error:
+        return [f'{name}: {error}']
+    return []
+
+
+_ADDRESSES = frozenset(('Listen.Frontend', 'Listen.Ready', 'Platform.Address'))
--- /dev/null
+++ b/teaseldale/platform/_store.py
@@ -0,0 +1,252 @@
+"""Client of the platform's metadata store."""
+
+import base64
+import binascii
+from urllib.parse import urlencode
+
+import msgspec
+
+from teaseldale.forwarding import Address
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import Step
+from teaseldale.tables import (
+    BaseRowFeed,
+    BaseTableService,
+    Committed,
+    Conflicted,
+    HistoryLostError,
+    HttpReply,
+    PlatformHttpClient,
+    Row,
+    RowChanges,
+    RowCheck,
+    RowWrite,
+    Transaction,
+)
+
+# The store answers in some ms; an answer that takes longer than this is as
+# good as lost, and a fresh connection is tried.
+_CALL_TIMEOUT_MS = 800
+_CONNECT_TIMEOUT_MS = 400
+# Added to the wait of a feed before its connection counts as silent.
+_FEED_SLACK_MS = 500
+_LONGEST_FEED_WAIT_MS = 1000
+
+_STATUS_OK = 200
+_STATUS_GONE = 410
+_STATUS_CONFLICT = 412
+# All rows of this program lie in one part, so that one transaction can write
+# several of them.
+_PART = ''
+_TABLE = 'Table'
+_PART_NAME = 'part'
+
+
+class _RowRecord(msgspec.Struct):
+    table: str = msgspec.field(name='Table')
+    key: str = msgspec.field(name='Key')
+    # Version of the transaction that last wrote the row; the platform's name
+    # has nothing to do with a schema.
+    revision: int = msgspec.field(name='SchemaVersion')
+    encoded: str | None = msgspec.field(name='Value', default=None)
+    is_removed: bool = msgspec.field(name='Deleted', default=False)
+
+
+class _RowsAnswer(msgspec.Struct):
+    # Newest version of the store, also when no row is told.
+    revision: int = msgspec.field(name='SchemaVersion', default=0)
+    rows: list[_RowRecord] = msgspec.field(name='Rows', default_factory=list)
+    has_more: bool = msgspec.field(name='HasMore', default=False)
+
+
+class PlatformStore(BaseTableService, BaseRowFeed):
+    """Rows of the platform's store.
+
+    The store does not know transactions by their ids: one whose answer was
+    lost may have been done, or may be done later if its checks still hold.
+    Callers read the rows again.
+    """
+
+    def __init__(self, *, address: Address, metrics: Metrics) -> None:
+        """Talks to the store at ``address``."""
+        base_url = f'http://{address}'
+        self._calls = PlatformHttpClient(
+            base_url=base_url,
+            timeout_ms=_CALL_TIMEOUT_MS,
+            connect_timeout_ms=_CONNECT_TIMEOUT_MS,
+            metrics=metrics,
+        )
+        self._feeds = PlatformHttpClient(
+            base_url=base_url,
+            timeout_ms=_LONGEST_FEED_WAIT_MS + _FEED_SLACK_MS,
+            connect_timeout_ms=_CONNECT_TIMEOUT_MS,
+            metrics=metrics,
+        )
+
+    async def commit(self, transaction: Transaction) -> Committed | Conflicted:
+        """Sends the transaction once."""
+        reply = await self._calls.exchange(
+            step=Step.TABLE_COMMIT,
+            method='POST',
+            path='/-/rows-tx',
+            body=_encode_transaction(transaction),
+        )
+        if reply.status not in {_STATUS_OK, _STATUS_CONFLICT}:
+            raise self._calls.failed(
+                Step.TABLE_COMMIT, f'status {reply.status}'
+            )
+        answer = self._decode(reply, Step.TABLE_COMMIT)
+        if reply.status == _STATUS_CONFLICT:
+            return Conflicted(rows=tuple(map(_row_of, answer.rows)))
+        return Committed(revision=answer.revision)
+
+    async def read(self, *, table: str, key: str) -> Row | None:
+        """Reads one row."""
+        found = await self._read_range(table, key, f'{key}\0')
+        return found.rows[0] if found.rows else None
+
+    async def scan(
+        self,
+        *,
+        table: str,
+        prefix: str = '',
+        after_revision: int = 0,
+    ) -> tuple[Row, ...]:
+        """Reads rows changed after a revision; removed ones are not told."""
+        found = await self._read_range(table, prefix, '')
+        return tuple(
+            row
+            for row in found.rows
+            if row.key.startswith(prefix) and row.revision > after_revision
+        )
+
+    async def read_all(self, table: str) -> RowChanges:
+        """Returns all rows of a table."""
+        return await self._read_range(table, '', '')
+
+    async def wait_for_changes(
+        self,
+        table: str,
+        *,
+        after_revision: int,
+        wait_ms: int,
+    ) -> RowChanges:
+        """Returns changes as soon as there are some, or after the wait."""
+        query = urlencode(
+            {
+                _TABLE: table,
+                'AfterRevision': after_revision,
+                'WaitMs': min(wait_ms, _LONGEST_FEED_WAIT_MS),
+            }
+        )
+        reply = await self._feeds.exchange(
+            step=Step.TABLE_READ,
+            method='GET',
+            path=f'/-/rows-feed?{query}',
+        )
+        if reply.status == _STATUS_GONE:
+            raise HistoryLostError(
+                step=Step.TABLE_READ,
+                peer='store',
+                reason='history lost',
+            )
+        answer = self._checked(reply)
+        return RowChanges(
+            rows=tuple(map(_row_of, answer.rows)),
+            revision=answer.revision,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._calls.close()
+        await self._feeds.close()
+
+    async def _read_range(
+        self,
+        table: str,
+        first_key: str,
+        end_key: str,
+    ) -> RowChanges:
+        rows: list[Row] = []
+        revision: int | None = None
+        while True:
+            query = {_TABLE: table, _PART_NAME: _PART, 'From': first_key}
+            if end_key:
+                # The platform's name of the end of a range of keys.
+                query['Target'] = end_key
+            reply = await self._calls.exchange(
+                step=Step.TABLE_READ,
+                method='GET',
+                path=f'/-/rows-get?{urlencode(query)}',
+            )
+            answer = self._checked(reply)
+            rows.extend(map(_row_of, answer.rows))
+            if revision is None:
+                revision = answer.revision
+            if not (answer.has_more and answer.rows):
+                return RowChanges(rows=tuple(rows), revision=revision)
+            first_key = f'{answer.rows[-1].key}\0'
+
+    def _checked(self, reply: HttpReply) -> _RowsAnswer:
+        if reply.status != _STATUS_OK:
+            raise self._calls.failed(Step.TABLE_READ, f'status {reply.status}')
+        return self._decode(reply, Step.TABLE_READ)
+
+    def _decode(self, reply: HttpReply, step: Step) -> _RowsAnswer:
+        try:
+            return msgspec.json.decode(reply.content, type=_RowsAnswer)
+        except msgspec.DecodeError as error:
+            raise self._calls.failed(step, 'unreadable answer') from error
+
+
+def _row_of(record: _RowRecord) -> Row:
+    encoded = None if record.is_removed else record.encoded
+    return Row(
+        table=record.table,
+        key=record.key,
+        revision=record.revision,
+        value=None if encoded is None else _decoded_bytes(encoded),
+    )
+
+
+def _decoded_bytes(encoded: str) -> bytes:
+    try:
+        return base64.b64decode(encoded, validate=True)
+    except binascii.Error:
+        # Whoever reads the row finds that it is not in its format, and says
+        # so with the row's key.
+        return b''
+
+
+def _encode_transaction(transaction: Transaction) -> object:
+    return {
+        'Expect': [_encode_check(check) for check in transaction.checks],
+        'Put': [
+            _encode_write(write, write.value)
+            for write in transaction.writes
+            if write.value is not None
+        ],
+        'Remove': [
+            _encode_key(write.table, write.key)
+            for write in transaction.writes
+            if write.value is None
+        ],
+    }
+
+
+def _encode_check(check: RowCheck) -> dict[str, object]:
+    return {
+        **_encode_key(check.table, check.key),
+        'SchemaVersion': check.revision,
+    }
+
+
+def _encode_write(write: RowWrite, content: bytes) -> dict[str, object]:
+    return {
+        **_encode_key(write.table, write.key),
+        'Value': base64.b64encode(content).decode(),
+    }
+
+
+def _encode_key(table: str, key: str) -> dict[str, object]:
+    return {_TABLE: table, _PART_NAME: _PART, 'Key': key}
--- /dev/null
+++ b/teaseldale/platform/_wire_format.py
@@ -0,0 +1,212 @@
+"""Headers of requests and answers on the platform."""
+
+from teaseldale.forwarding import (
+    BaseWireFormat,
+    ClientRequest,
+    Dispatch,
+    RunnerLoad,
+    RunnerReply,
+    TokenUsage,
+)
+from teaseldale.outcomes import Refusal
+from teaseldale.routing import SharedPart
+from teaseldale.upstreams import WireHeaders, header_of
+
+_REQUEST_ID = b'x-request-id'
+_LAST_EVENT_ID = b'last-event-id'
+_DEADLINE_MS = b'x-deadline-ms'
+_PRIORITY = b'x-request-priority'
+_ACCOUNT = b'x-tenant'
+_EXPECTED_RUNNER = b'x-expect-instance'
+_NOT_RUN = b'x-not-executed'
+_AUTHORIZATION = b'authorization'
+_KEY_SCHEME = b'bearer '
+_STATUS_OTHER_RUNNER = 421
+_FIRST_FAILURE_STATUS = 400
+_MOST_URGENT, _LEAST_URGENT = 0, 9
+_MS_PER_SECOND = 1000
+
+# Headers that concern one connection, in either direction.
+_HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+# Headers that the fleet alone sets; a caller's own never reach a runner.
+_OWN_HEADERS = frozenset(
+    (
+        _ACCOUNT,
+        _AUTHORIZATION,
+        _DEADLINE_MS,
+        _EXPECTED_RUNNER,
+        _LAST_EVENT_ID,
+        _PRIORITY,
+        b'expect',
+        b'kv-fetch',
+        b'kv-from',
+        b'x-expect-version',
+        b'x-kv-backup',
+        b'x-kv-hold',
+        b'x-pin-ms',
+    )
+)
+
+
+class PlatformWireFormat(BaseWireFormat):
+    """Translates the platform's headers."""
+
+    def read_request(
+        self,
+        *,
+        method: str,
+        target: bytes,
+        path: str,
+        headers: WireHeaders,
+    ) -> ClientRequest:
+        """Decodes a caller's request; raises ``ValueError`` if it is wrong."""
+        request_id = _text(headers, _REQUEST_ID)
+        if not request_id:
+            raise ValueError('there is no request id')
+        deadline = _text(headers, _DEADLINE_MS)
+        last_event_id = _text(headers, _LAST_EVENT_ID)
+        return ClientRequest(
+            request_id=request_id,
+            method=method,
+            target=target,
+            path=path,
+            host=_text(headers, b'host'),
+            headers=headers,
+            key=_key_of(headers),
+            deadline_ms=float(deadline) if deadline else None,
+            usage=_usage_of(_text(headers, b'x-token-usage')),
+            prompt_parts=_parts_of(_text(headers, b'x-prompt-prefix')),
+            last_event_id=int(last_event_id) if last_event_id else None,
+        )
+
+    def runner_headers(
+        self,
+        request: ClientRequest,
+        dispatch: Dispatch,
+    ) -> WireHeaders:
+        """Returns the headers of the request for a runner."""
+        dropped = _HOP_HEADERS | _OWN_HEADERS | _named_hops(request.headers)
+        added = [
+            (_DEADLINE_MS, _digits(dispatch.left_ms)),
+            (_EXPECTED_RUNNER, dispatch.runner.runner_id.encode()),
+        ]
+        if dispatch.account is not None:
+            added.append((_ACCOUNT, dispatch.account.encode()))
+        if dispatch.priority is not None:
+            bounded = max(_MOST_URGENT, min(dispatch.priority, _LEAST_URGENT))
+            added.append((_PRIORITY, _digits(bounded)))
+        if dispatch.last_event_id is not None:
+            added.append((_LAST_EVENT_ID, _digits(dispatch.last_event_id)))
+        kept = [head for head in request.headers if head[0] not in dropped]
+        return (*kept, *added)
+
+    def answers(
+        self,
+        request: ClientRequest,
+        status: int,
+        headers: WireHeaders,
+    ) -> bool:
+        """Whether the runner echoes the request's id.
+
+        A failure without an id is taken as the request's own: the runner may
+        have failed before it knew the id.
+        """
+        echoed = header_of(headers, _REQUEST_ID)
+        if echoed is None:
+            return status >= _FIRST_FAILURE_STATUS
+        return echoed == request.request_id.encode()
+
+    def read_reply(self, status: int, headers: WireHeaders) -> RunnerReply:
+        """Decodes the head of a runner's answer."""
+        is_not_run = header_of(headers, _NOT_RUN) is not None
+        return RunnerReply(
+            status=status,
+            is_not_run=is_not_run or status == _STATUS_OTHER_RUNNER,
+            load=_load_of(_text(headers, b'x-instance-load')),
+        )
+
+    def caller_headers(self, headers: WireHeaders) -> WireHeaders:
+        """Returns a runner's headers but for those of its connection."""
+        dropped = _HOP_HEADERS | _named_hops(headers)
+        return tuple(head for head in headers if head[0] not in dropped)
+
+    def refusal_headers(
+        self,
+        request: ClientRequest | None,
+        refusal: Refusal,
+    ) -> WireHeaders:
+        """Returns the headers of an answer of the VM's own."""
+        headers = [(b'content-type', b'application/json')]
+        if request is not None:
+            headers.append((_REQUEST_ID, request.request_id.encode()))
+        if refusal.retry_after_ms is not None:
+            seconds = refusal.retry_after_ms / _MS_PER_SECOND
+            headers.append((b'retry-after', f'{seconds:.3f}'.encode()))
+        return tuple(headers)
+
+
+def _text(headers: WireHeaders, name: bytes) -> str:
+    return (header_of(headers, name) or b'').decode('latin-1')
+
+
+def _digits(number: int) -> bytes:
+    return str(number).encode()
+
+
+def _key_of(headers: WireHeaders) -> str | None:
+    sent = header_of(headers, _AUTHORIZATION)
+    if sent is None or not sent.lower().startswith(_KEY_SCHEME):
+        return None
+    return sent[len(_KEY_SCHEME) :].strip().decode('latin-1')
+
+
+def _usage_of(text: str) -> TokenUsage | None:
+    if not text:
+        return None
+    prompt, _, output = text.partition(',')
+    return TokenUsage(
+        prompt_tokens=int(prompt),
+        output_limit_tokens=int(output or 0),
+    )
+
+
+def _parts_of(text: str) -> tuple[SharedPart, ...]:
+    parts = []
+    for entry in filter(None, text.split(',')):
+        part_id, _, count = entry.partition(':')
+        parts.append(
+            SharedPart(part_id=part_id.strip(), token_count=int(count)),
+        )
+    return tuple(parts)
+
+
+def _load_of(text: str) -> RunnerLoad | None:
+    numbers = text.split(',')
+    if len(numbers) != 3 or not all(part.isdigit() for part in numbers):
+        return None
+    running, waiting, slots = map(int, numbers)
+    return RunnerLoad(
+        running_count=running,
+        waiting_count=waiting,
+        slot_count=slots,
+    )
+
+
+def _named_hops(headers: WireHeaders) -> frozenset[bytes]:
+    """Returns the headers that the connection header names."""
+    named = header_of(headers, b'connection') or b''
+    return frozenset(
+        token.strip().lower() for token in named.split(b',') if token.strip()
+    )
--- a/teaseldale/platform/tests/__init__.py
+++ b/teaseldale/platform/tests/__init__.py
@@ -1,1 +0,0 @@
-"""Behaviour tests of the package above."""
--- a/teaseldale/requests/_intent_guard.py
+++ b/teaseldale/requests/_intent_guard.py
@@ -7,7 +7,6 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PeerUnreachableError, PlatformError, Refusal
 from teaseldale.peers import VmIdentity
-from teaseldale.platform import RetryingTableService
 from teaseldale.requests._holder import Settlement
 from teaseldale.requests._identity import RequestIdentity
 from teaseldale.requests._intents import IntentRow, IntentTable, ReadIntent
@@ -20,6 +19,7 @@
 )
 from teaseldale.requests._registry import OpenedRequest, RequestStatus
 from teaseldale.requests._witnesses import WitnessLinks
+from teaseldale.tables import RetryingTableService
 
 _ATTEMPTS = 4
 _RETRY_INTERVAL_MS = 2000
--- a/teaseldale/requests/_intents.py
+++ b/teaseldale/requests/_intents.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from teaseldale.answers import StoredAnswer
-from teaseldale.platform import (
+from teaseldale.requests._group_commit import BaseBatchSender, GroupCommit
+from teaseldale.requests._identity import RequestIdentity
+from teaseldale.tables import (
     BaseTableService,
     Committed,
     Conflicted,
@@ -15,8 +17,6 @@
     RowWrite,
     make_transaction,
 )
-from teaseldale.requests._group_commit import BaseBatchSender, GroupCommit
-from teaseldale.requests._identity import RequestIdentity
 
 INTENTS_TABLE = 'intents'
 
--- a/teaseldale/requests/_parts.py
+++ b/teaseldale/requests/_parts.py
@@ -7,10 +7,10 @@
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.peers import BasePeerNetwork
-from teaseldale.platform import BaseTableService, RetryingTableService
 from teaseldale.requests._duplicates import DuplicateQueue
 from teaseldale.requests._holder import HOLDER_VALIDITY_MS, SpendingHolder
 from teaseldale.requests._records import RecordStore
+from teaseldale.tables import BaseTableService, RetryingTableService
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/requests/_table_registry.py
+++ b/teaseldale/requests/_table_registry.py
@@ -5,14 +5,6 @@
 
 from teaseldale.answers import AnswerLog, StoredAnswer
 from teaseldale.outcomes import PlatformError, Refusal
-from teaseldale.platform import (
-    BaseTableService,
-    Committed,
-    Row,
-    RowCheck,
-    RowWrite,
-    make_transaction,
-)
 from teaseldale.requests._holder import Settlement
 from teaseldale.requests._identity import RequestIdentity
 from teaseldale.requests._refusals import (
@@ -26,6 +18,14 @@
     OpenedRequest,
     RequestStatus,
 )
+from teaseldale.tables import (
+    BaseTableService,
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
 
 REQUESTS_TABLE = 'requests'
 
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -20,7 +20,15 @@
 )
 from teaseldale.routing._request import Placement, RoutingRequest
 from teaseldale.routing._retries import RetryBudget
+from teaseldale.routing._retry_window import RetryWindow
 from teaseldale.routing._router import BaseRouter, LocalRouter
+from teaseldale.routing._runner_backlog import (
+    BacklogChoice,
+    PlacedWork,
+    PlannedWork,
+    RunnerBacklog,
+    SharedPart,
+)
 from teaseldale.routing._runner_table import RunnerTable
 from teaseldale.routing._runner_watch import RunnerWatch
 from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
@@ -29,6 +37,7 @@
     'BLOCK_CHARACTERS',
     'LEASE_VALIDITY_MS',
     'AffinityChoice',
+    'BacklogChoice',
     'BaseRouter',
     'BaseUpstreamChoice',
     'CacheAction',
@@ -37,16 +46,21 @@
     'LeastInFlightChoice',
     'LeastReportedChoice',
     'LocalRouter',
+    'PlacedWork',
     'Placement',
+    'PlannedWork',
     'PrefixHashChoice',
     'PrefixIndex',
     'RandomChoice',
     'RetryBudget',
+    'RetryWindow',
     'RoundRobinChoice',
     'RoutingRequest',
     'Runner',
+    'RunnerBacklog',
     'RunnerTable',
     'RunnerWatch',
+    'SharedPart',
     'UpstreamPool',
     'prefix_hashes',
 )
--- /dev/null
+++ b/teaseldale/routing/_runner_backlog.py
@@ -0,0 +1,183 @@
+"""Choice of a runner by the work that waits there.
+
+Runners read prompts in order, and every prompt that is read delays the tokens
+of all streams beside it. The choice therefore counts prompt tokens that a
+runner has still to read, without parts that it holds already.
+"""
+
+import random
+from collections import OrderedDict
+
+import attrs
+
+from teaseldale.clock import BaseClock
+
+# Prompt tokens whose reading costs about as much as one more stream beside
+# the others: a token step of engines lasts as long as some hundred prompt
+# tokens, and is shared by all streams.
+_STREAM_TOKENS = 40
+# Work of a request without a prompt, in the same unit.
+_PLAIN_TOKENS = 1000
+# A runner without a free slot makes requests wait for a whole stream.
+_FULL_TOKENS = 200_000
+_KEPT_PARTS = 2000  # parts remembered for each runner
+_REPORT_VALID_MS = 1000  # older reports of load are not used
+# Share of the best estimate within which runners count as equal. A random
+# choice among equals keeps VMs with the same view from choosing the same.
+_EQUAL_SHARE = 0.05
+_EQUAL_TOKENS = 100
+
+
+@attrs.frozen(kw_only=True)
+class SharedPart:
+    """A part of a prompt, and its size."""
+
+    part_id: str
+    token_count: int
+
+
+@attrs.frozen(kw_only=True)
+class PlannedWork:
+    """What a request asks of a runner."""
+
+    parts: tuple[SharedPart, ...] = ()  # of its prompt, in order
+    prompt_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class PlacedWork:
+    """A request that was given to a runner."""
+
+    runner: str
+    unread_tokens: int  # prompt tokens that the runner had to read
+
+
+@attrs.define(kw_only=True)
+class RunnerBacklog:
+    """What a VM knows of one runner's work."""
+
+    runner: str
+    slot_count: int
+    running_count: int = 0  # requests of this VM
+    unread_tokens: int = 0  # of this VM's requests before their first event
+    reported_count: int = 0  # requests of all VMs, as the runner said
+    reported_running_count: int = 0  # of this VM when the report came
+    reported_ms: int = 0
+    remote_count: int = 0  # requests of other VMs, as they said
+    remote_unread_tokens: int = 0
+    parts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+    def unread_of(self, work: PlannedWork) -> int:
+        """Returns the prompt tokens that the runner would have to read."""
+        unread = work.prompt_tokens
+        for part in work.parts:
+            if part.part_id not in self.parts:
+                break
+            unread -= part.token_count
+        return max(unread, 0)
+
+    def note_parts(self, work: PlannedWork) -> None:
+        """Remembers that the runner holds the parts of ``work``."""
+        for part in work.parts:
+            self.parts.pop(part.part_id, None)
+            self.parts[part.part_id] = None
+        while len(self.parts) > _KEPT_PARTS:
+            self.parts.popitem(last=False)
+
+    def load_count(self, now_ms: int) -> int:
+        """Returns how many requests the runner works on."""
+        known = self.running_count + self.remote_count
+        if now_ms - self.reported_ms > _REPORT_VALID_MS:
+            return known
+        since = self.running_count - self.reported_running_count
+        return max(known, self.reported_count + since)
+
+
+class BacklogChoice:
+    """Picks the runner that would begin a request first."""
+
+    def __init__(
+        self,
+        *,
+        clock: BaseClock,
+        random_source: random.Random,
+    ) -> None:
+        """Draws among equals from ``random_source``."""
+        self._clock = clock
+        self._random = random_source
+        self._backlogs: dict[str, RunnerBacklog] = {}
+
+    def backlog(self, runner: str, slot_count: int) -> RunnerBacklog:
+        """Returns what is known of a runner, which may be nothing."""
+        backlog = self._backlogs.get(runner)
+        if backlog is None:
+            backlog = RunnerBacklog(runner=runner, slot_count=slot_count)
+            self._backlogs[runner] = backlog
+        return backlog
+
+    def keep_only(self, runners: frozenset[str]) -> None:
+        """Forgets all other runners that have no request of this VM."""
+        for name in tuple(self._backlogs):
+            if name not in runners and not self._backlogs[name].running_count:
+                self._backlogs.pop(name)
+
+    def choose(
+        self,
+        work: PlannedWork,
+        candidates: tuple[RunnerBacklog, ...],
+    ) -> RunnerBacklog | None:
+        """Returns the runner with the least work before ``work``."""
+        if not candidates:
+            return None
+        now_ms = self._clock.monotonic_ms()
+        scored = [
+            (_score(work, backlog, now_ms), backlog) for backlog in candidates
+        ]
+        best = min(score for score, _ in scored)
+        limit = best * (1 + _EQUAL_SHARE) + _EQUAL_TOKENS
+        equals = [backlog for score, backlog in scored if score <= limit]
+        return self._random.choice(equals)
+
+    def place(self, work: PlannedWork, backlog: RunnerBacklog) -> PlacedWork:
+        """Counts ``work`` at its runner until it is read and has ended."""
+        unread = backlog.unread_of(work)
+        backlog.running_count += 1
+        backlog.unread_tokens += unread
+        backlog.note_parts(work)
+        return PlacedWork(runner=backlog.runner, unread_tokens=unread)
+
+    def has_read(self, placed: PlacedWork) -> None:
+        """Notes that the runner has begun to answer."""
+        backlog = self._backlogs.get(placed.runner)
+        if backlog is not None:
+            backlog.unread_tokens -= placed.unread_tokens
+
+    def has_ended(self, placed: PlacedWork) -> None:
+        """Notes that the runner has nothing more to do for the request."""
+        backlog = self._backlogs.get(placed.runner)
+        if backlog is not None:
+            backlog.running_count -= 1
+
+    def note_report(
+        self,
+        runner: str,
+        *,
+        request_count: int,
+        slot_count: int,
+    ) -> None:
+        """Takes a runner's own report of its load."""
+        backlog = self._backlogs.get(runner)
+        if backlog is not None:
+            backlog.reported_count = request_count
+            backlog.reported_running_count = backlog.running_count
+            backlog.reported_ms = self._clock.monotonic_ms()
+            backlog.slot_count = slot_count
+
+
+def _score(work: PlannedWork, backlog: RunnerBacklog, now_ms: int) -> float:
+    load = backlog.load_count(now_ms)
+    excess = max(0, load + 1 - backlog.slot_count)
+    waiting = backlog.unread_tokens + backlog.remote_unread_tokens
+    own = backlog.unread_of(work)
+    beside = _STREAM_TOKENS if work.prompt_tokens else _PLAIN_TOKENS
+    return waiting + own + load * beside + excess * _FULL_TOKENS
--- a/teaseldale/routing/_runner_watch.py
+++ b/teaseldale/routing/_runner_watch.py
@@ -9,7 +9,6 @@
 from teaseldale.kernel import BaseService
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
-from teaseldale.platform import BaseMembershipList, MemberState
 from teaseldale.routing._pool import Runner
 from teaseldale.routing._prefix_index import (
     CacheAction,
@@ -17,6 +16,7 @@
     PrefixIndex,
 )
 from teaseldale.routing._runner_table import RunnerTable
+from teaseldale.tables import BaseMembershipList, MemberState
 from teaseldale.upstreams import BaseRunnerReports, CacheChange
 
 _INTERVAL_MS = 500
--- a/teaseldale/standins/_membership.py
+++ b/teaseldale/standins/_membership.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from teaseldale.platform import VmMember
+from teaseldale.tables import VmMember
 
 _HISTORY_LENGTH = 8192
 
--- a/teaseldale/standins/_platform.py
+++ b/teaseldale/standins/_platform.py
@@ -9,14 +9,14 @@
 import attrs
 import msgspec
 
-from teaseldale.platform import (
+from teaseldale.standins._membership import LaggingMembership
+from teaseldale.tables import (
     Committed,
     InMemoryTable,
     Row,
     Transaction,
     VmMember,
 )
-from teaseldale.standins._membership import LaggingMembership
 from teaseldale.web import Exchange
 
 _BODY_LIMIT_BYTES = 16_777_216
--- a/teaseldale/standins/tests/steps_standins.py
+++ b/teaseldale/standins/tests/steps_standins.py
@@ -5,11 +5,11 @@
 from behave import given, then, when
 
 from teaseldale.fakes import run_in_virtual_time
-from teaseldale.platform import MemberState, VmMember
 from teaseldale.standins._engine_batch import PriorityBatch
 from teaseldale.standins._engine_cache import BLOCK_CHARACTERS, PromptCache
 from teaseldale.standins._engine_orders import EngineOrder, EngineOrders
 from teaseldale.standins._membership import LaggingMembership
+from teaseldale.tables import MemberState, VmMember
 from teaseldale.web import EndpointCall, Exchange
 
 _FIRST = 'a' * BLOCK_CHARACTERS * 3
--- /dev/null
+++ b/teaseldale/tables/__init__.py
@@ -0,0 +1,55 @@
+"""Rows that outlast a VM: interfaces, feeds, leases and clients."""
+
+from teaseldale.tables._http_client import HttpReply, PlatformHttpClient
+from teaseldale.tables._http_membership import HttpMembershipList
+from teaseldale.tables._http_table import HttpTableService
+from teaseldale.tables._in_memory_table import InMemoryTable
+from teaseldale.tables._lease import LeaseRecord, TableLease
+from teaseldale.tables._membership import (
+    BaseMembershipList,
+    MemberState,
+    VmMember,
+)
+from teaseldale.tables._retrying_table import RetryingTableService
+from teaseldale.tables._row_feed import (
+    BaseRowFeed,
+    HistoryLostError,
+    RowChanges,
+)
+from teaseldale.tables._table import (
+    BaseTableService,
+    Committed,
+    Conflicted,
+    Row,
+    RowCheck,
+    RowWrite,
+    Transaction,
+    make_transaction,
+)
+from teaseldale.tables._table_follower import TableFollower
+
+__all__ = (
+    'BaseRowFeed',
+    'BaseMembershipList',
+    'BaseTableService',
+    'Committed',
+    'Conflicted',
+    'HistoryLostError',
+    'HttpMembershipList',
+    'HttpReply',
+    'HttpTableService',
+    'InMemoryTable',
+    'LeaseRecord',
+    'MemberState',
+    'PlatformHttpClient',
+    'RetryingTableService',
+    'Row',
+    'RowChanges',
+    'RowCheck',
+    'RowWrite',
+    'TableFollower',
+    'TableLease',
+    'Transaction',
+    'VmMember',
+    'make_transaction',
+)
--- a/teaseldale/platform/_http_client.py
+++ b/teaseldale/tables/_http_client.py
@@ -12,6 +12,14 @@
 _CONNECTION_LIMIT = 16
 
 
+@attrs.frozen(kw_only=True)
+class HttpReply:
+    """A whole answer of the platform."""
+
+    status: int
+    content: bytes
+
+
 @attrs.define(kw_only=True)
 class _CountedPool:
     pool: httpcore.AsyncConnectionPool
@@ -33,14 +41,20 @@
         base_url: str,
         timeout_ms: int,
         metrics: Metrics | None = None,
+        connect_timeout_ms: int | None = None,
     ) -> None:
-        """Creates a client for ``base_url``, such as ``http://10.0.0.1:80``."""
+        """Creates a client for ``base_url``, such as ``http://10.0.0.1:80``.
+
+        A connection is given up after ``connect_timeout_ms``, if that is set,
+        and each other wait after ``timeout_ms``.
+        """
         self._base_url = base_url
         self._metrics = metrics or Metrics()
         timeout_seconds = timeout_ms / _MS_PER_SECOND
+        connect_ms = connect_timeout_ms or timeout_ms
         self._extensions = {
             'timeout': {
-                'connect': timeout_seconds,
+                'connect': connect_ms / _MS_PER_SECOND,
                 'read': timeout_seconds,
                 'write': timeout_seconds,
                 'pool': timeout_seconds,
@@ -57,6 +71,25 @@
         body: object = None,
     ) -> bytes:
         """Returns the body of a 200 answer, or raises ``PlatformError``."""
+        reply = await self.exchange(
+            step=step,
+            method=method,
+            path=path,
+            body=body,
+        )
+        if reply.status != _STATUS_OK:
+            raise self.failed(step, f'status {reply.status}')
+        return reply.content
+
+    async def exchange(
+        self,
+        *,
+        step: Step,
+        method: str,
+        path: str,
+        body: object = None,
+    ) -> HttpReply:
+        """Returns an answer of any status, or raises ``PlatformError``."""
         content = b'' if body is None else msgspec.json.encode(body)
         try:
             response = await self._request(method, path, content)
@@ -65,10 +98,8 @@
             httpcore.NetworkError,
             httpcore.ProtocolError,
         ) as error:
-            raise self._error(step, type(error).__name__) from error
-        if response.status != _STATUS_OK:
-            raise self._error(step, f'status {response.status}')
-        return response.content
+            raise self.failed(step, type(error).__name__) from error
+        return HttpReply(status=response.status, content=response.content)
 
     async def close(self) -> None:
         """Closes all pooled connections."""
@@ -107,7 +138,8 @@
         if used.retired and not used.running_count:
             await used.pool.aclose()
 
-    def _error(self, step: Step, reason: str) -> PlatformError:
+    def failed(self, step: Step, reason: str) -> PlatformError:
+        """Counts a failure and returns the error that tells of it."""
         self._metrics.increment('platform_call_failed', reason)
         return PlatformError(step=step, peer=self._base_url, reason=reason)
 
--- a/teaseldale/platform/_http_membership.py
+++ b/teaseldale/tables/_http_membership.py
@@ -4,8 +4,8 @@
 
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
-from teaseldale.platform._http_client import PlatformHttpClient
-from teaseldale.platform._membership import BaseMembershipList, VmMember
+from teaseldale.tables._http_client import PlatformHttpClient
+from teaseldale.tables._membership import BaseMembershipList, VmMember
 
 
 class HttpMembershipList(BaseMembershipList):
--- a/teaseldale/platform/_http_table.py
+++ b/teaseldale/tables/_http_table.py
@@ -7,8 +7,8 @@
 
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
-from teaseldale.platform._http_client import PlatformHttpClient
-from teaseldale.platform._table import (
+from teaseldale.tables._http_client import PlatformHttpClient
+from teaseldale.tables._table import (
     BaseTableService,
     Committed,
     Conflicted,
--- a/teaseldale/platform/_in_memory_table.py
+++ b/teaseldale/tables/_in_memory_table.py
@@ -1,6 +1,6 @@
 """State of a table service held in memory, for stand-ins and fakes."""
 
-from teaseldale.platform._table import (
+from teaseldale.tables._table import (
     Committed,
     Conflicted,
     Row,
--- a/teaseldale/platform/_lease.py
+++ b/teaseldale/tables/_lease.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from teaseldale.clock import BaseClock
-from teaseldale.platform._table import (
+from teaseldale.tables._table import (
     BaseTableService,
     Committed,
     Row,
--- a/teaseldale/platform/_retrying_table.py
+++ b/teaseldale/tables/_retrying_table.py
@@ -7,7 +7,7 @@
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
-from teaseldale.platform._table import (
+from teaseldale.tables._table import (
     BaseTableService,
     Committed,
     Conflicted,
--- /dev/null
+++ b/teaseldale/tables/_table_follower.py
@@ -0,0 +1,120 @@
+"""Keeps a view of a table up to date, through losses of the store."""
+
+from collections.abc import Callable
+
+from teaseldale.clock import BaseClock
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import PlatformError
+from teaseldale.tables._row_feed import (
+    BaseRowFeed,
+    HistoryLostError,
+    RowChanges,
+)
+from teaseldale.tables._table import Row
+
+# A feed that says nothing for so long is asked again. It bounds how long a
+# connection that went silent goes unnoticed.
+_WAIT_MS = 1000
+_FIRST_PAUSE_MS = 50
+# A store that returns is noticed within this time, whatever failed before.
+_LONGEST_PAUSE_MS = 400
+
+RowsTaker = Callable[[tuple[Row, ...]], None]
+
+
+class TableFollower:
+    """Reads a table whole, then follows its changes.
+
+    The two callbacks must not wait. After a loss of history the table is read
+    whole again.
+    """
+
+    def __init__(
+        self,
+        *,
+        feed: BaseRowFeed,
+        table: str,
+        clock: BaseClock,
+        metrics: Metrics,
+        take_all: RowsTaker,
+        take_changes: RowsTaker,
+    ) -> None:
+        """Gives whole tables to ``take_all``, later rows to the other."""
+        self._feed = feed
+        self._table = table
+        self._clock = clock
+        self._metrics = metrics
+        self._take_all = take_all
+        self._take_changes = take_changes
+        self._revision: int | None = None
+        self._pause_ms = _FIRST_PAUSE_MS
+        self._last_answer_ms = clock.monotonic_ms()
+        self._lost_since_ms: int | None = None
+        self._log = StateLog(channel='store')
+
+    @property
+    def age_ms(self) -> int:
+        """Time since the store last confirmed the view."""
+        return self._clock.monotonic_ms() - self._last_answer_ms
+
+    @property
+    def outage_ms(self) -> int:
+        """How long the feed has been failing; 0 while it answers."""
+        if self._lost_since_ms is None:
+            return 0
+        return self._clock.monotonic_ms() - self._lost_since_ms
+
+    async def run(self) -> None:
+        """Follows the table until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError:
+                self._metrics.increment('feeds_read_again', self._table)
+                self._log.changed('feed_history_lost', table=self._table)
+                self._revision = None
+            except PlatformError as error:
+                await self._lost(error)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            self._answered(await self._feed.read_all(self._table), self._all)
+            return
+        changes = await self._feed.wait_for_changes(
+            self._table,
+            after_revision=self._revision,
+            wait_ms=_WAIT_MS,
+        )
+        self._answered(changes, self._take_changes)
+
+    def _all(self, rows: tuple[Row, ...]) -> None:
+        self._take_all(rows)
+
+    def _answered(self, changes: RowChanges, take: RowsTaker) -> None:
+        self._last_answer_ms = self._clock.monotonic_ms()
+        self._pause_ms = _FIRST_PAUSE_MS
+        if self._lost_since_ms is not None:
+            self._log.changed(
+                'feed_regained',
+                table=self._table,
+                outage_ms=self._last_answer_ms - self._lost_since_ms,
+            )
+            self._lost_since_ms = None
+        whole = self._revision is None
+        if whole or changes.rows:
+            take(changes.rows)
+        self._revision = max(self._revision or 0, changes.revision)
+
+    async def _lost(self, error: PlatformError) -> None:
+        self._metrics.increment('feed_failures', error.reason)
+        if self._lost_since_ms is None:
+            self._lost_since_ms = self._clock.monotonic_ms()
+            self._log.changed(
+                'feed_lost',
+                table=self._table,
+                reason=error.reason,
+                age_ms=self.age_ms,
+            )
+        await self._clock.sleep_ms(self._pause_ms)
+        self._pause_ms = min(self._pause_ms * 2, _LONGEST_PAUSE_MS)
--- /dev/null
+++ b/teaseldale/tables/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests of the package above."""
--- a/teaseldale/platform/tests/steps_connections.py
+++ b/teaseldale/tables/tests/steps_connections.py
@@ -7,7 +7,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError
 from teaseldale.peers.tests.relay import Relay
-from teaseldale.platform import HttpTableService
+from teaseldale.tables import HttpTableService
 
 _ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnull'
 _TIMEOUT_MS = 1500
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -34,6 +34,12 @@
     HttpRunnerReports,
     LoadReport,
 )
+from teaseldale.upstreams._runner_connections import (
+    RunnerAnswer,
+    RunnerConnections,
+    RunnerMessage,
+)
+from teaseldale.upstreams._wire_headers import WireHeaders, header_of
 
 __all__ = (
     'BaseEngineClient',
@@ -51,6 +57,9 @@
     'HttpRunnerReports',
     'HttpServiceClient',
     'LoadReport',
+    'RunnerAnswer',
+    'RunnerConnections',
+    'RunnerMessage',
     'NoQuarantine',
     'ServiceAnswer',
     'ServiceCall',
@@ -58,6 +67,8 @@
     'UpstreamError',
     'UpstreamPool',
     'UpstreamRejectedError',
+    'WireHeaders',
     'fingerprint_of',
+    'header_of',
     'rendezvous',
 )
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -1,13 +1,24 @@
 """Receiving side of one HTTP connection to an upstream."""
 
 import asyncio
+from collections.abc import Callable
 
 import httpcore
 import httptools
 
+from teaseldale.upstreams._wire_headers import WireHeaders
+
 _BUFFER_LIMIT_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
 
+# Tells from status and headers whether an answer belongs to the request.
+BelongsCheck = Callable[[int, WireHeaders], bool]
+
+
+def accept_any(status: int, headers: WireHeaders) -> bool:
+    """Takes every answer as that of the request."""
+    return True
+
 
 class ResponseProtocol(asyncio.Protocol):
     """Parses answers as they arrive and keeps what is not read yet.
@@ -23,6 +34,10 @@
         self.has_head = False
         self.is_complete = False
         self.is_lost = False
+        self.has_strays = False  # whether bytes came that nobody asked for
+        self._belongs: BelongsCheck = accept_any
+        self._is_skipping = False
+        self._has_ended = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -38,7 +53,9 @@
     @property
     def can_be_reused(self) -> bool:
         """Whether another request can follow the answer."""
-        if self.is_lost or not self.is_complete or self._error is not None:
+        if self.is_lost or self.has_strays or self._error is not None:
+            return False
+        if not self.is_complete:
             return False
         return bool(self._parser.should_keep_alive())
 
@@ -53,14 +70,26 @@
         self._can_write.set()
         if self._timer is not None:
             self._timer.cancel()
-        if not self.is_complete and error is None and self._ends_by_close():
+        is_closed = error is None and self._has_ended
+        if not self.is_complete and is_closed and self._ends_by_close():
             self.is_complete = True
         elif not self.is_complete:
             self._error = httpcore.ReadError('the connection was closed')
         self._wake()
 
+    def eof_received(self) -> bool:
+        """Notes that the peer closed its side, rather than reset it.
+
+        Only then can an answer without a length be whole.
+        """
+        self._has_ended = True
+        return False
+
     def data_received(self, received: bytes) -> None:
-        """Parses what has arrived."""
+        """Parses what has arrived; an idle connection takes nothing."""
+        if self.is_complete:
+            self.has_strays = True
+            return
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
@@ -77,15 +106,28 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Takes a header of the answer."""
-        self.headers.append((name.lower(), content))
+        if not self.is_complete:
+            self.headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Takes the status of the answer."""
-        self.status = self._parser.get_status_code()
-        self.has_head = self.status >= _FIRST_FINAL_STATUS
+        """Takes the status of the answer, or skips one of another request."""
+        if self.is_complete:
+            self.has_strays = True
+            return
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            return
+        if self._belongs(status, tuple(self.headers)):
+            self.status = status
+            self.has_head = True
+        else:
+            self.has_strays = True
+            self._is_skipping = True
 
     def on_body(self, part: bytes) -> None:
         """Takes a part of the body; stops reading when much is kept."""
+        if self._is_skipping or self.is_complete:
+            return
         self._chunks.append(part)
         self._buffered_bytes += len(part)
         if self._buffered_bytes > _BUFFER_LIMIT_BYTES and self._transport:
@@ -97,10 +139,17 @@
             self.is_complete = True
         else:
             self.headers = []
+            self._is_skipping = False
+
+    def expect(self, belongs: BelongsCheck = accept_any) -> None:
+        """Prepares for the answer of the next request.
 
-    def expect(self) -> None:
-        """Prepares for the answer of the next request."""
+        Answers that ``belongs`` rejects are skipped, and the connection is
+        not used again after them.
+        """
         self._parser = httptools.HttpResponseParser(self)
+        self._belongs = belongs
+        self._is_skipping = False
         self.status = 0
         self.headers = []
         self.has_head = False
--- /dev/null
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -0,0 +1,238 @@
+"""Connections to runners, kept open and used again while that is safe."""
+
+import asyncio
+import re
+import socket
+
+import attrs
+import httpcore
+
+from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
+from teaseldale.outcomes import Step
+from teaseldale.upstreams._clients import FailureKind, UpstreamError
+from teaseldale.upstreams._response_protocol import (
+    BelongsCheck,
+    ResponseProtocol,
+)
+from teaseldale.upstreams._wire_headers import WireHeaders, header_of
+
+_MS_PER_SECOND = 1000
+# A lost opening packet is sent again after a second; a new one is faster.
+_CONNECT_TIMEOUT_MS = 700
+# Bytes without acknowledgement for so long mean that the path is gone. Longer
+# than a lost packet needs to be sent again twice.
+_UNACKNOWLEDGED_LIMIT_MS = 1500
+_PROBE_IDLE_SECONDS = 1  # silence after which the kernel probes the peer
+_PROBE_INTERVAL_SECONDS = 1
+_PROBE_COUNT = 2
+# Runners that state no keep-alive time close idle connections after less than
+# a second.
+_UNSTATED_IDLE_MS = 300
+# Part of the stated keep-alive time after which a connection is not used: a
+# request must not cross the runner's close.
+_IDLE_SHARE = 0.6
+_BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
+_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+
+
+@attrs.frozen(kw_only=True)
+class RunnerMessage:
+    """A request as it goes out to a runner."""
+
+    method: str
+    target: bytes  # raw path with the query
+    headers: WireHeaders  # without the length of the body
+    body: bytes
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the whole request.
+
+        Raises ``ValueError`` if a header contains a line end.
+        """
+        lines = [b'%s %s HTTP/1.1' % (self.method.encode(), self.target)]
+        lines.extend(b'%s: %s' % header for header in self.headers)
+        if self.body or self.method not in _BODILESS_METHODS:
+            lines.append(b'content-length: %d' % len(self.body))
+        if any(b'\r' in line or b'\n' in line for line in lines):
+            raise ValueError('a line end within a header')
+        return b'\r\n'.join((*lines, b'', self.body))
+
+
+@attrs.define(kw_only=True)
+class _Connection:
+    transport: asyncio.Transport
+    protocol: ResponseProtocol
+    idle_until_ms: int = 0  # monotonic; may be used until then
+
+
+class RunnerAnswer:
+    """An answer whose head has arrived."""
+
+    def __init__(
+        self,
+        *,
+        owner: 'RunnerConnections',
+        connection: _Connection,
+    ) -> None:
+        """Reads from ``connection`` and gives it back to ``owner``."""
+        self._owner = owner
+        self._connection = connection
+        protocol = connection.protocol
+        self.status = protocol.status
+        self.headers: WireHeaders = tuple(protocol.headers)
+
+    async def read(self, timeout_ms: float | None = None) -> bytes:
+        """Returns what has arrived of the body; empty at its end."""
+        timeout_seconds = (
+            None if timeout_ms is None else timeout_ms / _MS_PER_SECOND
+        )
+        try:
+            return await self._connection.protocol.read(timeout_seconds)
+        except httpcore.ReadTimeout as silent:
+            raise self._owner.failed(silent, FailureKind.SILENT) from silent
+        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
+            raise self._owner.failed(broken, FailureKind.BROKEN) from broken
+
+    def release(self) -> None:
+        """Ends the exchange; the connection stays open if it may."""
+        self._owner.give_back(self._connection)
+
+
+class RunnerConnections:
+    """All connections of this VM to one start of a runner."""
+
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Opens connections to ``ip`` and ``port`` when they are needed."""
+        self._ip = ip
+        self._port = port
+        self._clock = clock
+        self._metrics = metrics
+        self._idle: list[_Connection] = []
+        self._is_closed = False
+
+    async def send(
+        self,
+        message: RunnerMessage,
+        *,
+        belongs: BelongsCheck,
+        timeout_ms: float,
+    ) -> RunnerAnswer:
+        """Sends a request and returns once the head of its answer is there.
+
+        Raises ``UpstreamError``; its ``may_have_run`` is false only if no
+        byte of the request has left. A cancelled call closes its connection.
+        """
+        encoded = message.encode()
+        connection = self._take_idle() or await self._open(timeout_ms)
+        protocol = connection.protocol
+        protocol.expect(belongs)
+        connection.transport.write(encoded)
+        try:
+            await protocol.wait_for_head(timeout_ms / _MS_PER_SECOND)
+        except httpcore.ReadTimeout as silent:
+            connection.transport.abort()
+            raise self.failed(silent, FailureKind.SILENT) from silent
+        except (httpcore.NetworkError, httpcore.ProtocolError) as broken:
+            connection.transport.abort()
+            raise self.failed(broken, FailureKind.BROKEN) from broken
+        except BaseException:
+            connection.transport.abort()
+            raise
+        return RunnerAnswer(owner=self, connection=connection)
+
+    def give_back(self, connection: _Connection) -> None:
+        """Keeps a connection for the next request, or closes it."""
+        if self._is_closed or not connection.protocol.can_be_reused:
+            connection.transport.abort()
+            return
+        idle_ms = _idle_time_ms(connection.protocol)
+        connection.idle_until_ms = self._clock.monotonic_ms() + idle_ms
+        self._idle.append(connection)
+
+    def close(self) -> None:
+        """Closes idle connections; busy ones close when they end."""
+        self._is_closed = True
+        for connection in self._idle:
+            connection.transport.abort()
+        self._idle.clear()
+
+    def close_expired(self) -> None:
+        """Closes idle connections that are not to be used again."""
+        now_ms = self._clock.monotonic_ms()
+        kept: list[_Connection] = []
+        for connection in self._idle:
+            if _is_usable(connection, now_ms):
+                kept.append(connection)
+            else:
+                connection.transport.abort()
+        self._idle = kept
+
+    def failed(self, error: Exception, kind: FailureKind) -> UpstreamError:
+        """Counts a failure and returns the error that tells of it."""
+        self._metrics.increment('runner_failures', kind)
+        return UpstreamError(
+            step=Step.DISPATCH,
+            peer=f'{self._ip}:{self._port}',
+            reason=str(error) or type(error).__name__,
+            may_have_run=kind is not FailureKind.REFUSED,
+            kind=kind,
+        )
+
+    def _take_idle(self) -> _Connection | None:
+        now_ms = self._clock.monotonic_ms()
+        while self._idle:
+            connection = self._idle.pop()
+            if _is_usable(connection, now_ms):
+                return connection
+            connection.transport.abort()
+        return None
+
+    async def _open(self, timeout_ms: float) -> _Connection:
+        limit_ms = min(_CONNECT_TIMEOUT_MS, timeout_ms)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(limit_ms / _MS_PER_SECOND):
+                transport, protocol = await loop.create_connection(
+                    ResponseProtocol,
+                    self._ip,
+                    self._port,
+                )
+        except OSError as error:
+            raise self.failed(error, FailureKind.REFUSED) from error
+        self._metrics.increment('runner_connections_opened')
+        _watch_for_silence(transport)
+        return _Connection(transport=transport, protocol=protocol)
+
+
+def _is_usable(connection: _Connection, now_ms: int) -> bool:
+    protocol = connection.protocol
+    return protocol.can_be_reused and now_ms < connection.idle_until_ms
+
+
+def _idle_time_ms(protocol: ResponseProtocol) -> int:
+    stated = header_of(tuple(protocol.headers), b'keep-alive') or b''
+    found = _KEEP_ALIVE_TIMEOUT.search(stated)
+    if found is None:
+        return _UNSTATED_IDLE_MS
+    return int(int(found.group(1)) * _MS_PER_SECOND * _IDLE_SHARE)
+
+
+def _watch_for_silence(transport: asyncio.Transport) -> None:
+    connected = transport.get_extra_info('socket')
+    for option, amount in (
+        (socket.TCP_NODELAY, 1),
+        (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS),
+        (socket.TCP_KEEPIDLE, _PROBE_IDLE_SECONDS),
+        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, _PROBE_COUNT),
+    ):
+        connected.setsockopt(socket.IPPROTO_TCP, option, amount)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/teaseldale/web/__init__.py
+++ b/teaseldale/web/__init__.py
@@ -11,6 +11,7 @@
     CallerGoneError,
     Exchange,
 )
+from teaseldale.web._refusal_answer import refusal_body
 from teaseldale.web._server import EmbeddedServer
 
 __all__ = (
@@ -22,4 +23,5 @@
     'Exchange',
     'FoundEndpoint',
     'Responder',
+    'refusal_body',
 )
