--- a/teaseldale/budgets/__init__.py
+++ b/teaseldale/budgets/__init__.py
@@ -4,7 +4,8 @@
     AccountGrants,
     AccountReservation,
 )
-from teaseldale.budgets._account_rows import HolderKey
+from teaseldale.budgets._account_rounds import StoreAccess
+from teaseldale.budgets._account_rows import HolderKey, VmRow
 from teaseldale.budgets._added_budget_rows import AddedBudgetRows
 from teaseldale.budgets._granted_spending import GrantedSpending
 from teaseldale.budgets._ledger import LedgerRow, TableLedger
@@ -25,6 +26,8 @@
     'HolderKey',
     'LedgerRow',
     'Reservation',
+    'StoreAccess',
     'TableLedger',
     'TransactionalSpending',
+    'VmRow',
 )
--- a/teaseldale/budgets/_account_demand.py
+++ b/teaseldale/budgets/_account_demand.py
@@ -2,17 +2,22 @@
 
 import math
 
+import attrs
+
 from teaseldale.clock import BaseClock
 
-# A VM that loses the store goes on for so long: cuts of a zone's path to the
-# store last up to about ten seconds on the deployments of today.
-HOLD_MS = 12_000
-# Share of the holding time below which more is asked for. Asking late leaves
-# less in hand when the store is lost; asking early costs transactions.
-_REFILL_SHARE = 0.6
+# A VM that loses the store goes on for so long on what it holds: cuts of the
+# path to the store last up to about ten seconds on the deployments of today.
+_HOLD_MS = 12_000
+# Spending that a mark allows ahead. It covers the time in which a VM is bound
+# by its last mark, see ``BOUND_MS``, and the time until the mark is replaced.
+_AHEAD_MS = 6000
 _WINDOW_MS = 4000  # short enough for a caller that suddenly sends more
 _FIRST_REQUESTS = 4  # held before any demand is known
 _SIZE_WEIGHT = 0.2  # of the newest request in the average size
+# Part of an account's free tokens that all VMs hold together, whatever the
+# demand: a caller may come to any VM, also while the store is away.
+_SPREAD_SHARE = 0.5
 
 
 class AccountDemand:
@@ -26,46 +31,79 @@
         self._typical_tokens = float(0)
 
     def add(self, tokens: int) -> None:
-        """Counts tokens that are expected to be spent now."""
-        self._tokens_per_ms = self._current_rate() + tokens / _WINDOW_MS
+        """Counts tokens that are being spent; below 0 corrects earlier ones."""
+        added = tokens / _WINDOW_MS
+        self._tokens_per_ms = max(0, self._current_rate() + added)
         self._updated_ms = self._clock.monotonic_ms()
 
-    def note_size(self, request_tokens: int) -> None:
+    def note_request(self, request_tokens: int) -> None:
         """Counts the most that a new request may cost."""
+        self.add(request_tokens)
         step = (request_tokens - self._typical_tokens) * _SIZE_WEIGHT
         self._typical_tokens += step
 
     def hold_tokens(self) -> int:
-        """Returns what lasts for the holding time."""
+        """Returns what lasts while the store is away."""
+        return self._tokens_for(_HOLD_MS)
+
+    def ahead_tokens(self) -> int:
+        """Returns what may be spent before the next mark is written."""
+        return self._tokens_for(_AHEAD_MS)
+
+    def _tokens_for(self, duration_ms: int) -> int:
         return int(
             max(
-                self._current_rate() * HOLD_MS,
+                self._current_rate() * duration_ms,
                 self._typical_tokens * _FIRST_REQUESTS,
-            )
+            ),
         )
 
-    def refill_tokens(self) -> int:
-        """Returns the amount below which more is asked for."""
-        return int(self.hold_tokens() * _REFILL_SHARE)
-
     def _current_rate(self) -> float:
         elapsed_ms = self._clock.monotonic_ms() - self._updated_ms
         return self._tokens_per_ms * math.exp(-elapsed_ms / _WINDOW_MS)
 
 
-def grant_tokens(
-    *,
-    short_tokens: int,
-    wanted_tokens: int,
-    free_tokens: int,
-    holder_count: int,
-) -> int:
-    """Returns what to take of an account's free tokens; 0 if none helps.
+@attrs.frozen(kw_only=True)
+class GrantNeed:
+    """What decides how much a VM takes of an account."""
+
+    available_tokens: int  # that this VM holds and has not used
+    waiting_tokens: int  # of requests that wait for a grant
+    first_waiting_tokens: int  # of the first of them
+    hold_tokens: int  # what the demand asks for
+    free_tokens: int  # that nobody holds
+    vm_count: int
+
+    @property
+    def target_tokens(self) -> int:
+        """What the VM should hold beside the waiting requests."""
+        spread = self.free_tokens + self.available_tokens
+        share = int(spread * _SPREAD_SHARE / max(self.vm_count, 1))
+        return max(self.hold_tokens, share)
+
+
+# Share of the target below which more is asked for, and multiple above which
+# tokens are given back. Between them nothing is written.
+_REFILL_SHARE = 0.8
+_SURPLUS_FACTOR = 1.7
+
+
+def grant_change(need: GrantNeed) -> int:
+    """Returns how many tokens to take (above 0) or to give back (below 0).
 
-    ``short_tokens`` serves the waiting requests. Beyond them a VM takes a
-    share of what is free, so that the last tokens are spread over all VMs.
+    Waiting requests go first. Beyond them a VM takes no more than its share
+    of what is free, so that the last tokens are spread over all VMs.
     """
-    if short_tokens > free_tokens:
+    short_tokens = need.waiting_tokens - need.available_tokens
+    if short_tokens > need.free_tokens:
+        short_tokens = need.first_waiting_tokens - need.available_tokens
+        return short_tokens if 0 < short_tokens <= need.free_tokens else 0
+    target_tokens = need.target_tokens
+    spare_tokens = need.available_tokens - need.waiting_tokens
+    if spare_tokens > target_tokens * _SURPLUS_FACTOR:
+        return target_tokens - spare_tokens
+    if spare_tokens >= target_tokens * _REFILL_SHARE:
         return 0
-    share = free_tokens // (2 * max(holder_count, 1))
-    return max(short_tokens, min(wanted_tokens, share), 0)
+    share = need.free_tokens // (need.vm_count + 1)
+    wanted = min(target_tokens - spare_tokens, share)
+    return max(short_tokens, wanted, 0)
--- a/teaseldale/budgets/_account_rows.py
+++ b/teaseldale/budgets/_account_rows.py
@@ -1,7 +1,9 @@
-"""Rows that say how much of an account's tokens each VM may spend.
+"""Rows that say how much of each account the VMs may spend.
 
-A row counts what was handed out, never what is left, so that a VM that is
-lost takes its unspent tokens with it and no account is overspent.
+The row of an account counts what was handed out, never what is left, so that
+a VM that is lost takes its unspent tokens with it and no account is
+overspent. The row of a VM bounds what the VM has spent, so that its next
+start can take back the rest.
 """
 
 from collections.abc import Mapping
@@ -11,7 +13,9 @@
 
 from teaseldale.tables import Row, RowCheck, RowWrite
 
-ACCOUNT_GRANTS_TABLE = 'account_grants'
+ACCOUNTS_TABLE = 'account_grants'
+VMS_TABLE = 'vms'
+_SEPARATOR = '/'
 
 
 @attrs.frozen(kw_only=True)
@@ -24,100 +28,137 @@
     @property
     def text(self) -> str:
         """Key within a row."""
-        return f'{self.vm_name}/{self.incarnation}'
-
-
-@attrs.frozen(kw_only=True)
-class HeldGrant:
-    """What one start of a VM has been handed out of an account."""
-
-    granted_tokens: int  # in all, less what it gave back
-    spent_tokens: int = 0  # as last written by the holder
+        return f'{self.vm_name}{_SEPARATOR}{self.incarnation}'
 
 
 @attrs.frozen(kw_only=True)
 class AccountRow:
     """All that was handed out of one account."""
 
-    holders: Mapping[str, HeldGrant] = attrs.field(factory=dict)
+    granted_tokens: Mapping[str, int] = attrs.field(factory=dict)  # by holder
     closed_tokens: int = 0  # of holders that have ended
 
     @property
     def taken_tokens(self) -> int:
         """Tokens that nobody else may be granted."""
-        return self.closed_tokens + sum(
-            held.granted_tokens for held in self.holders.values()
-        )
-
-    @property
-    def spent_tokens(self) -> int:
-        """Tokens that are surely spent."""
-        return self.closed_tokens + sum(
-            held.spent_tokens for held in self.holders.values()
-        )
-
-    @property
-    def holder_count(self) -> int:
-        """Starts of VMs that hold a part."""
-        return len(self.holders)
+        return self.closed_tokens + sum(self.granted_tokens.values())
 
     def granted_to(self, holder: HolderKey) -> int:
         """Returns what ``holder`` has been handed out."""
-        held = self.holders.get(holder.text)
-        return 0 if held is None else held.granted_tokens
-
-    def with_holder(self, holder: HolderKey, held: HeldGrant) -> 'AccountRow':
-        """Replaces the holder's part; earlier starts of its VM are closed."""
-        earlier = [
-            key
-            for key in self.holders
-            if key.startswith(f'{holder.vm_name}/') and key != holder.text
-        ]
-        closed_tokens = self.closed_tokens + sum(
-            self.holders[key].granted_tokens for key in earlier
+        return self.granted_tokens.get(holder.text, 0)
+
+    def with_granted(self, holder: HolderKey, tokens: int) -> 'AccountRow':
+        """Replaces what ``holder`` has been handed out."""
+        return attrs.evolve(
+            self,
+            granted_tokens={**self.granted_tokens, holder.text: tokens},
         )
-        kept = {
-            key: held_by
-            for key, held_by in self.holders.items()
-            if key not in earlier
-        }
-        kept[holder.text] = held
-        return AccountRow(holders=kept, closed_tokens=closed_tokens)
+
+    def with_closed(
+        self,
+        holder: HolderKey,
+        bound: 'EarlierBound | None',
+    ) -> 'AccountRow':
+        """Closes earlier starts of the holder's VM.
+
+        All that they were granted counts as spent, but for what ``bound``
+        tells of one of them.
+        """
+        kept: dict[str, int] = {}
+        closed_tokens = self.closed_tokens
+        for key, granted in self.granted_tokens.items():
+            vm_name, _, incarnation = key.rpartition(_SEPARATOR)
+            if vm_name != holder.vm_name or key == holder.text:
+                kept[key] = granted
+            elif bound is not None and incarnation == bound.incarnation:
+                closed_tokens += min(granted, bound.spent_limit_tokens)
+            else:
+                closed_tokens += granted
+        return AccountRow(granted_tokens=kept, closed_tokens=closed_tokens)
+
+
+@attrs.frozen(kw_only=True)
+class EarlierBound:
+    """The most that an earlier start of a VM has spent of an account."""
+
+    incarnation: str
+    spent_limit_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class SpendingMark:
+    """Promise of a VM about its spending.
+
+    Until the bounded time after ``made_store_ms`` is over, the VM spends no
+    more than ``limit_tokens`` of each account.
+    """
+
+    made_store_ms: int  # store's clock; not later than the mark was written
+    limit_tokens: Mapping[str, int] = attrs.field(factory=dict)  # by account
+
+
+@attrs.frozen(kw_only=True)
+class VmRow:
+    """What a VM tells the others through the store."""
+
+    incarnation: str
+    address: str  # where datagrams of other VMs are taken
+    mark: SpendingMark
+    spent_tokens: Mapping[str, int] = attrs.field(factory=dict)  # by account
 
 
 @attrs.frozen(kw_only=True)
 class ReadAccountRow:
     """A row and the revision that a change of it must check."""
 
-    account: str
     row: AccountRow
     revision: int  # 0 means that there is no row yet
 
-    def check(self) -> RowCheck:
-        """Condition that the row is as it was read."""
-        return RowCheck(
-            table=ACCOUNT_GRANTS_TABLE,
-            key=self.account,
-            revision=self.revision,
-        )
+
+@attrs.frozen(kw_only=True)
+class ReadVmRow:
+    """A row and the revision that a change of it must check."""
+
+    row: VmRow
+    revision: int
 
 
-def write_of(account: str, row: AccountRow) -> RowWrite:
+def check_of(table: str, key: str, revision: int) -> RowCheck:
+    """Condition that a row still has a revision."""
+    return RowCheck(table=table, key=key, revision=revision)
+
+
+def account_write(account: str, row: AccountRow) -> RowWrite:
     """Returns the write that replaces an account's row."""
     return RowWrite(
-        table=ACCOUNT_GRANTS_TABLE,
+        table=ACCOUNTS_TABLE,
         key=account,
         value=msgspec.msgpack.encode(row),
     )
 
 
+def vm_write(vm_name: str, row: VmRow) -> RowWrite:
+    """Returns the write that replaces a VM's row."""
+    return RowWrite(
+        table=VMS_TABLE,
+        key=vm_name,
+        value=msgspec.msgpack.encode(row),
+    )
+
+
 def decode_account_row(row: Row) -> ReadAccountRow:
-    """Decodes a row; an absent one is an account that nobody drew on."""
+    """Decodes a row; a removed one is an account that nobody drew on."""
     decoded = AccountRow()
     if row.value is not None:
         decoded = msgspec.msgpack.decode(row.value, type=AccountRow)
-    return ReadAccountRow(
-        account=row.key,
-        row=decoded,
+    return ReadAccountRow(row=decoded, revision=row.revision)
+
+
+def decode_vm_row(row: Row) -> ReadVmRow | None:
+    """Decodes a row; None if it was removed."""
+    if row.value is None:
+        return None
+    return ReadVmRow(
+        row=msgspec.msgpack.decode(row.value, type=VmRow),
         revision=row.revision,
     )
--- a/teaseldale/clock/__init__.py
+++ b/teaseldale/clock/__init__.py
@@ -1,5 +1,5 @@
 """Millisecond clocks: the type that every part reads time from."""
 
-from teaseldale.clock._clock import BaseClock, SystemClock
+from teaseldale.clock._clock import STARTED_MS, BaseClock, SystemClock
 
-__all__ = ('BaseClock', 'SystemClock')
+__all__ = ('STARTED_MS', 'BaseClock', 'SystemClock')
--- a/teaseldale/clock/_clock.py
+++ b/teaseldale/clock/_clock.py
@@ -35,3 +35,7 @@
     def wall_ms(self) -> int:
         """Reads the wall clock."""
         return time.time_ns() // _NANOSECONDS_PER_MS
+
+
+# Monotonic time at which this process began, or a little later.
+STARTED_MS = SystemClock().monotonic_ms()
--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -8,8 +8,8 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from teaseldale.budgets import AccountGrants, HolderKey
-from teaseldale.clock import SystemClock
+from teaseldale.budgets import AccountGrants, HolderKey, StoreAccess
+from teaseldale.clock import STARTED_MS, SystemClock
 from teaseldale.forwarding import (
     ConfigurationHolder,
     ConnectionBook,
@@ -123,9 +123,14 @@
                 vm_name=settings.name,
                 incarnation=uuid.uuid4().hex,
             ),
-            table=store,
-            clock=clock,
-            metrics=metrics,
+            address=str(settings.peer_address),
+            started_ms=STARTED_MS,
+            store=StoreAccess(
+                table=store,
+                feed=store,
+                clock=clock,
+                metrics=metrics,
+            ),
         ),
         clock=clock,
         metrics=metrics,
@@ -143,6 +148,7 @@
             directory=parts.directory,
             connections=parts.connections,
             choice=parts.choice,
+            grants=parts.grants,
         ),
         clock=parts.clock,
         metrics=parts.metrics,
--- a/teaseldale/forwarding/_admission.py
+++ b/teaseldale/forwarding/_admission.py
@@ -85,7 +85,6 @@
             return None
         return await self._parts.grants.reserve(
             account=account.name,
-            prepaid_tokens=account.prepaid_tokens,
             most_tokens=usage.most_tokens,
         )
 
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -214,6 +214,8 @@
         used_tokens = run.delivered_tokens
         if run.record.arrival_count:
             used_tokens += usage.prompt_tokens
+        run.record.reserved_tokens = reserved.most_tokens
+        run.record.used_tokens = used_tokens
         self._parts.grants.settle(reserved, used_tokens=used_tokens)
 
     async def _refuse(
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -6,6 +6,7 @@
 import attrs
 from anyio.abc import TaskGroup
 
+from teaseldale.budgets import AccountGrants
 from teaseldale.clock import BaseClock
 from teaseldale.forwarding._configuration import (
     ConfigurationHolder,
@@ -57,6 +58,7 @@
     directory: RunnerDirectory
     connections: ConnectionBook
     choice: BacklogChoice
+    grants: AccountGrants
 
 
 class FleetWatch(BaseService):
@@ -128,6 +130,13 @@
 
     def _take_configuration(self, offered: ForwardingConfiguration) -> None:
         if self._state.configuration.offer(offered):
+            self._state.grants.set_accounts(
+                {
+                    account.name: account.prepaid_tokens
+                    for account in offered.accounts
+                    if account.prepaid_tokens is not None
+                },
+            )
             self._metrics.set_gauge('configuration_version', offered.version)
             self._log.changed(
                 'configuration_in_force',
--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -49,6 +49,8 @@
             runners=record.runners,
             reasons=record.reasons,
             may_have_run=record.may_have_run,
+            reserved_tokens=record.reserved_tokens,
+            used_tokens=record.used_tokens,
             first_event_ms=record.first_event_ms,
             duration_ms=duration_ms,
             left_ms=int(admitted.ends_ms - now_ms),
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -49,6 +49,8 @@
     runners: list[str] = attrs.field(factory=list)
     reasons: list[str] = attrs.field(factory=list)  # why attempts failed
     first_event_ms: int | None = None  # after the request's arrival
+    reserved_tokens: int = 0  # set aside of the account
+    used_tokens: int = 0  # billed to the account
 
 
 class RequestRun:
--- a/teaseldale/platform/_store.py
+++ b/teaseldale/platform/_store.py
@@ -57,6 +57,8 @@
     revision: int = msgspec.field(name='SchemaVersion', default=0)
     rows: list[_RowRecord] = msgspec.field(name='Rows', default_factory=list)
     has_more: bool = msgspec.field(name='HasMore', default=False)
+    # The store's steady clock.
+    store_ms: float = msgspec.field(name='NowMs', default=0)
 
 
 class PlatformStore(BaseTableService, BaseRowFeed):
@@ -98,7 +100,10 @@
         answer = self._decode(reply, Step.TABLE_COMMIT)
         if reply.status == _STATUS_CONFLICT:
             return Conflicted(rows=tuple(map(_row_of, answer.rows)))
-        return Committed(revision=answer.revision)
+        return Committed(
+            revision=answer.revision,
+            store_ms=int(answer.store_ms),
+        )
 
     async def read(self, *, table: str, key: str) -> Row | None:
         """Reads one row."""
@@ -184,7 +189,11 @@
             if revision is None:
                 revision = answer.revision
             if not (answer.has_more and answer.rows):
-                return RowChanges(rows=tuple(rows), revision=revision)
+                return RowChanges(
+                    rows=tuple(rows),
+                    revision=revision,
+                    store_ms=int(answer.store_ms),
+                )
             first_key = f'{answer.rows[-1].key}\0'
 
     def _checked(self, reply: HttpReply) -> _RowsAnswer:
--- a/teaseldale/tables/_row_feed.py
+++ b/teaseldale/tables/_row_feed.py
@@ -18,6 +18,7 @@
 
     rows: tuple[Row, ...]  # value None marks a removed row
     revision: int  # where to go on
+    store_ms: int = 0  # the store's steady clock, where it has one
 
 
 class BaseRowFeed(abc.ABC):
--- a/teaseldale/tables/_table.py
+++ b/teaseldale/tables/_table.py
@@ -55,6 +55,7 @@
     """The transaction took effect at ``revision``."""
 
     revision: int
+    store_ms: int = 0  # the store's steady clock, where it has one
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -1,7 +1,9 @@
 """Receiving side of one HTTP connection to an upstream."""
 
 import asyncio
+import socket
 from collections.abc import Callable
+from typing import cast
 
 import httpcore
 import httptools
@@ -10,6 +12,8 @@
 
 _BUFFER_LIMIT_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
+# Time for a reset to arrive behind the end of a connection.
+_RESET_WAIT_SECONDS = 0.01
 
 # Tells from status and headers whether an answer belongs to the request.
 BelongsCheck = Callable[[int, WireHeaders], bool]
@@ -37,7 +41,6 @@
         self.has_strays = False  # whether bytes came that nobody asked for
         self._belongs: BelongsCheck = accept_any
         self._is_skipping = False
-        self._has_ended = False
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -61,8 +64,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Remembers the connection's transport."""
-        if isinstance(transport, asyncio.Transport):
-            self._transport = transport
+        # uvloop's transports are no subclasses of asyncio's.
+        self._transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Ends an answer that has neither length nor chunks, or fails it."""
@@ -70,20 +73,20 @@
         self._can_write.set()
         if self._timer is not None:
             self._timer.cancel()
-        is_closed = error is None and self._has_ended
-        if not self.is_complete and is_closed and self._ends_by_close():
-            self.is_complete = True
-        elif not self.is_complete:
+        if not self.is_complete:
             self._error = httpcore.ReadError('the connection was closed')
         self._wake()
 
     def eof_received(self) -> bool:
-        """Notes that the peer closed its side, rather than reset it.
+        """Ends an answer that has neither length nor chunks.
 
-        Only then can an answer without a length be whole.
+        A peer that dies may send a reset right behind its end, and then the
+        answer is not whole, so the end counts a little later.
         """
-        self._has_ended = True
-        return False
+        if self.is_complete or not self._ends_by_close():
+            return False
+        self._loop.call_later(_RESET_WAIT_SECONDS, self._end_by_close)
+        return True
 
     def data_received(self, received: bytes) -> None:
         """Parses what has arrived; an idle connection takes nothing."""
@@ -191,6 +194,17 @@
         if self._error is not None:
             raise self._error
 
+    def _end_by_close(self) -> None:
+        transport = self._transport
+        if transport is None or self.is_lost:
+            return
+        connected = transport.get_extra_info('socket')
+        reset = connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if not reset:
+            self.is_complete = True
+        transport.close()
+        self._wake()
+
     def _ends_by_close(self) -> bool:
         names = {name for name, _ in self.headers}
         framed = names & {b'content-length', b'transfer-encoding'}
