Lend tokens between VMs without the store

Ruled out: larger grants alone; what a killed VM holds beyond its mark is lost. Change: a VM that is short asks two others by datagram, who lend what their mark allows; a loan is spent by the lender and lessens what the borrower has spent. It replaces the recall through the store. Loans that are lost, repeated or late are covered by the random histories.

--- a/teaseldale/budgets/__init__.py
+++ b/teaseldale/budgets/__init__.py
@@ -14,9 +14,12 @@
     BudgetState,
     Reservation,
 )
+from teaseldale.budgets._token_loans import LOAN, LOAN_REQUEST
 from teaseldale.budgets._transactional_spending import TransactionalSpending
 
 __all__ = (
+    'LOAN',
+    'LOAN_REQUEST',
     'AccountGrants',
     'AccountReservation',
     'AddedBudgetRows',
--- a/teaseldale/budgets/_account_book.py
+++ b/teaseldale/budgets/_account_book.py
@@ -32,11 +32,11 @@
     prepaid_tokens: int = 0  # by the configuration in force
     row: ReadAccountRow | None = None  # as last seen
     granted_tokens: int = 0  # what the store surely holds for this VM
-    spent_tokens: int = 0  # settled by this VM
+    # Settled by this VM, and lent to others less what it borrowed.
+    spent_tokens: int = 0
     reserved_tokens: int = 0  # of requests under way
     waiting: list[GrantWaiter] = attrs.field(factory=list)
-    recalled_until_ms: int = 0  # monotonic; another VM is short until then
-    next_recall_ms: int = 0  # monotonic; when others may be asked again
+    lending_tokens: int = 0  # asked of this VM, and not allowed by its mark
 
     @property
     def used_tokens(self) -> int:
--- a/teaseldale/budgets/_account_demand.py
+++ b/teaseldale/budgets/_account_demand.py
@@ -18,9 +18,9 @@
 # Time over which a rate is taken at the least, so that the first requests of a
 # caller do not look like a flood.
 _SHORTEST_SEEN_MS = 1000
-# Demand that a VM keeps tokens for when another one is short: giving back and
-# taking again lasts some ten ms.
-_RECALLED_MS = 1000
+# Demand that a VM keeps tokens for when another one is short. It can borrow in
+# turn, which lasts some ms.
+_KEPT_MS = 1000
 # Part of an account's free tokens that all VMs hold together, whatever the
 # demand: a caller may come to any VM, also while the store is away.
 _SPREAD_SHARE = 0.5
@@ -67,9 +67,9 @@
             ),
         )
 
-    def recalled_tokens(self) -> int:
+    def kept_tokens(self) -> int:
         """Returns what is kept when another VM is short of tokens."""
-        return int(self._typical_rate() * _RECALLED_MS)
+        return int(self._typical_rate() * _KEPT_MS)
 
     def _current_rate(self) -> float:
         elapsed_ms = self._clock.monotonic_ms() - self._updated_ms
@@ -94,8 +94,7 @@
     hold_tokens: int  # what the demand asks for
     free_tokens: int  # that nobody holds
     vm_count: int
-    # Kept although another VM is short; None if none is.
-    recalled_tokens: int | None = None
+    lendable_tokens: int = 0  # that other VMs hold and have not used
 
     @property
     def target_tokens(self) -> int:
@@ -119,10 +118,7 @@
     """
     short_tokens = need.waiting_tokens - need.available_tokens
     if short_tokens > need.free_tokens:
-        short_tokens = need.first_waiting_tokens - need.available_tokens
-        return short_tokens if 0 < short_tokens <= need.free_tokens else 0
-    if need.recalled_tokens is not None and not need.waiting_tokens:
-        return min(0, need.recalled_tokens - need.available_tokens)
+        return _last_tokens(need)
     target_tokens = need.target_tokens
     spare_tokens = need.available_tokens - need.waiting_tokens
     if spare_tokens > target_tokens * _SURPLUS_FACTOR:
@@ -132,3 +128,13 @@
     share = need.free_tokens // (need.vm_count + 1)
     wanted = min(target_tokens - spare_tokens, share)
     return max(short_tokens, wanted, 0)
+
+
+def _last_tokens(need: GrantNeed) -> int:
+    """Returns what helps the first waiting request, with a loan if it must."""
+    short_tokens = need.first_waiting_tokens - need.available_tokens
+    if 0 < short_tokens <= need.free_tokens:
+        return short_tokens
+    if short_tokens <= need.free_tokens + need.lendable_tokens:
+        return need.free_tokens
+    return 0
--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -5,7 +5,7 @@
 back what it does not need.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import anyio
 import attrs
@@ -15,6 +15,7 @@
 from teaseldale.budgets._account_demand import AccountDemand
 from teaseldale.budgets._account_rounds import AccountRounds, StoreAccess
 from teaseldale.budgets._account_rows import HolderKey, VmRow
+from teaseldale.budgets._token_loans import TokenLoans
 from teaseldale.budgets._waiting_requests import WaitingRequests
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
@@ -32,11 +33,13 @@
 # Pause after a failed transaction, so that a store that is away is not
 # pressed by every VM at once.
 _RETRY_MS = 150
+# Pause before other VMs are asked for a loan, and before the next are asked.
+# The store answers within this time when it is well.
+_ASK_MS = 30
+# Longest wait for a loan while the store is away: five VMs are asked twice.
+_LOAN_WAIT_MS = 150
 # Pause before a request that can be paid by the next mark is looked at again.
 _AGAIN_MS = 5
-# How long a VM holds less after another one was short. The waiting request
-# is served or refused by then.
-_RECALLED_MS = 1000
 # How often rows are read while a request waits for tokens of others.
 _WAITING_READ_MS = 20
 
@@ -87,6 +90,14 @@
             clock=store.clock,
             metrics=store.metrics,
         )
+        self.loans = TokenLoans(
+            holder=holder,
+            address=address,
+            accounts=self._accounts,
+            waiting=self._waiting,
+            mark_soon=lambda: self._wake.set(),
+            metrics=store.metrics,
+        )
 
     @property
     def name(self) -> str:
@@ -103,9 +114,9 @@
         """VMs that may be running, heard or not, this one included."""
         return self._rounds.vms.lately_running_count
 
-    def running_vms(self) -> Mapping[str, VmRow]:
-        """Returns the VMs that the store has heard of in the last seconds."""
-        return self._rounds.vms.running()
+    def known_vms(self) -> Mapping[str, VmRow]:
+        """Returns the VMs that may be running, this one included."""
+        return self._rounds.vms.lately_running()
 
     async def start(self, tasks: TaskGroup) -> None:
         """Starts the task that extends, returns and marks."""
@@ -117,25 +128,12 @@
         self._wake.set()
         await self._ended.wait()
 
-    def let_ask_others(self, ask_others: Callable[[str], None]) -> None:
-        """Sets how the other VMs are asked to give tokens back."""
-        self._waiting.ask_others = ask_others
-
     def follow_accounts(self, prepaid_tokens: Mapping[str, int]) -> None:
         """Takes the accounts of the configuration in force."""
         for account, tokens in prepaid_tokens.items():
             self._held(account).prepaid_tokens = tokens
         self._wake.set()
 
-    def give_back(self, account: str) -> None:
-        """Gives back most of an account, since another VM is short of it."""
-        held = self._accounts.get(account)
-        if held is None:
-            return
-        held.recalled_until_ms = self._clock.monotonic_ms() + _RECALLED_MS
-        self._metrics.increment('grants_recalled')
-        self._wake.set()
-
     async def reserve(
         self,
         *,
@@ -183,15 +181,14 @@
         most_tokens: int,
     ) -> Refusal | None:
         waiter = GrantWaiter(most_tokens=most_tokens)
-        if self._is_store_lost:
-            return self._waiting.refuse(
-                held, waiter, RefusalCode.BUDGET_UNAVAILABLE
-            )
         held.waiting.append(waiter)
         self._wake.set()
+        wait_ms = _WAIT_MS
+        if self._is_store_lost:
+            wait_ms = _LOAN_WAIT_MS
         try:
-            with anyio.move_on_after(_WAIT_MS / _MS_PER_SECOND):
-                await waiter.answered.wait()
+            with anyio.move_on_after(wait_ms / _MS_PER_SECOND):
+                await self._borrow_until_answered(held, waiter)
         except BaseException:
             self._waiting.withdraw(held, waiter)
             raise
@@ -203,6 +200,24 @@
             code = self._waiting.reason(held, waiter)
         return self._waiting.refuse(held, waiter, code)
 
+    async def _borrow_until_answered(
+        self,
+        held: HeldAccount,
+        waiter: GrantWaiter,
+    ) -> None:
+        """Asks other VMs, again and again, once the store is too slow."""
+        if not self._is_store_lost:
+            with anyio.move_on_after(_ASK_MS / _MS_PER_SECOND):
+                await waiter.answered.wait()
+        while not waiter.answered.is_set():
+            if waiter is held.waiting[0]:
+                self.loans.ask(held, self._addresses())
+            with anyio.move_on_after(_ASK_MS / _MS_PER_SECOND):
+                await waiter.answered.wait()
+
+    def _addresses(self) -> tuple[str, ...]:
+        return tuple(row.address for row in self.known_vms().values())
+
     async def _keep(self) -> None:
         while not self._is_closing:
             with anyio.move_on_after(_MARK_MS / _MS_PER_SECOND):
--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -143,7 +143,7 @@
         wanted: dict[str, AccountRow] = {}
         for held in self._accounts.values():
             read = held.row or _NO_ROW
-            change = self._change_of(held)
+            change = grant_change(self._need_of(held))
             if gives_all_back:
                 change = -max(0, held.available_tokens)
             tokens = read.row.granted_to(self._holder) + change
@@ -212,6 +212,8 @@
             if row is not None:
                 granted = row.granted_to(self._holder)
             ahead = held.demand.ahead_tokens() + held.waiting_tokens
+            ahead += held.lending_tokens
+            held.lending_tokens = 0
             limits[held.account] = max(
                 held.used_tokens,
                 min(granted, held.used_tokens + ahead),
@@ -290,6 +292,21 @@
             # A transaction without an answer may still be done.
             held.granted_tokens = min(held.granted_tokens, granted)
 
+    def _need_of(self, held: HeldAccount) -> GrantNeed:
+        unspent = held.prepaid_tokens - self.spent_by_all(held.account)
+        own_unspent = held.granted_tokens - held.spent_tokens
+        return GrantNeed(
+            available_tokens=held.available_tokens,
+            waiting_tokens=held.waiting_tokens,
+            first_waiting_tokens=(
+                held.waiting[0].most_tokens if held.waiting else 0
+            ),
+            hold_tokens=held.demand.hold_tokens(),
+            free_tokens=held.free_tokens,
+            vm_count=self.vms.running_count,
+            lendable_tokens=max(0, unspent - own_unspent - held.free_tokens),
+        )
+
     def _earlier_bound(self, account: str) -> EarlierBound | None:
         """Returns what an earlier start of this VM spent at the most."""
         own = self._own_row
@@ -302,22 +319,3 @@
             incarnation=own.row.incarnation,
             spent_limit_tokens=mark.limit_tokens.get(account, 0),
         )
-
-    def _change_of(self, held: HeldAccount) -> int:
-        now_ms = self._store.clock.monotonic_ms()
-        is_recalled = now_ms < held.recalled_until_ms
-        return grant_change(
-            GrantNeed(
-                available_tokens=held.available_tokens,
-                waiting_tokens=held.waiting_tokens,
-                first_waiting_tokens=(
-                    held.waiting[0].most_tokens if held.waiting else 0
-                ),
-                hold_tokens=held.demand.hold_tokens(),
-                free_tokens=held.free_tokens,
-                vm_count=self.vms.running_count,
-                recalled_tokens=(
-                    held.demand.recalled_tokens() if is_recalled else None
-                ),
-            ),
-        )
--- /dev/null
+++ b/teaseldale/budgets/_token_loans.py
@@ -0,0 +1,157 @@
+"""Tokens that VMs lend each other without the store.
+
+A VM that is short asks a few others, who lend what they can spare. A loan is
+spent by its lender as if by a request, and lessens what the borrower has
+spent, so the rows of both stay true. A loan that is lost on its way is spent
+for nothing; one that arrives twice, or after the borrower has started again,
+is not taken.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+import msgspec
+
+from teaseldale.budgets._account_book import HeldAccount
+from teaseldale.budgets._account_rows import HolderKey
+from teaseldale.budgets._waiting_requests import WaitingRequests
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+
+# First bytes of datagrams, which tell what follows.
+LOAN_REQUEST = b'q'
+LOAN = b'l'
+# VMs that are asked at one time; the next ones are asked soon after.
+_ASKED_VMS = 2
+# Loans remembered, so that one that arrives twice is taken once. Datagrams
+# that are repeated on the way follow within a second.
+_REMEMBERED_LOANS = 1000
+
+
+@attrs.frozen(kw_only=True)
+class LoanRequest:
+    """Asks for tokens of an account."""
+
+    account: str
+    tokens: int
+    borrower: str  # key of the start of the VM that asks
+    borrower_address: str
+
+
+@attrs.frozen(kw_only=True)
+class Loan:
+    """Tokens of an account that now belong to the borrower."""
+
+    loan_id: str  # new for each loan
+    account: str
+    tokens: int
+    borrower: str  # the only start of a VM that may take it
+
+
+class TokenLoans:
+    """Asks for, gives and takes loans."""
+
+    def __init__(
+        self,
+        *,
+        holder: HolderKey,
+        address: str,
+        accounts: Mapping[str, HeldAccount],
+        waiting: WaitingRequests,
+        mark_soon: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        """``address`` is where loans are sent to."""
+        self._mark_soon = mark_soon
+        self._holder = holder
+        self._address = address
+        self._accounts = accounts
+        self._waiting = waiting
+        self._metrics = metrics
+        self._given_count = 0
+        self._taken: dict[str, None] = {}
+        self._random = random.Random(holder.text)  # noqa: S311
+        self._send: Callable[[str, bytes], None] | None = None
+        self._log = StateLog(channel='loans')
+
+    def send_by(self, send: Callable[[str, bytes], None]) -> None:
+        """Sets what sends a datagram to an address of another VM."""
+        self._send = send
+        self._waiting.can_borrow = True
+
+    def ask(self, held: HeldAccount, addresses: Iterable[str]) -> None:
+        """Asks some VMs for what the waiting requests of an account need."""
+        others = [found for found in addresses if found != self._address]
+        if self._send is None or not others:
+            return
+        short_tokens = held.waiting_tokens - held.available_tokens
+        request = LoanRequest(
+            account=held.account,
+            tokens=max(short_tokens, 0) + held.demand.kept_tokens(),
+            borrower=self._holder.text,
+            borrower_address=self._address,
+        )
+        encoded = msgspec.msgpack.encode(request)
+        self._metrics.increment('loans_asked')
+        count = min(_ASKED_VMS, len(others))
+        for address in self._random.sample(others, count):
+            self._send(address, LOAN_REQUEST + encoded)
+
+    def take_request(self, content: bytes) -> None:
+        """Lends what can be spared; raises ``msgspec.DecodeError``."""
+        request = msgspec.msgpack.decode(content, type=LoanRequest)
+        held = self._accounts.get(request.account)
+        if held is None or held.waiting or self._send is None:
+            return
+        tokens = min(request.tokens, self._spare_tokens(held))
+        if tokens < request.tokens:
+            # The next mark allows it, and the borrower asks again.
+            held.lending_tokens = request.tokens
+            self._mark_soon()
+        if tokens <= 0:
+            self._metrics.increment('loans_refused')
+            return
+        held.spent_tokens += tokens
+        loan = Loan(
+            loan_id=self._next_id(),
+            account=request.account,
+            tokens=tokens,
+            borrower=request.borrower,
+        )
+        self._metrics.increment('loans_given')
+        self._log.changed(
+            'loan_given',
+            account=loan.account,
+            tokens=tokens,
+            borrower=loan.borrower,
+        )
+        encoded = msgspec.msgpack.encode(loan)
+        self._send(request.borrower_address, LOAN + encoded)
+
+    def take_loan(self, content: bytes) -> None:
+        """Takes a loan once; raises ``msgspec.DecodeError``."""
+        loan = msgspec.msgpack.decode(content, type=Loan)
+        held = self._accounts.get(loan.account)
+        if held is None or loan.borrower != self._holder.text:
+            self._metrics.increment('loans_not_taken', 'other start')
+            return
+        if loan.loan_id in self._taken:
+            self._metrics.increment('loans_not_taken', 'twice')
+            return
+        self._taken[loan.loan_id] = None
+        while len(self._taken) > _REMEMBERED_LOANS:
+            self._taken.pop(next(iter(self._taken)))
+        held.spent_tokens -= loan.tokens
+        self._metrics.increment('loans_taken')
+        self._waiting.serve(held)
+
+    def _next_id(self) -> str:
+        self._given_count += 1
+        giver = self._holder.text
+        return f'{giver}/{self._given_count}'
+
+    def _spare_tokens(self, held: HeldAccount) -> int:
+        """Returns what this VM may spend now and does not need soon."""
+        limit = self._waiting.limit_tokens(held)
+        return limit - held.used_tokens - held.demand.kept_tokens()
--- a/teaseldale/budgets/_vm_register.py
+++ b/teaseldale/budgets/_vm_register.py
@@ -42,7 +42,11 @@
     @property
     def lately_running_count(self) -> int:
         """VMs that were running some time ago and may run unheard."""
-        return max(1, len(self._younger_than(_MAY_RUN_MS)))
+        return max(1, len(self.lately_running()))
+
+    def lately_running(self) -> Mapping[str, VmRow]:
+        """Returns the VMs that may be running, heard or not."""
+        return self._younger_than(_MAY_RUN_MS)
 
     def running(self) -> Mapping[str, VmRow]:
         """Returns the VMs that have marked their spending of late."""
--- a/teaseldale/budgets/_waiting_requests.py
+++ b/teaseldale/budgets/_waiting_requests.py
@@ -1,7 +1,5 @@
 """Requests that wait until their account can pay for them."""
 
-from collections.abc import Callable
-
 import attrs
 
 from teaseldale.budgets._account_book import GrantWaiter, HeldAccount
@@ -11,8 +9,6 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 
-# Pause before others are asked again to give tokens back.
-_RECALL_MS = 100
 _RETRY_AFTER_MS = 500  # for callers whose tokens are held by other VMs
 
 
@@ -23,15 +19,17 @@
     rounds: AccountRounds
     clock: BaseClock
     metrics: Metrics
-    # Asks the other VMs to give back what they do not need.
-    ask_others: Callable[[str], None] | None = None
+    can_borrow: bool = False  # whether other VMs can be asked
     _log: StateLog = attrs.field(factory=lambda: StateLog(channel='grants'))
 
     def can_pay(self, held: HeldAccount, tokens: int) -> bool:
         """Whether the VM may spend ``tokens`` more of an account now."""
+        return held.used_tokens + tokens <= self.limit_tokens(held)
+
+    def limit_tokens(self, held: HeldAccount) -> int:
+        """Returns how much of an account the VM may have used by now."""
         now_ms = self.clock.monotonic_ms()
-        limit = self.rounds.limits.limit_tokens(held, now_ms)
-        return held.used_tokens + tokens <= limit
+        return self.rounds.limits.limit_tokens(held, now_ms)
 
     def withdraw(self, held: HeldAccount, waiter: GrantWaiter) -> None:
         """Undoes a wait that was cancelled, also one just served."""
@@ -57,23 +55,12 @@
             if waiter.most_tokens <= payable:
                 continue
             code = self.reason(held, waiter)
-            if code is RefusalCode.BUDGET_HELD and self._recall(held):
+            if code is RefusalCode.BUDGET_HELD and self.can_borrow:
                 continue
             held.waiting.remove(waiter)
             waiter.refusal = self.refuse(held, waiter, code)
             waiter.answered.set()
 
-    def _recall(self, held: HeldAccount) -> bool:
-        """Asks other VMs for tokens; False if there is nobody to ask."""
-        if self.ask_others is None or self.rounds.vms.running_count == 1:
-            return False
-        now_ms = self.clock.monotonic_ms()
-        if now_ms >= held.next_recall_ms:
-            held.next_recall_ms = now_ms + _RECALL_MS
-            self.ask_others(held.account)
-            self.metrics.increment('grant_recalls_asked')
-        return True
-
     def reason(self, held: HeldAccount, waiter: GrantWaiter) -> RefusalCode:
         """Tells an account that is used up from tokens held elsewhere."""
         spent = self.rounds.spent_by_all(held.account)
@@ -89,14 +76,13 @@
         code: RefusalCode,
     ) -> Refusal:
         """Returns the refusal of a request, and writes why."""
-        now_ms = self.clock.monotonic_ms()
         self._log.changed(
             'reservation_refused',
             account=held.account,
             code=code,
             most_tokens=waiter.most_tokens,
             granted_tokens=held.granted_tokens,
-            limit_tokens=self.rounds.limits.limit_tokens(held, now_ms),
+            limit_tokens=self.limit_tokens(held),
             used_tokens=held.used_tokens,
             free_tokens=held.free_tokens,
             prepaid_tokens=held.prepaid_tokens,
--- a/teaseldale/budgets/tests/steps_account_grants.py
+++ b/teaseldale/budgets/tests/steps_account_grants.py
@@ -138,6 +138,36 @@
     context.events = []
 
 
+@then('its request was not refused')
+def not_refused(context):
+    play(context, functools.partial(held_and_used, context))
+
+
+@when(
+    'only VM 1 runs {per_s:d} requests of {tokens:d} tokens a second while '
+    'the store is away for {seconds:d} s'
+)
+def only_first(context, per_s, tokens, seconds):
+    fleet = context.fleet
+
+    async def story():
+        for vm in fleet.vms:
+            await fleet.request(vm, tokens)
+        for vm in fleet.vms:
+            vm.table.down = True
+        # Marks bind for 3 s; what is asked for after that is lent.
+        await sleep_ms(3100)
+        await fleet.load(
+            fleet.vms[0],
+            tokens=tokens,
+            per_s=per_s,
+            duration_ms=seconds * 1000,
+        )
+        await sleep_ms(500)
+
+    play(context, story)
+
+
 @when('VM 2 asks for {tokens} tokens')
 def second_asks(context, tokens):
     context.events.append(('ask', number(tokens)))
@@ -292,6 +322,7 @@
             prepaid_tokens=60_000,
             seed=seed + offset,
         )
+        fleet.loses_datagrams = True
         try:
             run_in_virtual_time(
                 functools.partial(
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -6,9 +6,10 @@
 
 import asyncio
 
+import msgspec
 from anyio.abc import TaskGroup
 
-from teaseldale.budgets import AccountGrants
+from teaseldale.budgets import LOAN, LOAN_REQUEST, AccountGrants
 from teaseldale.clock import BaseClock
 from teaseldale.forwarding._node import Address
 from teaseldale.kernel import BaseService
@@ -21,7 +22,6 @@
 _INTERVAL_MS = 15
 # First byte of a datagram.
 _PLACEMENTS = b'p'
-_RECALL = b'r'
 
 
 class VmDatagrams(BaseService):
@@ -62,7 +62,7 @@
             local_addr=(self._address.ip, self._address.port),
         )
         self._transport = transport
-        self._grants.let_ask_others(self._ask_others)
+        self._grants.loans.send_by(self._send_one)
         tasks.start_soon(self._send)
 
     async def stop(self) -> None:
@@ -78,17 +78,18 @@
             if notice is not None:
                 self._send_to_all(_PLACEMENTS + notice)
 
-    def _ask_others(self, account: str) -> None:
-        self._send_to_all(_RECALL + account.encode())
-
     def _send_to_all(self, datagram: bytes) -> None:
         own_address = str(self._address)
-        for row in self._grants.running_vms().values():
-            if row.address == own_address or self._transport is None:
-                continue
-            ip, _, port = row.address.rpartition(':')
-            self._transport.sendto(datagram, (ip, int(port)))
-            self._metrics.increment('datagrams_sent')
+        for row in self._grants.known_vms().values():
+            if row.address != own_address:
+                self._send_one(row.address, datagram)
+
+    def _send_one(self, address: str, datagram: bytes) -> None:
+        if self._transport is None:
+            return
+        ip, _, port = address.rpartition(':')
+        self._transport.sendto(datagram, (ip, int(port)))
+        self._metrics.increment('datagrams_sent')
 
 
 class _Receiver(asyncio.DatagramProtocol):
@@ -104,12 +105,19 @@
         self._metrics = metrics
 
     def datagram_received(self, data: bytes, addr: object) -> None:
-        kind, content = data[:1], data[1:]
-        if kind == _RECALL:
-            self._grants.give_back(content.decode(errors='replace'))
-        elif kind != _PLACEMENTS or not self._exchange.take(content):
+        try:
+            self._take(data[:1], data[1:])
+        except msgspec.DecodeError:
             self._metrics.increment('datagrams_unreadable')
 
+    def _take(self, kind: bytes, content: bytes) -> None:
+        if kind == LOAN_REQUEST:
+            self._grants.loans.take_request(content)
+        elif kind == LOAN:
+            self._grants.loans.take_loan(content)
+        elif kind == _PLACEMENTS:
+            self._exchange.take(content)
+
     def error_received(self, error: Exception) -> None:
         # A VM that has ended refuses datagrams until its row grows old.
         self._metrics.increment('datagrams_refused')
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -101,14 +101,11 @@
             ),
         )
 
-    def take(self, datagram: bytes) -> bool:
-        """Takes another VM's notice; False if it cannot be read."""
-        try:
-            notice = msgspec.msgpack.decode(datagram, type=PlacementNotice)
-        except msgspec.DecodeError:
-            return False
+    def take(self, content: bytes) -> None:
+        """Takes another VM's notice; raises ``msgspec.DecodeError``."""
+        notice = msgspec.msgpack.decode(content, type=PlacementNotice)
         if notice.vm_name == self._vm_name:
-            return True
+            return
         self._heard[notice.vm_name] = _HeardVm(
             counts=notice.counts,
             heard_ms=self._clock.monotonic_ms(),
@@ -116,7 +113,6 @@
         for part in notice.new_parts:
             self._choice.note_remote_part(part.runner, part.part_id)
         self._recount()
-        return True
 
     def drop_silent(self) -> None:
         """Forgets the counts of VMs that have been silent."""
