Fetch shared parts from runners that hold them, avoid runners that fail

Change: a request names the runner that holds clearly more of its prompt; the share of failures of late and an unreached address count in the choice; a misdirected request does not use up the route's runners, but is a retry.

--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from teaseldale.forwarding._node import Address
 from teaseldale.forwarding._parts import ForwardingParts
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.forwarding._wire import (
@@ -18,13 +19,16 @@
     UpstreamError,
 )
 
+_FIRST_FAILURE_STATUS = 500
+
 
 @attrs.frozen(kw_only=True)
 class NotRun:
     """The runner surely did not run the request."""
 
     reason: str
-    has_arrived: bool  # whether the runner saw the request
+    has_arrived: bool  # whether a runner saw the request
+    is_misdirected: bool = False  # whether another runner has the address
 
 
 @attrs.frozen(kw_only=True)
@@ -83,11 +87,27 @@
             return self._failed(error)
         reply = self._parts.wire.read_reply(answer.status, answer.headers)
         self._note_load(reply)
+        if reply.is_misdirected:
+            self._parts.choice.note_unreached(self.runner.runner_id)
         if reply.is_not_run:
             answer.release()
-            return NotRun(reason=f'status {reply.status}', has_arrived=True)
+            return NotRun(
+                reason=f'status {reply.status}',
+                has_arrived=True,
+                is_misdirected=reply.is_misdirected,
+            )
+        self._note_outcome(has_failed=reply.status >= _FIRST_FAILURE_STATUS)
         return Replied(answer=answer, reply=reply)
 
+    @property
+    def fetch_from(self) -> Address | None:
+        """Address of a runner that holds more of the prompt."""
+        source_id = self._placed.fetch_from
+        if source_id is None:
+            return None
+        source = self._parts.directory.find(source_id)
+        return None if source is None else source.address
+
     def has_read(self) -> None:
         """Notes that the runner has begun to answer."""
         if not self._is_read:
@@ -101,9 +121,21 @@
             self.has_read()
             self._parts.choice.has_ended(self._placed)
 
+    def broke_off(self) -> None:
+        """Notes that an answer ended before it was whole."""
+        self._note_outcome(has_failed=True)
+
+    def _note_outcome(self, *, has_failed: bool) -> None:
+        self._parts.choice.note_outcome(
+            self.runner.runner_id,
+            has_failed=has_failed,
+        )
+
     def _failed(self, error: UpstreamError) -> NotRun | BrokeOff:
         if error.may_have_run:
+            self._note_outcome(has_failed=True)
             return BrokeOff(reason=f'{error.kind}: {error.reason}')
+        self._parts.choice.note_unreached(self.runner.runner_id)
         return NotRun(reason=error.reason, has_arrived=False)
 
     def _note_load(self, reply: RunnerReply) -> None:
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -75,6 +75,7 @@
         self._events = EventSplitter(last_id=admitted.request.last_event_id)
         self._failure: _WholeReply | None = None  # a runner's own, kept
         self._tried: set[str] = set()
+        self._is_retry = False  # whether a wrong runner saw the request
         self._last_event_ms = 0  # monotonic, of the stream's newest event
         self.record = RunRecord()
 
@@ -108,7 +109,8 @@
         backlog = self._parts.choice.choose(self._work, candidates)
         if backlog is None:
             return None
-        if self.record.arrival_count and not self._parts.retries.take_retry(
+        is_retry = self._is_retry or self.record.arrival_count > 0
+        if is_retry and not self._parts.retries.take_retry(
             self._admitted.service,
         ):
             self._parts.metrics.increment('retries_refused', 'budget')
@@ -148,13 +150,23 @@
         )
         if isinstance(sent, Replied):
             return await self._take(attempt, sent)
-        if isinstance(sent, NotRun) and not sent.has_arrived:
-            self.record.arrival_count -= 1
+        if isinstance(sent, NotRun):
+            self._forget_arrival(sent)
         if isinstance(sent, BrokeOff):
             self.record.may_have_run = True
         self._note_failure(attempt, sent.reason)
         return False
 
+    def _forget_arrival(self, sent: NotRun) -> None:
+        """Counts neither a runner that was not reached nor a wrong one.
+
+        The latter saw the request, so that the next attempt is a retry.
+        """
+        if not sent.has_arrived or sent.is_misdirected:
+            self.record.arrival_count -= 1
+        if sent.is_misdirected:
+            self._is_retry = True
+
     def _dispatch(self, attempt: Attempt) -> Dispatch:
         account = self._admitted.account
         left_ms = self._admitted.ends_ms - self._parts.clock.monotonic_ms()
@@ -164,6 +176,7 @@
             account=None if account is None else account.name,
             priority=self._admitted.priority,
             last_event_id=self._events.last_id,
+            fetch_from=attempt.fetch_from,
         )
 
     async def _take(self, attempt: Attempt, sent: Replied) -> bool:
@@ -174,6 +187,7 @@
                 return await self._relay(attempt, sent.answer)
             return await self._take_whole(sent)
         except (UpstreamError, StreamOrderError) as error:
+            attempt.broke_off()
             self._note_failure(attempt, str(error))
             self._events.resume()
             return False
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from teaseldale.forwarding._node import Address
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.outcomes import Refusal
 from teaseldale.routing import SharedPart
@@ -49,6 +50,7 @@
     account: str | None = None  # name of the caller's account
     priority: int | None = None  # 0 to 9, 0 is the most urgent
     last_event_id: int | None = None  # event after which a stream goes on
+    fetch_from: Address | None = None  # runner that holds more of the prompt
 
 
 @attrs.frozen(kw_only=True)
@@ -66,6 +68,7 @@
 
     status: int
     is_not_run: bool  # whether the runner says that it did not run it
+    is_misdirected: bool = False  # whether it is not the runner that was meant
     load: RunnerLoad | None = None
 
 
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -18,6 +18,7 @@
 _PRIORITY = b'x-request-priority'
 _ACCOUNT = b'x-tenant'
 _EXPECTED_RUNNER = b'x-expect-instance'
+_FETCH_FROM = b'kv-fetch'
 _NOT_RUN = b'x-not-executed'
 _AUTHORIZATION = b'authorization'
 _KEY_SCHEME = b'bearer '
@@ -50,7 +51,7 @@
         _LAST_EVENT_ID,
         _PRIORITY,
         b'expect',
-        b'kv-fetch',
+        _FETCH_FROM,
         b'kv-from',
         b'x-expect-version',
         b'x-kv-backup',
@@ -109,6 +110,8 @@
             added.append((_PRIORITY, _digits(bounded)))
         if dispatch.last_event_id is not None:
             added.append((_LAST_EVENT_ID, _digits(dispatch.last_event_id)))
+        if dispatch.fetch_from is not None:
+            added.append((_FETCH_FROM, str(dispatch.fetch_from).encode()))
         kept = [head for head in request.headers if head[0] not in dropped]
         return (*kept, *added)
 
@@ -134,6 +137,7 @@
         return RunnerReply(
             status=status,
             is_not_run=is_not_run or status == _STATUS_OTHER_RUNNER,
+            is_misdirected=status == _STATUS_OTHER_RUNNER,
             load=_load_of(_text(headers, b'x-instance-load')),
         )
 
--- a/teaseldale/routing/_runner_backlog.py
+++ b/teaseldale/routing/_runner_backlog.py
@@ -20,6 +20,16 @@
 _PLAIN_TOKENS = 1000
 # A runner without a free slot makes requests wait for a whole stream.
 _FULL_TOKENS = 200_000
+# Work that a runner which fails every request is worth avoiding for.
+_FAILURE_TOKENS = 20_000
+_FAILURE_WEIGHT = 0.1  # of the newest request in the share of failures
+# How long a runner that could not be reached is chosen last. An entry of one
+# that has gone is removed within some seconds.
+_AVOIDED_MS = 1500
+_AVOIDED_TOKENS = 10_000_000
+# Shared tokens from which fetching them from another runner is faster than
+# reading them.
+_FETCH_TOKENS = 300
 _KEPT_PARTS = 2000  # parts remembered for each runner
 _REPORT_VALID_MS = 1000  # older reports of load are not used
 # Share of the best estimate within which runners count as equal. A random
@@ -50,6 +60,8 @@
 
     runner: str
     unread_tokens: int  # prompt tokens that the runner had to read
+    # Runner from which it can fetch more of the prompt than it holds itself.
+    fetch_from: str | None = None
 
 
 @attrs.define(kw_only=True)
@@ -65,6 +77,8 @@
     reported_ms: int = 0
     remote_count: int = 0  # requests of other VMs, as they said
     remote_unread_tokens: int = 0
+    failure_share: float = 0  # of the requests of late
+    avoided_until_ms: int = 0  # monotonic
     parts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
 
     def unread_of(self, work: PlannedWork) -> int:
@@ -166,13 +180,20 @@
     def place(self, work: PlannedWork, backlog: RunnerBacklog) -> PlacedWork:
         """Counts ``work`` at its runner until it is read and has ended."""
         unread = backlog.unread_of(work)
+        source = self._fetch_source(work, backlog)
+        if source is not None:
+            unread = source.unread_of(work)
         backlog.running_count += 1
         backlog.unread_tokens += unread
         backlog.note_parts(work)
         # The last part is the request's own; the others are shared.
         for part in work.parts[:-1]:
             self._new_parts[backlog.runner, part.part_id] = None
-        return PlacedWork(runner=backlog.runner, unread_tokens=unread)
+        return PlacedWork(
+            runner=backlog.runner,
+            unread_tokens=unread,
+            fetch_from=None if source is None else source.runner,
+        )
 
     def has_read(self, placed: PlacedWork) -> None:
         """Notes that the runner has begun to answer."""
@@ -186,6 +207,20 @@
         if backlog is not None:
             backlog.running_count -= 1
 
+    def note_outcome(self, runner: str, *, has_failed: bool) -> None:
+        """Counts a request that a runner has answered or failed."""
+        backlog = self._backlogs.get(runner)
+        if backlog is not None:
+            step = (has_failed - backlog.failure_share) * _FAILURE_WEIGHT
+            backlog.failure_share += step
+
+    def note_unreached(self, runner: str) -> None:
+        """Notes that a runner is not at its address now."""
+        backlog = self._backlogs.get(runner)
+        if backlog is not None:
+            now_ms = self._clock.monotonic_ms()
+            backlog.avoided_until_ms = now_ms + _AVOIDED_MS
+
     def note_report(
         self,
         runner: str,
@@ -201,6 +236,21 @@
             backlog.reported_ms = self._clock.monotonic_ms()
             backlog.slot_count = slot_count
 
+    def _fetch_source(
+        self,
+        work: PlannedWork,
+        chosen: RunnerBacklog,
+    ) -> RunnerBacklog | None:
+        """Returns a runner that holds clearly more of the shared parts."""
+        if not work.parts:
+            return None
+        best = min(
+            self._backlogs.values(),
+            key=lambda backlog: backlog.unread_of(work),
+        )
+        saved = chosen.unread_of(work) - best.unread_of(work)
+        return best if saved >= _FETCH_TOKENS else None
+
 
 def _score(work: PlannedWork, backlog: RunnerBacklog, now_ms: int) -> float:
     load = backlog.load_count(now_ms)
@@ -208,4 +258,8 @@
     waiting = backlog.unread_tokens + backlog.remote_unread_tokens
     own = backlog.unread_of(work)
     beside = _STREAM_TOKENS if work.prompt_tokens else _PLAIN_TOKENS
-    return waiting + own + load * beside + excess * _FULL_TOKENS
+    score = float(waiting + own + load * beside + excess * _FULL_TOKENS)
+    score += backlog.failure_share * _FAILURE_TOKENS
+    if now_ms < backlog.avoided_until_ms:
+        score += _AVOIDED_TOKENS
+    return score
