Count streams beside a long prompt by its length, test the choice beside naive ones

Change: a long prompt counts the streams beside it by 0.04 of its own length. In virtual time the choice stalls less than half of the streams that random and least-in-flight choices stall.

--- a/teaseldale/routing/_runner_backlog.py
+++ b/teaseldale/routing/_runner_backlog.py
@@ -16,6 +16,9 @@
 # the others: a token step of engines lasts as long as some hundred prompt
 # tokens, and is shared by all streams.
 _STREAM_TOKENS = 40
+# Each stream beside a prompt is stalled while the prompt is read, so that a
+# long prompt counts streams by this share of its own length.
+_STALL_SHARE = 0.04
 # Work of a request without a prompt, in the same unit.
 _PLAIN_TOKENS = 1000
 # A runner without a free slot makes requests wait for a whole stream.
@@ -257,7 +260,9 @@
     excess = max(0, load + 1 - backlog.slot_count)
     waiting = backlog.unread_tokens + backlog.remote_unread_tokens
     own = backlog.unread_of(work)
-    beside = _STREAM_TOKENS if work.prompt_tokens else _PLAIN_TOKENS
+    beside = float(_PLAIN_TOKENS)
+    if work.prompt_tokens:
+        beside = _STREAM_TOKENS + own * _STALL_SHARE
     score = float(waiting + own + load * beside + excess * _FULL_TOKENS)
     score += backlog.failure_share * _FAILURE_TOKENS
     if now_ms < backlog.avoided_until_ms:
--- /dev/null
+++ b/teaseldale/routing/tests/backlog.feature
@@ -0,0 +1,60 @@
+Feature: Choice of a runner by the work that waits there
+
+  Scenario: Two long prompts do not meet at one runner
+    Given 3 runners with 8 slots
+    When prompts of 12,000, 12,000 and 12,000 tokens are placed
+    Then each runner got one of them
+
+  Scenario: A short prompt does not wait behind a long one
+    Given 2 runners with 8 slots
+    When prompts of 12,000 and 500 tokens are placed
+    Then each runner got one of them
+
+  Scenario: A prompt goes where its shared parts lie
+    Given 3 runners with 8 slots
+    And runner "i-1" holds the shared parts "a" and "b"
+    When a prompt of the shared parts "a" and "b" is placed 5 times in turn
+    Then all went to runner "i-1"
+
+  Scenario: A part that all ask for does not make one runner hot
+    Given 3 runners with 4 slots
+    When 12 requests for one shared part are placed and stay
+    Then each runner got 4 of them
+
+  Scenario: What is missing is fetched from the runner that holds it
+    Given 2 runners with 1 slots
+    And runner "i-0" holds the shared parts "a" and "b"
+    And runner "i-0" is full
+    When a prompt of the shared parts "a" and "b" is placed
+    Then it went to runner "i-1" and fetches from "i-0"
+
+  Scenario: Placements of another VM count, and are dropped once it is silent
+    Given 2 runners with 8 slots, seen by two VMs
+    When the other VM places a prompt of 12,000 tokens and tells of it
+    Then this VM places its own elsewhere
+    When the other VM is silent for 4 s
+    Then its work does not count any more
+
+  Scenario: A lost datagram is made good by the next
+    Given 2 runners with 8 slots, seen by two VMs
+    When the other VM places a prompt of 12,000 tokens and its datagram is lost
+    And 1100 ms later it tells again
+    Then this VM places its own elsewhere
+
+  Scenario: A runner that fails requests is chosen less, and tried again
+    Given 3 runners with 8 slots
+    When runner "i-0" fails each of its requests
+    And 300 requests are placed and end at once
+    Then runner "i-0" got fewer than 30 of them
+    When its requests succeed again
+    Then its share of failures falls below 0.2
+
+  Scenario: A runner that is not at its address is chosen last for a while
+    Given 2 runners with 8 slots
+    When runner "i-0" is not at its address
+    And 10 requests are placed and end at once
+    Then runner "i-0" got fewer than 1 of them
+
+  Scenario: The choice stalls fewer streams than both naive ones
+    When 4 s of prompts are placed on 6 modelled runners by each choice
+    Then "backlog" stalls at most half as many streams as "random" and "least in flight"
--- /dev/null
+++ b/teaseldale/routing/tests/modelled_engine.py
@@ -0,0 +1,54 @@
+"""A model of runners that read prompts between the tokens of streams."""
+
+import random
+
+_READ_TOKENS_PER_MS = 64
+_PAIRS_MS_PER_MILLION = 0.3  # reading grows with the square of a prompt
+_STREAM_MS = 1200
+_STALL_MS = 400
+
+
+def read_ms(tokens):
+    """Time that a runner needs to read a prompt."""
+    pairs = tokens * tokens / 1_000_000
+    return tokens / _READ_TOKENS_PER_MS + pairs * _PAIRS_MS_PER_MILLION
+
+
+class ModelledRunner:
+    """Reads prompts in order; streams beside them wait meanwhile."""
+
+    def __init__(self):
+        self.free_ms = 0.0
+        self.stall_start_ms = 0.0
+        self.streams = []  # ends of streams, and whether each was stalled
+
+    def add(self, now_ms, tokens):
+        """Starts a request; returns the time at which its stream begins."""
+        if self.free_ms < now_ms:
+            self.stall_start_ms = now_ms
+            self.free_ms = now_ms
+        self.free_ms += read_ms(tokens)
+        if self.free_ms - self.stall_start_ms > _STALL_MS:
+            for stream in self.streams:
+                if stream['ends_ms'] > self.stall_start_ms:
+                    stream['is_stalled'] = True
+        self.streams.append(
+            {'ends_ms': self.free_ms + _STREAM_MS, 'is_stalled': False}
+        )
+        return self.free_ms
+
+    def running(self, now_ms):
+        """Streams that have not ended."""
+        return sum(stream['ends_ms'] > now_ms for stream in self.streams)
+
+
+def arrivals(duration_ms, seed):
+    """Returns times and prompt tokens: a few long, many short."""
+    drawn = random.Random(seed)
+    now_ms = 0.0
+    while now_ms < duration_ms:
+        now_ms += drawn.expovariate(45 / 1000)
+        tokens = 700
+        if drawn.random() < 0.15:
+            tokens = 6000 + int(drawn.expovariate(1 / 4000))
+        yield now_ms, tokens
--- /dev/null
+++ b/teaseldale/routing/tests/steps_backlog.py
@@ -0,0 +1,293 @@
+"""Steps for the choice by waiting work."""
+
+import heapq
+import random
+
+import attrs
+from behave import given, then, when
+
+from teaseldale.routing import (
+    BacklogChoice,
+    PlacementExchange,
+    PlannedWork,
+    SharedPart,
+)
+from teaseldale.routing.tests.modelled_engine import (
+    ModelledRunner,
+    arrivals,
+)
+
+_RUNNER_COUNT = 6
+
+
+@attrs.define(kw_only=True)
+class _SetClock:
+    now_ms: int = 10_000
+
+    def monotonic_ms(self):
+        return self.now_ms
+
+
+class _View:
+    """One VM's choice over some runners."""
+
+    def __init__(self, *, clock, count, slots, seed=1):
+        self.clock = clock
+        self.choice = BacklogChoice(
+            clock=clock,
+            random_source=random.Random(seed),
+        )
+        self.backlogs = tuple(
+            self.choice.backlog(f'i-{number}', slots) for number in range(count)
+        )
+
+    def place(self, work):
+        backlog = self.choice.choose(work, self.backlogs)
+        return self.choice.place(work, backlog)
+
+
+def prompt(tokens, shared=()):
+    parts = tuple(
+        SharedPart(part_id=part_id, token_count=2000) for part_id in shared
+    )
+    own = SharedPart(part_id=f'own-{random.random()}', token_count=100)
+    return PlannedWork(
+        parts=(*parts, own),
+        prompt_tokens=tokens + 2000 * len(parts) + 100,
+    )
+
+
+@given('{count:d} runners with {slots:d} slots')
+def some_runners(context, count, slots):
+    context.clock = _SetClock()
+    context.view = _View(clock=context.clock, count=count, slots=slots)
+    context.placed = []
+
+
+@given('{count:d} runners with {slots:d} slots, seen by two VMs')
+def two_views(context, count, slots):
+    some_runners(context, count, slots)
+    context.other = _View(clock=context.clock, count=count, slots=slots)
+    context.exchange = PlacementExchange(
+        vm_name='vm-1',
+        choice=context.view.choice,
+        clock=context.clock,
+    )
+    context.other_exchange = PlacementExchange(
+        vm_name='vm-2',
+        choice=context.other.choice,
+        clock=context.clock,
+    )
+
+
+@given('runner "{name}" holds the shared parts "{first}" and "{second}"')
+def holds(context, name, first, second):
+    backlog = context.view.choice.known(name)
+    backlog.note_parts(prompt(0, (first, second)))
+
+
+@given('runner "{name}" is full')
+def is_full(context, name):
+    backlog = context.view.choice.known(name)
+    context.view.choice.place(prompt(0), backlog)
+
+
+@when('prompts of {sizes} tokens are placed')
+def place_prompts(context, sizes):
+    for size in sizes.replace(' and ', ', ').split(', '):
+        tokens = int(size.replace(',', ''))
+        context.placed.append(context.view.place(prompt(tokens)))
+
+
+@then('each runner got one of them')
+def one_each(context):
+    runners = [placed.runner for placed in context.placed]
+    assert len(set(runners)) == len(runners), runners
+
+
+@when(
+    'a prompt of the shared parts "{first}" and "{second}" is placed '
+    '{count:d} times in turn'
+)
+def place_in_turn(context, first, second, count):
+    for _ in range(count):
+        placed = context.view.place(prompt(0, (first, second)))
+        context.view.choice.has_read(placed)
+        context.view.choice.has_ended(placed)
+        context.placed.append(placed)
+
+
+@when('a prompt of the shared parts "{first}" and "{second}" is placed')
+def place_shared(context, first, second):
+    context.placed.append(context.view.place(prompt(0, (first, second))))
+
+
+@then('all went to runner "{name}"')
+def all_went(context, name):
+    assert {placed.runner for placed in context.placed} == {name}
+
+
+@then('it went to runner "{name}" and fetches from "{source}"')
+def fetches(context, name, source):
+    placed = context.placed[-1]
+    assert placed.runner == name, placed
+    assert placed.fetch_from == source, placed
+
+
+@when('{count:d} requests for one shared part are placed and stay')
+def place_hot(context, count):
+    for _ in range(count):
+        placed = context.view.place(prompt(0, ('hot',)))
+        context.view.choice.has_read(placed)
+        context.placed.append(placed)
+
+
+@then('each runner got {count:d} of them')
+def evenly(context, count):
+    for backlog in context.view.backlogs:
+        assert backlog.running_count == count, backlog
+
+
+@when('the other VM places a prompt of {tokens} tokens and tells of it')
+def other_tells(context, tokens):
+    place_other(context, tokens)
+    context.exchange.take(context.other_exchange.next_notice())
+
+
+@when(
+    'the other VM places a prompt of {tokens} tokens and its datagram is lost'
+)
+def other_lost(context, tokens):
+    place_other(context, tokens)
+    assert context.other_exchange.next_notice()
+
+
+def place_other(context, tokens):
+    work = prompt(int(tokens.replace(',', '')))
+    context.other_placed = context.other.place(work)
+
+
+@when('{delay:d} ms later it tells again')
+def tells_again(context, delay):
+    assert context.other_exchange.next_notice() is None
+    context.clock.now_ms += delay
+    context.exchange.take(context.other_exchange.next_notice())
+
+
+@then('this VM places its own elsewhere')
+def elsewhere(context):
+    placed = context.view.place(prompt(500))
+    assert placed.runner != context.other_placed.runner, placed
+
+
+@when('the other VM is silent for {seconds:d} s')
+def silent(context, seconds):
+    context.clock.now_ms += seconds * 1000
+    context.exchange.drop_silent()
+
+
+@then('its work does not count any more')
+def not_counted(context):
+    backlog = context.view.choice.known(context.other_placed.runner)
+    assert backlog.remote_count == 0, backlog
+    assert backlog.remote_unread_tokens == 0, backlog
+
+
+@when('runner "{name}" fails each of its requests')
+def fails(context, name):
+    context.failing = name
+
+
+@when('runner "{name}" is not at its address')
+def not_there(context, name):
+    context.view.choice.note_unreached(name)
+
+
+@when('{count:d} requests are placed and end at once')
+def place_many(context, count):
+    for _ in range(count):
+        placed = context.view.place(PlannedWork())
+        context.view.choice.has_read(placed)
+        context.view.choice.note_outcome(
+            placed.runner,
+            has_failed=placed.runner == getattr(context, 'failing', None),
+        )
+        context.view.choice.has_ended(placed)
+        context.placed.append(placed)
+
+
+@then('runner "{name}" got fewer than {count:d} of them')
+def got_fewer(context, name, count):
+    got = sum(placed.runner == name for placed in context.placed)
+    assert got < count, got
+
+
+@when('its requests succeed again')
+def succeed(context):
+    for _ in range(20):
+        context.view.choice.note_outcome(context.failing, has_failed=False)
+
+
+@then('its share of failures falls below {share:g}')
+def share_falls(context, share):
+    backlog = context.view.choice.known(context.failing)
+    assert backlog.failure_share < share, backlog
+
+
+def simulate(choice, seconds, seed):
+    """Returns the share of streams stalled over the objective."""
+    clock = _SetClock(now_ms=0)
+    view = _View(clock=clock, count=_RUNNER_COUNT, slots=64, seed=seed)
+    runners = [ModelledRunner() for _ in range(_RUNNER_COUNT)]
+    drawn = random.Random(seed)
+    pending = []  # times at which prompts are read and streams end
+    for now_ms, tokens in arrivals(seconds * 1000, seed):
+        clock.now_ms = int(now_ms)
+        while pending and pending[0][0] <= now_ms:
+            _, _, note, placed = heapq.heappop(pending)
+            note(placed)
+        if choice == 'backlog':
+            placed = view.place(PlannedWork(prompt_tokens=tokens))
+            number = int(placed.runner.partition('-')[2])
+            read_at_ms = runners[number].add(now_ms, tokens)
+            order = len(pending), drawn.random()
+            heapq.heappush(
+                pending,
+                (read_at_ms, order, view.choice.has_read, placed),
+            )
+            heapq.heappush(
+                pending,
+                (read_at_ms + 1200, order, view.choice.has_ended, placed),
+            )
+        elif choice == 'random':
+            drawn.choice(runners).add(now_ms, tokens)
+        else:
+            least = min(runners, key=lambda runner: runner.running(now_ms))
+            least.add(now_ms, tokens)
+    streams = [stream for runner in runners for stream in runner.streams]
+    return sum(stream['is_stalled'] for stream in streams) / len(streams)
+
+
+def mean_share(choice, seconds):
+    return sum(simulate(choice, seconds, seed) for seed in range(10)) / 10
+
+
+@when(
+    '{seconds:d} s of prompts are placed on 6 modelled runners by each choice'
+)
+def by_each(context, seconds):
+    context.shares = {
+        choice: mean_share(choice, seconds)
+        for choice in ('backlog', 'random', 'least in flight')
+    }
+
+
+@then(
+    '"backlog" stalls at most half as many streams as "random" and '
+    '"least in flight"'
+)
+def stalls_less(context):
+    shares = context.shares
+    assert shares['random'] > 0.02, shares
+    for naive in ('random', 'least in flight'):
+        assert shares['backlog'] * 2 <= shares[naive], shares
