Keep traffic from an ordered version until a version move is built

Cause: an ordered version got its share of traffic at once, without a bound on its exposure. Change: its runners are not used while another version has any; an order that is removed or cannot be read changes nothing.

--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -23,7 +23,11 @@
 from teaseldale.forwarding._node import Address, NodeSettings, RetryBounds
 from teaseldale.forwarding._parts import ForwardingParts
 from teaseldale.forwarding._request_log import RequestLog
-from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
+from teaseldale.forwarding._runners import (
+    ForwardingRunner,
+    RunnerDirectory,
+    VersionOrder,
+)
 from teaseldale.forwarding._vm_datagrams import VmDatagrams
 from teaseldale.forwarding._wire import (
     BaseWireFormat,
@@ -63,6 +67,7 @@
     'RunnerReply',
     'TokenUsage',
     'UnreadableRowError',
+    'VersionOrder',
     'WatchedState',
     'WeightedService',
 )
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -13,7 +13,11 @@
     ForwardingConfiguration,
 )
 from teaseldale.forwarding._connection_book import ConnectionBook
-from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
+from teaseldale.forwarding._runners import (
+    ForwardingRunner,
+    RunnerDirectory,
+    VersionOrder,
+)
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
@@ -45,6 +49,14 @@
         Raises ``UnreadableRowError``.
         """
 
+    @abc.abstractmethod
+    def ordered_service(self, row: Row) -> str | None:
+        """Returns the service of a version order's row; None for others."""
+
+    @abc.abstractmethod
+    def decode_order(self, row: Row) -> VersionOrder:
+        """Returns a version order; raises ``UnreadableRowError``."""
+
     @abc.abstractmethod
     def decode_runner(self, row: Row) -> ForwardingRunner:
         """Returns the runner of an entry; raises ``UnreadableRowError``."""
@@ -121,12 +133,29 @@
     def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             try:
-                configuration = self._format.decode_configuration(row)
+                self._take_operator_row(row)
             except UnreadableRowError as error:
                 self._unreadable(row, error)
-                continue
-            if configuration is not None:
-                self._take_configuration(configuration)
+
+    def _take_operator_row(self, row: Row) -> None:
+        service = self._format.ordered_service(row)
+        if service is not None:
+            self._take_order(service, row)
+            return
+        configuration = self._format.decode_configuration(row)
+        if configuration is not None:
+            self._take_configuration(configuration)
+
+    def _take_order(self, service: str, row: Row) -> None:
+        version = None
+        if row.value is not None:
+            version = self._format.decode_order(row).version
+        self._state.directory.hold_back(service, version)
+        self._log.changed(
+            'version_held_back',
+            service=service,
+            version=version,
+        )
 
     def _take_configuration(self, offered: ForwardingConfiguration) -> None:
         if self._state.configuration.offer(offered):
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -26,6 +26,14 @@
         return self.runner_id, self.started_wall_ms
 
 
+@attrs.frozen(kw_only=True)
+class VersionOrder:
+    """An operator's order to move a service to another version."""
+
+    service: str
+    version: str  # of the runners that are to take the traffic
+
+
 class RunnerDirectory:
     """Runners by service; each change gives the differences."""
 
@@ -33,6 +41,7 @@
         """Knows no runners."""
         self._runners: dict[str, ForwardingRunner] = {}
         self._by_service: dict[str, tuple[ForwardingRunner, ...]] = {}
+        self._held_back: dict[str, str] = {}  # unproven version by service
         self.is_known = False  # whether the list has been read once
 
     def usable(self, service: str) -> tuple[ForwardingRunner, ...]:
@@ -65,11 +74,34 @@
                 self._runners[runner_id] = runner
         self._index()
 
+    def hold_back(self, service: str, version: str | None) -> None:
+        """Keeps traffic from an unproven version; None ends that.
+
+        If the service has no runner of another version, not even one that
+        leaves, the version is used all the same.
+        """
+        if version is None:
+            self._held_back.pop(service, None)
+        else:
+            self._held_back[service] = version
+        self._index()
+
     def _index(self) -> None:
         grouped: dict[str, list[ForwardingRunner]] = {}
         for runner in self._runners.values():
-            if not runner.is_leaving:
-                grouped.setdefault(runner.service, []).append(runner)
+            grouped.setdefault(runner.service, []).append(runner)
         self._by_service = {
-            service: tuple(members) for service, members in grouped.items()
+            service: self._usable_of(service, members)
+            for service, members in grouped.items()
         }
+
+    def _usable_of(
+        self,
+        service: str,
+        members: list[ForwardingRunner],
+    ) -> tuple[ForwardingRunner, ...]:
+        held_back = self._held_back.get(service)
+        proven = [runner for runner in members if runner.version != held_back]
+        return tuple(
+            runner for runner in proven or members if not runner.is_leaving
+        )
--- a/teaseldale/platform/_fleet_rows.py
+++ b/teaseldale/platform/_fleet_rows.py
@@ -14,12 +14,14 @@
     PrepaidAccount,
     Repetition,
     UnreadableRowError,
+    VersionOrder,
     WeightedService,
 )
 from teaseldale.platform._settings_file import decode_address
 from teaseldale.tables import Row
 
 _CONFIGURATION_KEY = 'config'
+_ORDER_PREFIX = 'rollout/'
 _REPETITIONS = {
     'safe': Repetition.SAFE,
     'unsafe': Repetition.ONCE,
@@ -109,6 +111,12 @@
     started_wall_ms: int = msgspec.field(name='born', default=0)
 
 
+class _OrderRecord(msgspec.Struct):
+    service: str = msgspec.field(name='Service')
+    # Version of the runners that are to take the traffic.
+    version: str = msgspec.field(name='Target')
+
+
 class PlatformFleetFormat(BaseFleetFormat):
     """Decodes the platform's rows."""
 
@@ -132,6 +140,20 @@
         except (ValueError, KeyError) as error:
             raise UnreadableRowError(str(error)) from error
 
+    def ordered_service(self, row: Row) -> str | None:
+        """Returns the service in the key of a version order."""
+        if not row.key.startswith(_ORDER_PREFIX):
+            return None
+        return row.key.removeprefix(_ORDER_PREFIX)
+
+    def decode_order(self, row: Row) -> VersionOrder:
+        """Decodes a version order."""
+        try:
+            record = msgspec.json.decode(row.value or b'', type=_OrderRecord)
+        except ValueError as error:
+            raise UnreadableRowError(str(error)) from error
+        return VersionOrder(service=record.service, version=record.version)
+
     def decode_runner(self, row: Row) -> ForwardingRunner:
         """Decodes a runner's entry."""
         try:
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -59,6 +59,21 @@
       | a fraction as start        | unreadable          |
       | bytes that are no JSON     | unreadable          |
 
+  Scenario: A version that is ordered gets no traffic while another one runs
+    Given 2 runners of version "v1" and 2 of version "v2"
+    When the operator orders version "v2"
+    Then only runners of version "v1" are used
+    When the runners of version "v1" have gone
+    Then only runners of version "v2" are used
+
+  Scenario: An order that is taken back or cannot be read changes nothing
+    Given 2 runners of version "v1" and 2 of version "v2"
+    When the operator's order cannot be read
+    Then runners of both versions are used
+    When the operator orders version "v2"
+    And the order is removed
+    Then runners of both versions are used
+
   Scenario: A caller's request is decoded
     Given a caller's request
     Then its key, deadline, usage and 3 prompt parts are known
--- /dev/null
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -0,0 +1,127 @@
+"""Steps for version orders of the operator."""
+
+import random
+
+import msgspec
+from behave import given, then, when
+
+from teaseldale.budgets import AccountGrants, HolderKey, StoreAccess
+from teaseldale.fakes import FakeTableService
+from teaseldale.forwarding import (
+    Address,
+    ConfigurationHolder,
+    ConnectionBook,
+    FleetWatch,
+    ForwardingRunner,
+    RunnerDirectory,
+    WatchedState,
+)
+from teaseldale.metrics import Metrics
+from teaseldale.platform import PlatformFleetFormat
+from teaseldale.routing import BacklogChoice
+from teaseldale.tables import InMemoryTable, Row
+
+
+class _StillClock:
+    def monotonic_ms(self):
+        return 0
+
+
+def make_watch(directory):
+    clock, metrics = _StillClock(), Metrics()
+    table = FakeTableService(
+        state=InMemoryTable(),
+        random_source=random.Random(1),
+    )
+    store = StoreAccess(table=table, feed=table, clock=clock, metrics=metrics)
+    return FleetWatch(
+        feed=table,
+        format=PlatformFleetFormat(),
+        state=WatchedState(
+            configuration=ConfigurationHolder(),
+            directory=directory,
+            connections=ConnectionBook(clock=clock, metrics=metrics),
+            choice=BacklogChoice(clock=clock, random_source=random.Random(1)),
+            grants=AccountGrants(
+                holder=HolderKey(vm_name='vm', incarnation='1'),
+                address='127.0.0.1:1',
+                started_ms=0,
+                store=store,
+            ),
+        ),
+        clock=clock,
+        metrics=metrics,
+    )
+
+
+def make_runner(number, version):
+    return ForwardingRunner(
+        runner_id=f'i-{version}-{number}',
+        started_wall_ms=1,
+        service='s',
+        address=Address(ip='10.0.0.9', port=number),
+        availability_zone='z',
+        version=version,
+        slot_count=4,
+    )
+
+
+@given(
+    '{count:d} runners of version "{first}" and {more:d} of version "{second}"'
+)
+def two_versions(context, count, first, more, second):
+    context.directory = RunnerDirectory()
+    context.directory.replace_all(
+        [
+            *(make_runner(number, first) for number in range(count)),
+            *(make_runner(number, second) for number in range(more)),
+        ]
+    )
+    context.watch = make_watch(context.directory)
+
+
+def order_row(value):
+    return Row(table='op', key='rollout/s', revision=1, value=value)
+
+
+@when('the operator orders version "{version}"')
+def orders(context, version):
+    document = {'Service': 's', 'Target': version, 'DurationS': 12}
+    context.watch._take_operator_rows(
+        (order_row(msgspec.json.encode(document)),)
+    )
+
+
+@when("the operator's order cannot be read")
+def unreadable_order(context):
+    context.watch._take_operator_rows((order_row(b'{"Target":7}'),))
+
+
+@when('the order is removed')
+def order_removed(context):
+    context.watch._take_operator_rows((order_row(None),))
+
+
+@when('the runners of version "{version}" have gone')
+def gone(context, version):
+    context.directory.change(
+        {
+            runner.runner_id: None
+            for runner in context.directory.all_runners()
+            if runner.version == version
+        }
+    )
+
+
+def used_versions(context):
+    return {runner.version for runner in context.directory.usable('s')}
+
+
+@then('only runners of version "{version}" are used')
+def only_version(context, version):
+    assert used_versions(context) == {version}, used_versions(context)
+
+
+@then('runners of both versions are used')
+def both_versions(context):
+    assert used_versions(context) == {'v1', 'v2'}, used_versions(context)
