--- a/teaseldale/budgets/_account_book.py
+++ b/teaseldale/budgets/_account_book.py
@@ -19,6 +19,7 @@
     """A request that waits until it can be paid."""
 
     most_tokens: int
+    since_ms: int  # monotonic
     answered: anyio.Event = attrs.field(factory=anyio.Event)
     refusal: Refusal | None = None
 
--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -16,7 +16,10 @@
 from teaseldale.budgets._account_rounds import AccountRounds, StoreAccess
 from teaseldale.budgets._account_rows import HolderKey, VmRow
 from teaseldale.budgets._token_loans import TokenLoans
-from teaseldale.budgets._waiting_requests import WaitingRequests
+from teaseldale.budgets._waiting_requests import (
+    LOAN_WAIT_MS,
+    WaitingRequests,
+)
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.outcomes import PlatformError, Refusal, RefusalCode
@@ -36,8 +39,6 @@
 # Pause before other VMs are asked for a loan, and before the next are asked.
 # The store answers within this time when it is well.
 _ASK_MS = 30
-# Longest wait for a loan while the store is away: five VMs are asked twice.
-_LOAN_WAIT_MS = 150
 # Pause before a request that can be paid by the next mark is looked at again.
 _AGAIN_MS = 5
 # How often rows are read while a request waits for tokens of others.
@@ -180,12 +181,15 @@
         held: HeldAccount,
         most_tokens: int,
     ) -> Refusal | None:
-        waiter = GrantWaiter(most_tokens=most_tokens)
+        waiter = GrantWaiter(
+            most_tokens=most_tokens,
+            since_ms=self._clock.monotonic_ms(),
+        )
         held.waiting.append(waiter)
         self._wake.set()
         wait_ms = _WAIT_MS
         if self._is_store_lost:
-            wait_ms = _LOAN_WAIT_MS
+            wait_ms = LOAN_WAIT_MS
         try:
             with anyio.move_on_after(wait_ms / _MS_PER_SECOND):
                 await self._borrow_until_answered(held, waiter)
--- a/teaseldale/budgets/_waiting_requests.py
+++ b/teaseldale/budgets/_waiting_requests.py
@@ -9,6 +9,8 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 
+# Longest wait for a loan: ten VMs or more have been asked by then.
+LOAN_WAIT_MS = 200
 _RETRY_AFTER_MS = 500  # for callers whose tokens are held by other VMs
 
 
@@ -55,12 +57,16 @@
             if waiter.most_tokens <= payable:
                 continue
             code = self.reason(held, waiter)
-            if code is RefusalCode.BUDGET_HELD and self.can_borrow:
+            if code is RefusalCode.BUDGET_HELD and self._may_borrow(waiter):
                 continue
             held.waiting.remove(waiter)
             waiter.refusal = self.refuse(held, waiter, code)
             waiter.answered.set()
 
+    def _may_borrow(self, waiter: GrantWaiter) -> bool:
+        waited_ms = self.clock.monotonic_ms() - waiter.since_ms
+        return self.can_borrow and waited_ms < LOAN_WAIT_MS
+
     def reason(self, held: HeldAccount, waiter: GrantWaiter) -> RefusalCode:
         """Tells an account that is used up from tokens held elsewhere."""
         spent = self.rounds.spent_by_all(held.account)
--- /dev/null
+++ b/teaseldale/command/_explain.py
@@ -0,0 +1,147 @@
+"""Puts together one request's story from the log lines of several VMs."""
+
+import datetime
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator
+
+import attrs
+import msgspec
+
+from teaseldale.command._usage import CommandFailedError
+
+# Lines of the same VM about the request's account and runners are shown if
+# they are not older than this.
+_CONTEXT_SECONDS = 10
+_CONTEXT_LINES = 12  # newest ones that are shown
+_HIDDEN = frozenset(('time', 'vm', 'channel', 'event'))
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """One decoded line."""
+
+    time: datetime.datetime
+    vm: str
+    event: str
+    fields: dict[str, object]  # all other fields, as written
+
+    def mentions(self, names: frozenset[str]) -> bool:
+        """Whether a field is one of ``names``."""
+        texts = {str(found) for found in self.fields.values()}
+        return not names.isdisjoint(texts)
+
+
+@attrs.frozen(kw_only=True)
+class RequestStory:
+    """Lines of a request, and what its VMs wrote just before."""
+
+    request_id: str
+    lines: tuple[LogLine, ...]  # in order of time
+    context: tuple[LogLine, ...]  # in order of time
+
+    def render(self) -> str:
+        """Returns the story for a person."""
+        shown = [f'request {self.request_id}', *map(_text_of, self.lines)]
+        if self.context:
+            shown.append('before it, on the same VMs:')
+            shown.extend(map(_text_of, self.context))
+        return '\n'.join(shown)
+
+    def document(self) -> dict[str, object]:
+        """Returns the story as a document."""
+        return {
+            'request': self.request_id,
+            'lines': list(map(_document_of, self.lines)),
+            'context': list(map(_document_of, self.context)),
+        }
+
+
+def read_lines(paths: Iterable[str]) -> Iterator[str]:
+    """Yields the lines of some files, or of standard input."""
+    names = tuple(paths)
+    if not names:
+        yield from sys.stdin
+    for name in names:
+        try:
+            yield from pathlib.Path(name).read_text().splitlines()
+        except OSError as error:
+            raise CommandFailedError(f'{name}: {error.strerror}') from error
+
+
+def tell_story(request_id: str, raw_lines: Iterable[str]) -> RequestStory:
+    """Finds a request's lines; raises ``CommandFailedError`` without any."""
+    decoded = sorted(_decode_all(raw_lines), key=lambda line: line.time)
+    lines = tuple(
+        line for line in decoded if line.fields.get('request') == request_id
+    )
+    if not lines:
+        raise CommandFailedError(f'No line tells of request {request_id!r}.')
+    context = [line for line in decoded if _is_context(line, lines)]
+    return RequestStory(
+        request_id=request_id,
+        lines=lines,
+        context=tuple(context[-_CONTEXT_LINES:]),
+    )
+
+
+def _is_context(line: LogLine, lines: tuple[LogLine, ...]) -> bool:
+    if 'request' in line.fields:
+        return False
+    return any(_precedes(line, told) for told in lines)
+
+
+def _precedes(line: LogLine, told: LogLine) -> bool:
+    age = (told.time - line.time).total_seconds()
+    if line.vm != told.vm or not 0 <= age <= _CONTEXT_SECONDS:
+        return False
+    if line.event.endswith(('_lost', '_regained')):
+        return True
+    runners = told.fields.get('runners')
+    names = [str(told.fields.get('account', ''))]
+    if isinstance(runners, list):
+        names.extend(map(str, runners))
+    return line.mentions(frozenset(filter(None, names)))
+
+
+def _decode_all(raw_lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yields what can be read; other programs may write between the lines."""
+    for raw in raw_lines:
+        start = raw.find('{"time"')
+        line = None if start < 0 else _decode(raw[start:])
+        if line is not None:
+            yield line
+
+
+def _decode(text: str) -> LogLine | None:
+    """Returns None for a line that was cut off as its process ended."""
+    try:
+        return _line_of(msgspec.json.decode(text, type=dict[str, object]))
+    except (msgspec.DecodeError, KeyError, ValueError):
+        return None
+
+
+def _line_of(fields: dict[str, object]) -> LogLine:
+    return LogLine(
+        time=datetime.datetime.fromisoformat(str(fields['time'])),
+        vm=str(fields['vm']),
+        event=str(fields['event']),
+        fields={
+            name: found for name, found in fields.items() if name not in _HIDDEN
+        },
+    )
+
+
+def _text_of(line: LogLine) -> str:
+    clock = line.time.time().isoformat('milliseconds')
+    details = ' '.join(f'{name}={found}' for name, found in line.fields.items())
+    return f'{clock} {line.vm} {line.event} {details}'
+
+
+def _document_of(line: LogLine) -> dict[str, object]:
+    return {
+        'time': line.time.isoformat(),
+        'vm': line.vm,
+        'event': line.event,
+        **line.fields,
+    }
--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -10,6 +10,7 @@
 
 from teaseldale import VERSION
 from teaseldale.command._event_loop import run_until_signal
+from teaseldale.command._explain import read_lines, tell_story
 from teaseldale.command._fleet import (
     BudgetCommands,
     FleetCommands,
@@ -61,6 +62,20 @@
         with handler.applicationbound():
             run_until_signal(functools.partial(_serve_node, loaded))
 
+    @fire.decorators.SetParseFns(  # type: ignore[untyped-decorator]
+        str,
+        request=str,
+    )
+    def explain(
+        self,
+        request: str,
+        *paths: str,
+        json: bool = False,
+    ) -> object:
+        """Tells REQUEST's story from log files, or from standard input."""
+        story = tell_story(str(request), read_lines(map(str, paths)))
+        return story.document() if json else story.render()
+
     def check(self, *, settings: str) -> str:
         """Checks the settings file SETTINGS and lists every mistake."""
         load_settings(text_of(settings, '--settings'))
