Close the connection of a request that is cut as the VM ends

Ruled out: failures of the path; there was no run_failed line. Change: the connection is closed, which promises nothing; the scenario of a caller that leaves failed first.

--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -161,6 +161,10 @@
             finally:
                 self._scopes.discard(tasks.cancel_scope)
                 tasks.cancel_scope.cancel()
+                if not answer.status:
+                    # The caller has left, or the VM has to end: a closed
+                    # connection promises nothing of the request.
+                    answer.abort()
                 self._request_log.ended(admitted, run, answer)
 
     async def _run_in_time(
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -64,6 +64,7 @@
     When runner answers are: silent
     And the caller leaves after 100 ms
     Then the runner's connection is closed after 100 ms
+    And the caller's connection is closed without an answer
     And 1 runners saw the request
 
   Scenario Outline: A request that <case> is refused with <status>
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -348,3 +348,9 @@
 
     def monotonic_ms(self):
         return self.context.now_ms
+
+
+@then("the caller's connection is closed without an answer")
+def closed_without_answer(context):
+    assert context.caller.status is None, context.caller.status
+    assert context.caller.is_closed
