Accept a link that was replaced because the peer asked for it

Change: either reason counts, as in the step for VM b beside it. That the link was replaced, over a second connection, and that the peer was never held unreachable are checked as before.

--- a/teaseldale/peers/tests/steps_links.py
+++ b/teaseldale/peers/tests/steps_links.py
@@ -132,7 +132,10 @@
 @then('VM a has replaced its link and never held VM b unreachable')
 def replaced(context):
     node = context.pair.a
-    assert node.metrics.count_of('peer_link_replaced', 'silent') >= 1
+    # VM b may find the silence first and ask for replies over a fresh socket.
+    silent = node.metrics.count_of('peer_link_replaced', 'silent')
+    asked = node.metrics.count_of('peer_link_replaced', 'replies_missing')
+    assert silent + asked >= 1, (silent, asked)
     assert _changes(node, 'unreachable') == 0
     assert context.pair.relay.connection_count >= 2
 
