Let one run at a time use the addresses that the pages name

Cause: two full runs that were started at the same second both found the page addresses free; the note of one reached the VM of the other and was refused as a conflict (290 passed, 1 failed in each). Ruled out: the program; the refusal names the other run's note. Change: a file lock is held while a scenario uses these addresses. Figures: two runs of the feature side by side: one fails without the lock, both pass with it.

--- a/features/steps/documentation.py
+++ b/features/steps/documentation.py
@@ -1,8 +1,11 @@
 """Steps that hold the pages against the program and its features."""
 
+import contextlib
+import fcntl
 import pathlib
 import socket
 import sys
+import tempfile
 import time
 
 import attrs
@@ -44,6 +47,18 @@
         self.wait_until_ready(first)
 
 
+@contextlib.contextmanager
+def _page_addresses_of_one_run():
+    """Keeps other runs on this machine from starting at the same moment.
+
+    Two runs that both found the addresses free sent their notes to one VM.
+    """
+    path = pathlib.Path(tempfile.gettempdir()) / 'teaseldale-pages.lock'
+    with path.open('w') as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 def _wait_for_page_ports():
     """Waits while another run on this machine uses the same addresses."""
     deadline = time.monotonic() + _PORTS_BUSY_SECONDS
@@ -58,6 +73,7 @@
 
 @given('a fleet whose first VM has the addresses that the pages name')
 def start_page_fleet(context):
+    context.cleanup.enter_context(_page_addresses_of_one_run())
     _wait_for_page_ports()
     context.fleet = context.cleanup.enter_context(_PageFleet())
     folder = context.fleet.path / 'pages'
