Hold heads and idle connections to the configuration's limits

Cause: the limits of an operator's configuration were decoded and not used. A head above 64 KiB was refused with 400, whatever the configuration said, a head that never ended held its connection for good, one endless header was kept in memory without bound, and idle connections were closed after 75 s. A body that did not come was not bounded by the time of its request either.

Ruled out: uvicorn's own settings. It has no bound on heads and none on their time; its idle time is read once at the start, but configurations change.

Change: GuardedProtocol asks for its limits at each request. A head that is too long is refused with 431, one that is too slow with 408; both say that the request has not run. A body has the time of its request, then 408.

Before: the new scenarios failed (no limit, no timer).

--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -9,11 +9,13 @@
     RequestAdmission,
 )
 from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._configuration import EntryLimits
 from teaseldale.forwarding._node import NodeSettings
 from teaseldale.forwarding._parts import ForwardingParts
 from teaseldale.forwarding._refusals import (
     bad_request,
     body_too_large,
+    body_too_slow,
     internal_error,
     timed_out,
 )
@@ -22,7 +24,12 @@
 from teaseldale.forwarding._wire import ClientRequest
 from teaseldale.kernel import BaseService
 from teaseldale.outcomes import Refusal
-from teaseldale.web import BodyTooLargeError, EmbeddedServer, Exchange
+from teaseldale.web import (
+    BodyTooLargeError,
+    EmbeddedServer,
+    Exchange,
+    HeadLimits,
+)
 
 _MS_PER_SECOND = 1000
 # The balancer asks once a second and takes a VM out after two misses.
@@ -57,6 +64,7 @@
             address=str(settings.callers_address),
             respond=self._respond,
             metrics=parts.metrics,
+            limits=self._head_limits,
         )
         self._readiness = EmbeddedServer(
             address=str(settings.readiness_address),
@@ -140,12 +148,9 @@
         admitted: AdmittedRequest,
         answer: CallerAnswer,
     ) -> None:
-        limit_bytes = self._body_limit_bytes()
-        try:
-            body = await exchange.body(limit_bytes)
-        except BodyTooLargeError:
-            refusal = body_too_large(limit_bytes)
-            await self._refuse(answer, admitted.request, refusal)
+        body = await self._read_body(exchange, admitted)
+        if isinstance(body, Refusal):
+            await self._refuse(answer, admitted.request, body)
             return
         run = RequestRun(
             parts=self._parts,
@@ -167,16 +172,30 @@
                     answer.abort()
                 self._request_log.ended(admitted, run, answer)
 
+    async def _read_body(
+        self,
+        exchange: Exchange,
+        admitted: AdmittedRequest,
+    ) -> bytes | Refusal:
+        limit_bytes = self._limits().body_bytes
+        with anyio.move_on_after(self._left_seconds(admitted)):
+            try:
+                return await exchange.body(limit_bytes)
+            except BodyTooLargeError:
+                return body_too_large(limit_bytes)
+        return body_too_slow()
+
+    def _left_seconds(self, admitted: AdmittedRequest) -> float:
+        left_ms = admitted.ends_ms - self._parts.clock.monotonic_ms()
+        return left_ms / _MS_PER_SECOND
+
     async def _run_in_time(
         self,
         run: RequestRun,
         admitted: AdmittedRequest,
         answer: CallerAnswer,
     ) -> None:
-        left_ms = admitted.ends_ms - self._parts.clock.monotonic_ms()
-        limit = anyio.CancelScope(
-            deadline=anyio.current_time() + left_ms / _MS_PER_SECOND,
-        )
+        limit = anyio.move_on_after(self._left_seconds(admitted))
         with limit:
             await self._reserve_and_run(run, admitted, answer)
         if not limit.cancelled_caught:
@@ -234,11 +253,17 @@
         self._request_log.refused(request, refusal)
         await answer.refuse(refusal, request)
 
-    def _body_limit_bytes(self) -> int:
+    def _limits(self) -> EntryLimits:
         configuration = self._parts.configuration.current
-        if configuration is None:
-            return 0
-        return configuration.limits.body_bytes
+        return EntryLimits() if configuration is None else configuration.limits
+
+    def _head_limits(self) -> HeadLimits:
+        limits = self._limits()
+        return HeadLimits(
+            head_bytes=limits.header_bytes,
+            head_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
 
 
 async def _cancel_when_gone(
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -58,6 +58,16 @@
     )
 
 
+def body_too_slow() -> Refusal:
+    """The body was not whole within the request's time."""
+    return Refusal(
+        code=RefusalCode.REQUEST_TOO_SLOW,
+        message="The body did not arrive whole within the request's time.",
+        not_run=True,
+        step=Step.PARSE,
+    )
+
+
 def no_runner(service: str) -> Refusal:
     """Nothing can run the request now, and nothing has."""
     return Refusal(
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -87,3 +87,14 @@
     Then 25 of them are allowed
     When 10 s have passed and nothing was sent
     Then 5 of 20 that ask without new requests are allowed
+
+  Scenario: A body that does not come is refused at the route's time
+    Given 2 runners and a "safe" route
+    When a request arrives whose body never ends
+    Then the caller gets 408 of the VM's own after 1,000 ms
+    And 0 runners saw the request
+
+  Scenario: Heads and idle connections have the bounds of the configuration
+    Given 2 runners and a "safe" route
+    When the configuration allows heads of 2,000 bytes in 500 ms and 9 s of idleness
+    Then callers' connections have these bounds
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -43,6 +43,7 @@
 from teaseldale.platform.tests.wire_names import CALLER_HEADERS, STAMP
 from teaseldale.routing import BacklogChoice, RetryWindow
 from teaseldale.tables import InMemoryTable
+from teaseldale.web import HeadLimits
 
 _REPETITIONS = {
     'safe': (Repetition.SAFE, False),
@@ -205,6 +206,46 @@
     play(context, context.script, caller)
 
 
+@when('a request arrives whose body never ends')
+def body_never_ends(context):
+    caller = ScriptedCaller(
+        headers=CALLER_HEADERS,
+        body=b'x',
+        never_ends=True,
+    )
+    play(context, ['whole 200'], caller)
+
+
+@when(
+    'the configuration allows heads of 2,000 bytes in 500 ms and 9 s of '
+    'idleness'
+)
+def allow_heads(context):
+    context.configuration = attrs.evolve(
+        context.configuration,
+        limits=EntryLimits(
+            header_bytes=2000,
+            header_timeout_ms=500,
+            idle_timeout_ms=9000,
+        ),
+    )
+
+
+@then("callers' connections have these bounds")
+def have_bounds(context):
+    clock = VirtualClock()
+
+    async def story():
+        entry, _ = make_entry(context, ScriptedConnections([]), clock)
+        assert entry._callers.limits() == HeadLimits(
+            head_bytes=2000,
+            head_timeout_ms=500,
+            idle_timeout_ms=9000,
+        )
+
+    run_in_virtual_time(story)
+
+
 @when('a request arrives that {case}')
 def request_arrives(context, case):
     headers = dict(CALLER_HEADERS)
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -12,6 +12,8 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    HEAD_TOO_LARGE = 'head_too_large'
+    REQUEST_TOO_SLOW = 'request_too_slow'
     UNAUTHORIZED = 'unauthorized'
     BUDGET_EXHAUSTED = 'budget_exhausted'
     BUDGET_HELD = 'budget_held'
@@ -36,6 +38,8 @@
 _STATUS_BY_CODE = {  # noqa: WPS407
     RefusalCode.BAD_REQUEST: 400,
     RefusalCode.BODY_TOO_LARGE: 413,
+    RefusalCode.HEAD_TOO_LARGE: 431,
+    RefusalCode.REQUEST_TOO_SLOW: 408,
     RefusalCode.UNAUTHORIZED: 401,
     RefusalCode.BUDGET_EXHAUSTED: 402,
     RefusalCode.BUDGET_HELD: 429,
--- a/teaseldale/web/__init__.py
+++ b/teaseldale/web/__init__.py
@@ -11,6 +11,7 @@
     CallerGoneError,
     Exchange,
 )
+from teaseldale.web._head_limits import HeadLimits
 from teaseldale.web._refusal_answer import refusal_body
 from teaseldale.web._server import EmbeddedServer
 
@@ -22,6 +23,7 @@
     'EndpointTable',
     'Exchange',
     'FoundEndpoint',
+    'HeadLimits',
     'Responder',
     'refusal_body',
 )
--- a/teaseldale/web/_protocol.py
+++ b/teaseldale/web/_protocol.py
@@ -1,15 +1,18 @@
 """HTTP/1.1 protocol that refuses malformed requests in JSON."""
 
+import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.web._exchange import ABORT_KEY
+from teaseldale.web._head_limits import HeadLimits, HeadLimitsSource
 from teaseldale.web._refusal_answer import refusal_body
 
-_HEAD_LIMIT_BYTES = 65_536
+_MS_PER_SECOND = 1000
 _WRITE_LIMIT_BYTES = 8192  # unsent bytes after which writers wait
 _LINGER_SECONDS = 1
 _SINGLE_HEADERS = frozenset(
@@ -23,41 +26,72 @@
     ),
 )
 _HEAD = (
-    b'HTTP/1.1 400 Bad Request\r\n'
+    b'HTTP/1.1 %d %s\r\n'
     b'content-type: application/json\r\n'
     b'connection: close\r\n'
     b'x-should-retry: false\r\n'
     b'content-length: %d\r\n\r\n'
 )
+_LINE_BYTES = 4  # a header's colon, space and line end
+# A request line's spaces, version and line end, and the empty line at the end.
+_FRAME_BYTES = 14
 
 
-class MalformedHeadError(ValueError):
-    """The request's head is ambiguous or too long."""
+class RefusedHeadError(ValueError):
+    """The request's head is refused before it is served."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Keeps the answer for the caller."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
 
 
 class GuardedProtocol(HttpToolsProtocol):
-    """Refuses heads that two parsers could read in two ways."""
+    """Refuses heads that two parsers could read in two ways.
+
+    Heads that are too long or come too slowly are refused as well.
+    """
 
     def __init__(
         self,
         *arguments: Any,
-        on_malformed: Callable[[], None],
+        on_refused: Callable[[Refusal], None],
+        limits: HeadLimitsSource,
         **options: Any,
     ) -> None:
-        """Calls ``on_malformed`` for each request that is refused here."""
+        """Calls ``on_refused`` for each request that is refused here."""
         super().__init__(*arguments, **options)
-        self._on_malformed = on_malformed
-        self._head_bytes = 0
-        self._is_refused = False
+        self._on_refused = on_refused
+        self._limits_source = limits
+        self._limits = HeadLimits()
+        self._head_bytes = 0  # of the parts that the parser has given
+        self._unparsed_bytes = 0  # of a part that the parser still holds
+        self._is_in_head = False
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._refusal: Refusal | None = None
 
     def connection_made(self, transport: Any) -> None:
         """Bounds what a slow reader makes the process hold."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=_WRITE_LIMIT_BYTES)
+        self._take_limits()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive,
+            self.timeout_keep_alive_handler,
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the timer of a head."""
+        self._end_head()
+        super().connection_lost(exc)
 
     def on_message_begin(self) -> None:
         """Starts counting the head of the next request."""
-        self._head_bytes = 0
+        self._take_limits()
+        self._head_bytes = _FRAME_BYTES
+        self._unparsed_bytes = 0
+        self._is_in_head = True
+        self._start_timer()
         super().on_message_begin()
         scope: Any = self.scope
         scope[ABORT_KEY] = self.transport.abort
@@ -69,37 +103,51 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:  # noqa: WPS110
         """Takes one header."""
-        self._count(len(name) + len(value))
+        self._count(len(name) + len(value) + _LINE_BYTES)
         super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Checks the head as a whole before the request is served."""
+        self._count(len(self.parser.get_method()))
+        self._end_head()
         names = [name for name, _ in self.headers]
         for single in _SINGLE_HEADERS:
             if names.count(single) > 1:
-                raise MalformedHeadError
+                raise RefusedHeadError(_malformed())
         if b'content-length' in names and b'transfer-encoding' in names:
-            raise MalformedHeadError
+            raise RefusedHeadError(_malformed())
         super().on_headers_complete()
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes; those after a refused head are dropped."""
-        if not self._is_refused:
-            super().data_received(data)
+        if self._refusal is not None:
+            return
+        began_before = self._is_in_head
+        super().data_received(data)
+        if began_before and self._is_in_head:
+            self._count_unparsed(len(data))
 
     def send_400_response(self, msg: str) -> None:  # noqa: WPS114
+        """Refuses a request that the parser or a check has rejected."""
+        self._refuse(self._refusal or _malformed())
+
+    def _refuse(self, refusal: Refusal) -> None:
         """Refuses the request; an answer under way is cut visibly.
 
         The connection is closed a little later, because closing it while
         bytes are unread would make the caller lose the refusal.
         """
-        self._is_refused = True
-        self._on_malformed()
+        self._refusal = refusal
+        self._end_head()
+        self._on_refused(refusal)
         if self._answers_another_request():
             self.transport.close()
             return
-        body = refusal_body(_malformed())
-        self.transport.write(_HEAD % len(body) + body)
+        body = refusal_body(refusal)
+        reason = HTTPStatus(refusal.status).phrase.encode()
+        self.transport.write(
+            _HEAD % (refusal.status, reason, len(body)) + body,
+        )
         self.transport.write_eof()
         self.loop.call_later(_LINGER_SECONDS, self.transport.close)
 
@@ -110,8 +158,42 @@
 
     def _count(self, added_bytes: int) -> None:
         self._head_bytes += added_bytes
-        if self._head_bytes > _HEAD_LIMIT_BYTES:
-            raise MalformedHeadError
+        self._unparsed_bytes = 0
+        if self._head_bytes > self._limits.head_bytes:
+            self._refusal = _too_long(self._limits.head_bytes)
+            raise RefusedHeadError(self._refusal)
+
+    def _count_unparsed(self, received_bytes: int) -> None:
+        # The parser gives a header when it is whole and sets no limit itself.
+        self._unparsed_bytes += received_bytes
+        if self._unparsed_bytes > self._limits.head_bytes:
+            self._refuse(_too_long(self._limits.head_bytes))
+
+    def _take_limits(self) -> None:
+        self._limits = self._limits_source()
+        idle_ms = self._limits.idle_timeout_ms
+        # uvicorn gives it to call_later, which takes fractions.
+        self.timeout_keep_alive: Any = idle_ms / _MS_PER_SECOND
+
+    def _start_timer(self) -> None:
+        timeout_ms = self._limits.head_timeout_ms
+        if timeout_ms is not None:
+            self._head_timer = self.loop.call_later(
+                timeout_ms / _MS_PER_SECOND,
+                self._head_is_late,
+            )
+
+    def _head_is_late(self) -> None:
+        if self._answers_another_request():
+            self._start_timer()
+            return
+        self._refuse(_too_slow())
+
+    def _end_head(self) -> None:
+        self._is_in_head = False
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
 
 
 def _malformed() -> Refusal:
@@ -119,10 +201,27 @@
         code=RefusalCode.BAD_REQUEST,
         message=(
             'The request is not well-formed HTTP/1.1: send one host and at '
-            'most one content-length, no content-length beside '
-            'transfer-encoding, and a head of at most '
-            f'{_HEAD_LIMIT_BYTES} bytes.'
+            'most one content-length, and no content-length beside '
+            'transfer-encoding.'
         ),
         not_run=True,
         step=Step.PARSE,
     )
+
+
+def _too_long(limit_bytes: int) -> Refusal:
+    return Refusal(
+        code=RefusalCode.HEAD_TOO_LARGE,
+        message=f'The request line and headers exceed {limit_bytes} bytes.',
+        not_run=True,
+        step=Step.PARSE,
+    )
+
+
+def _too_slow() -> Refusal:
+    return Refusal(
+        code=RefusalCode.REQUEST_TOO_SLOW,
+        message='The request did not arrive whole in time.',
+        not_run=True,
+        step=Step.PARSE,
+    )
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -15,11 +15,11 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.web._exchange import CallerGoneError, Exchange
+from teaseldale.web._head_limits import HeadLimits, HeadLimitsSource
 from teaseldale.web._protocol import GuardedProtocol
 
 _POLL_MS = 5
 _MS_PER_SECOND = 1000
-_KEEP_ALIVE_SECONDS = 75
 _BACKLOG = 2048
 
 
@@ -39,6 +39,7 @@
         respond: Callable[[Exchange], Awaitable[None]],
         metrics: Metrics | None = None,
         refusals_counter: str = 'refusals',
+        limits: HeadLimitsSource = HeadLimits,
     ) -> None:
         """Creates a server for ``address``, an "ip:port".
 
@@ -49,6 +50,7 @@
         self._respond = respond
         self._metrics = metrics or Metrics()
         self._refusals_counter = refusals_counter
+        self.limits = limits  # asked for each request
         self._log = StateLog(channel='web')
         logging.getLogger('uvicorn').setLevel(logging.CRITICAL)
         self._server = _Server(
@@ -57,7 +59,8 @@
                 loop='none',
                 http=functools.partial(  # type: ignore[arg-type]
                     GuardedProtocol,
-                    on_malformed=self._count_malformed,
+                    on_refused=self._count_refused,
+                    limits=limits,
                 ),
                 interface='asgi3',
                 proxy_headers=False,
@@ -65,7 +68,6 @@
                 lifespan='off',
                 log_config=None,
                 access_log=False,
-                timeout_keep_alive=_KEEP_ALIVE_SECONDS,
                 date_header=False,
                 server_header=False,
             ),
@@ -87,11 +89,8 @@
         while self._server.server_state.connections:
             await anyio.sleep(_POLL_MS / _MS_PER_SECOND)
 
-    def _count_malformed(self) -> None:
-        self._metrics.increment(
-            self._refusals_counter,
-            RefusalCode.BAD_REQUEST,
-        )
+    def _count_refused(self, refusal: Refusal) -> None:
+        self._metrics.increment(self._refusals_counter, refusal.code)
 
     async def _application(
         self,
--- /dev/null
+++ b/teaseldale/web/tests/steps_heads.py
@@ -0,0 +1,256 @@
+"""Steps for heads, on a transport in memory and in virtual time."""
+
+import asyncio
+
+import anyio
+from behave import given, then, when
+from uvicorn import Config
+from uvicorn.server import ServerState
+
+from teaseldale.fakes import run_in_virtual_time
+from teaseldale.web._head_limits import HeadLimits
+from teaseldale.web._protocol import GuardedProtocol
+
+_PAD = b'GET /a HTTP/1.1\r\nhost: h\r\nx-pad: '
+_END = b'\r\n\r\n'
+_WHOLE = _PAD + b'a' + _END
+_STATUSES = {
+    'head_too_large': b'431 Request Header Fields Too Large',
+    'request_too_slow': b'408 Request Timeout',
+    'bad_request': b'400 Bad Request',
+}
+
+
+class MemoryTransport(asyncio.Transport):
+    """Keeps what a server writes."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = b''
+        self.is_closed = False
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        self.high_bytes = high
+
+    def write(self, data):
+        self.written += data
+
+    def write_eof(self):
+        self.has_ended = True
+
+    def is_closing(self):
+        return self.is_closed
+
+    def close(self):
+        self.is_closed = True
+
+    def abort(self):
+        self.is_closed = True
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+
+class HeadStory:
+    """One connection to a server that answers after a set time."""
+
+    def __init__(self):
+        self.limits = HeadLimits()
+        self.served_count = 0
+        self.answer_seconds = 0
+        self.refusals = []
+
+    def open(self):
+        config = Config(
+            self._serve,
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            interface='asgi3',
+        )
+        self.transport = MemoryTransport()
+        self.protocol = GuardedProtocol(
+            config=config,
+            server_state=ServerState(),
+            app_state={},
+            on_refused=self.refusals.append,
+            limits=lambda: self.limits,
+        )
+        self.protocol.connection_made(self.transport)
+
+    def send(self, received):
+        self.protocol.data_received(received)
+
+    async def _serve(self, scope, receive, send):
+        self.served_count += 1
+        await anyio.sleep(self.answer_seconds)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'0')],
+            },
+        )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+def _head_of(size_bytes):
+    return _PAD + b'a' * (size_bytes - len(_PAD) - len(_END)) + _END
+
+
+async def _send_slowly(story, seconds):
+    story.send(_PAD)
+    await anyio.sleep(seconds)
+    story.send(b'a' + _END)
+    await anyio.sleep(0.1)
+
+
+async def _send_endless(story):
+    story.send(_PAD)
+    for _ in range(11):
+        story.send(b'a' * 100)
+    await anyio.sleep(0.1)
+
+
+async def _send_behind(story):
+    story.answer_seconds = 4
+    story.send(_WHOLE)
+    await anyio.sleep(0.1)
+    await _send_slowly(story, 3.1)
+    await anyio.sleep(8)
+    assert story.served_count == 2, story.served_count
+
+
+async def _send_at_once(story, head):
+    story.send(head)
+    await anyio.sleep(0.1)
+
+
+_HEADS = {
+    'has 1,000 bytes': lambda story: _send_at_once(story, _head_of(1000)),
+    'has 1,001 bytes': lambda story: _send_at_once(story, _head_of(1001)),
+    'has one endless header': _send_endless,
+    'takes 2.9 s': lambda story: _send_slowly(story, 2.9),
+    'takes 3.1 s': lambda story: _send_slowly(story, 3.1),
+    'takes 3.1 s behind an answer under way': _send_behind,
+    'has two hosts': lambda story: _send_at_once(
+        story, _PAD + b'a\r\nhost: other' + _END
+    ),
+}
+
+
+async def _stay_idle(story, seconds, *, after_answer):
+    if after_answer:
+        await _send_at_once(story, _WHOLE)
+        seconds -= 0.1
+    await anyio.sleep(seconds)
+
+
+async def _answer_slowly(story):
+    story.answer_seconds = 30
+    story.send(_WHOLE)
+    await anyio.sleep(20)
+
+
+_CONNECTIONS = {
+    'sends nothing for 14.9 s': (14.9, False),
+    'sends nothing for 15.1 s': (15.1, False),
+    'is idle for 14.9 s after an answer': (14.9, True),
+    'is idle for 15.1 s after an answer': (15.1, True),
+}
+
+
+def _play(context, act):
+    async def story():
+        context.story.open()
+        await act(context.story)
+        # The end of the story closes the transport.
+        context.was_closed = context.story.transport.is_closed
+
+    run_in_virtual_time(story)
+
+
+@given('heads of at most 1,000 bytes within 3 s and 15 s of idleness')
+def limits(context):
+    context.story = HeadStory()
+    context.story.limits = HeadLimits(
+        head_bytes=1000,
+        head_timeout_ms=3000,
+        idle_timeout_ms=15_000,
+    )
+
+
+@when('a caller sends a head that {case}')
+def send_head(context, case):
+    _play(context, _HEADS[case])
+
+
+@when("a caller's connection is served once")
+def served_once(context):
+    context.steps = [lambda story: _send_at_once(story, _WHOLE)]
+
+
+@when('heads may have {size:d} bytes')
+def change_limit(context, size):
+    async def change(story):
+        story.limits = HeadLimits(head_bytes=size)
+
+    context.steps.append(change)
+
+
+@when('the same connection sends a head of {size:d} bytes')
+def send_again(context, size):
+    context.steps.append(lambda story: _send_at_once(story, _head_of(size)))
+
+    async def act(story):
+        for step in context.steps:
+            await step(story)
+
+    _play(context, act)
+
+
+@when("a caller's connection has its answer under way for 20 s")
+def answer_under_way(context):
+    _play(context, _answer_slowly)
+
+
+@when("a caller's connection {case}")
+def keep_connection(context, case):
+    seconds, after_answer = _CONNECTIONS[case]
+    _play(
+        context,
+        lambda story: _stay_idle(story, seconds, after_answer=after_answer),
+    )
+
+
+@then('it is served')
+def is_served(context):
+    assert context.story.served_count >= 1
+    assert not context.story.refusals, context.story.refusals
+    assert context.story.transport.written.startswith(b'HTTP/1.1 200')
+
+
+@then('it is refused with {status:d} {code}')
+def is_refused(context, status, code):
+    story = context.story
+    assert _STATUSES[code].startswith(b'%d' % status)
+    last = story.transport.written.rpartition(b'HTTP/1.1 ')[2]
+    assert last.startswith(_STATUSES[code]), story.transport.written
+    assert b'"not_run":true' in last, last
+    assert [refusal.code for refusal in story.refusals] == [code]
+
+
+@then('it is still open')
+def is_open(context):
+    assert not context.was_closed
+
+
+@then('it is closed')
+def is_closed(context):
+    assert context.was_closed
