Move the marks of a VM out of the book of accounts

Marks and what they allow are one matter of their own, now in _spending_marks.py; no change of behaviour, the grants feature passes as before (19 scenarios).

--- a/teaseldale/budgets/_account_book.py
+++ b/teaseldale/budgets/_account_book.py
@@ -1,10 +1,10 @@
-"""What a VM holds of each account, and what it may spend of it now."""
+"""What a VM holds of each account."""
 
 import anyio
 import attrs
 
 from teaseldale.budgets._account_demand import AccountDemand
-from teaseldale.budgets._account_rows import ReadAccountRow, SpendingMark
+from teaseldale.budgets._account_rows import ReadAccountRow
 from teaseldale.outcomes import Refusal
 
 
@@ -54,40 +54,3 @@
     def waiting_tokens(self) -> int:
         """Tokens that waiting requests ask for."""
         return sum(waiter.most_tokens for waiter in self.waiting)
-
-
-@attrs.frozen(kw_only=True)
-class BindingMark:
-    """A mark of this VM and when it was made."""
-
-    mark: SpendingMark
-    made_ms: int  # monotonic, before the mark was first sent
-
-
-@attrs.define(kw_only=True)
-class SpendingLimits:
-    """The marks that bind this VM."""
-
-    acknowledged: BindingMark | None = None
-    # Sent and not answered; it may have been written, so it binds as well.
-    pending: BindingMark | None = None
-
-    def acknowledge(self) -> None:
-        """Notes that the store has the pending mark."""
-        if self.pending is not None:
-            self.acknowledged = self.pending
-            self.pending = None
-
-    def limit_tokens(self, held: HeldAccount, now_ms: int) -> int:
-        """Returns how much of an account the VM may have used by now."""
-        if self.acknowledged is None:
-            return 0
-        limit = held.granted_tokens
-        for binding in (self.acknowledged, self.pending):
-            if binding is None:
-                continue
-            age_ms = now_ms - binding.made_ms
-            bound = binding.mark.bound_tokens(held.account, age_ms)
-            if bound is not None:
-                limit = min(limit, bound)
-        return limit
--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -5,11 +5,7 @@
 
 import attrs
 
-from teaseldale.budgets._account_book import (
-    BindingMark,
-    HeldAccount,
-    SpendingLimits,
-)
+from teaseldale.budgets._account_book import HeldAccount
 from teaseldale.budgets._account_demand import GrantNeed, grant_change
 from teaseldale.budgets._account_rows import (
     ACCOUNTS_TABLE,
@@ -17,7 +13,6 @@
     AccountRow,
     EarlierBound,
     HolderKey,
-    MarkedAccount,
     ReadAccountRow,
     ReadVmRow,
     SpendingMark,
@@ -27,6 +22,11 @@
     decode_account_row,
     vm_write,
 )
+from teaseldale.budgets._spending_marks import (
+    BindingMark,
+    SpendingLimits,
+    mark_account,
+)
 from teaseldale.budgets._vm_register import VmRegister
 from teaseldale.clock import BaseClock
 from teaseldale.logs import StateLog
@@ -223,13 +223,16 @@
         """
         if self.limits.pending is not None:
             return self.limits.pending.mark
+        granted = {
+            held.account: held.granted_tokens
+            for held in self._accounts.values()
+        }
+        for account, row in rows.items():
+            granted[account] = row.granted_to(self._holder)
         mark = SpendingMark(
             made_store_ms=self.vms.store_ms,
             accounts={
-                held.account: _marked(
-                    held,
-                    self._granted_by(held, rows.get(held.account)),
-                )
+                held.account: mark_account(held, granted[held.account])
                 for held in self._accounts.values()
             },
         )
@@ -239,11 +242,6 @@
         )
         return mark
 
-    def _granted_by(self, held: HeldAccount, row: AccountRow | None) -> int:
-        if row is None:
-            return held.granted_tokens
-        return row.granted_to(self._holder)
-
     def _expect(self, rows: Mapping[str, AccountRow]) -> None:
         """Stops spending what is about to be returned."""
         for account, row in rows.items():
@@ -340,16 +338,3 @@
             incarnation=own.row.incarnation,
             spent_limit_tokens=bound_tokens,
         )
-
-
-def _marked(held: HeldAccount, granted_tokens: int) -> MarkedAccount:
-    unused_tokens = max(0, granted_tokens - held.used_tokens)
-    ahead_tokens = held.demand.ahead_tokens()
-    ahead_tokens += held.waiting_tokens + held.lending_tokens
-    held.lending_tokens = 0
-    ahead_tokens = min(unused_tokens, ahead_tokens)
-    return MarkedAccount(
-        limit_tokens=held.used_tokens + ahead_tokens,
-        step_tokens=held.demand.step_tokens(),
-        spare_tokens=unused_tokens - ahead_tokens,
-    )
--- /dev/null
+++ b/teaseldale/budgets/_spending_marks.py
@@ -0,0 +1,60 @@
+"""Marks that this VM has made, and what they let it spend."""
+
+import attrs
+
+from teaseldale.budgets._account_book import HeldAccount
+from teaseldale.budgets._account_rows import MarkedAccount, SpendingMark
+
+
+@attrs.frozen(kw_only=True)
+class BindingMark:
+    """A mark of this VM and when it was made."""
+
+    mark: SpendingMark
+    made_ms: int  # monotonic, before the mark was first sent
+
+
+@attrs.define(kw_only=True)
+class SpendingLimits:
+    """The marks that bind this VM."""
+
+    acknowledged: BindingMark | None = None
+    # Sent and not answered; it may have been written, so it binds as well.
+    pending: BindingMark | None = None
+
+    def acknowledge(self) -> None:
+        """Notes that the store has the pending mark."""
+        if self.pending is not None:
+            self.acknowledged = self.pending
+            self.pending = None
+
+    def limit_tokens(self, held: HeldAccount, now_ms: int) -> int:
+        """Returns how much of an account the VM may have used by now."""
+        if self.acknowledged is None:
+            return 0
+        limit = held.granted_tokens
+        for binding in (self.acknowledged, self.pending):
+            if binding is None:
+                continue
+            age_ms = now_ms - binding.made_ms
+            bound = binding.mark.bound_tokens(held.account, age_ms)
+            if bound is not None:
+                limit = min(limit, bound)
+        return limit
+
+
+def mark_account(held: HeldAccount, granted_tokens: int) -> MarkedAccount:
+    """Returns what a new mark allows of an account.
+
+    Tokens that others want to borrow are allowed once.
+    """
+    unused_tokens = max(0, granted_tokens - held.used_tokens)
+    ahead_tokens = held.demand.ahead_tokens()
+    ahead_tokens += held.waiting_tokens + held.lending_tokens
+    held.lending_tokens = 0
+    ahead_tokens = min(unused_tokens, ahead_tokens)
+    return MarkedAccount(
+        limit_tokens=held.used_tokens + ahead_tokens,
+        step_tokens=held.demand.step_tokens(),
+        spare_tokens=unused_tokens - ahead_tokens,
+    )
