Bound the log and let nobody wait for its reader

Cause: each line was written and flushed by the task that had it, so a reader that did not read stopped the process, and nothing bounded the lines of a flood.

Ruled out: logbook's ThreadedWrapperHandler, which drops lines without a count and all kinds alike; a stdout set to not block, which would change the pipe for every process that shares it.

Change: a thread writes; up to 1 MB waits for it, half of that for routine lines (served requests). Each event has 500 lines a second, 200 as routine. What is left out is counted and told by lines_left_out.

Before: the scenario with a pipe that nobody reads hung. After: five scenarios pass; 80,000 lines to a reader that never reads cost at most 1,000,000 bytes, and lines read and told as left out add up to all.

--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -1,5 +1,6 @@
 """Entry point of the command line."""
 
+import contextlib
 import functools
 import sys
 from typing import Any, NoReturn
@@ -9,8 +10,9 @@
 import msgspec
 
 from teaseldale import VERSION
+from teaseldale.command._causes import find_causes
 from teaseldale.command._event_loop import run_until_signal
-from teaseldale.command._explain import read_lines, tell_story
+from teaseldale.command._explain import tell_story
 from teaseldale.command._fleet import (
     BudgetCommands,
     FleetCommands,
@@ -18,6 +20,7 @@
     NoteCommands,
 )
 from teaseldale.command._load import run_load
+from teaseldale.command._log_lines import read_lines
 from teaseldale.command._node_program import build_node_kernel, settings_path
 from teaseldale.command._program import build_kernel
 from teaseldale.command._standins import StandinCommands
@@ -48,7 +51,7 @@
         """Runs one VM with the settings file SETTINGS."""
         loaded = load_settings(text_of(settings, '--settings'))
         handler = make_log_handler(loaded.logs.format, loaded.vm.name)
-        with handler.applicationbound():
+        with contextlib.closing(handler), handler.applicationbound():
             run_until_signal(functools.partial(_serve, loaded))
 
     def node(self) -> None:
@@ -57,9 +60,9 @@
         handler = make_log_handler(
             LogFormat.JSON,
             loaded.name,
-            stream=sys.stdout,
+            stream=sys.stdout.buffer,
         )
-        with handler.applicationbound():
+        with contextlib.closing(handler), handler.applicationbound():
             run_until_signal(functools.partial(_serve_node, loaded))
 
     @fire.decorators.SetParseFns(  # type: ignore[untyped-decorator]
@@ -76,6 +79,10 @@
         story = tell_story(str(request), read_lines(map(str, paths)))
         return story.document() if json else story.render()
 
+    def causes(self, *paths: str) -> object:
+        """Counts why requests failed, by log files or standard input."""
+        return find_causes(read_lines(map(str, paths))).document()
+
     def check(self, *, settings: str) -> str:
         """Checks the settings file SETTINGS and lists every mistake."""
         load_settings(text_of(settings, '--settings'))
--- a/teaseldale/logs/_logs.py
+++ b/teaseldale/logs/_logs.py
@@ -2,11 +2,15 @@
 
 import enum
 import sys
-from typing import Any, TextIO
+from typing import Any, BinaryIO
 
 import logbook
 import msgspec
 
+from teaseldale.clock import BaseClock, SystemClock
+from teaseldale.logs._line_limits import LineLimits
+from teaseldale.logs._line_writer import LineWriter
+
 
 @enum.unique
 class LogFormat(enum.StrEnum):
@@ -27,17 +31,71 @@
         """Writes one line; ``fields`` hold no secrets."""
         self._logger.info(event, extra=fields)
 
+    def routine(self, event: str, **fields: object) -> None:
+        """Writes a line that is the first to be left out under load."""
+        self._logger.debug(event, extra=fields)
+
 
 def make_log_handler(
     log_format: LogFormat,
     vm_name: str,
     *,
-    stream: TextIO | None = None,
+    stream: BinaryIO | None = None,
+    clock: BaseClock | None = None,
 ) -> Any:
     """Creates the handler that writes lines, by default to standard error."""
-    handler = logbook.StreamHandler(stream or sys.stderr, level=logbook.INFO)
-    handler.formatter = _LineFormatter(log_format, vm_name)
-    return handler
+    return _BoundedHandler(
+        formatter=_LineFormatter(log_format, vm_name),
+        writer=LineWriter(stream=stream or sys.stderr.buffer),
+        limits=LineLimits(clock=clock or SystemClock()),
+    )
+
+
+class _BoundedHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes a bounded number of lines and never waits for their reader."""
+
+    def __init__(
+        self,
+        *,
+        formatter: Any,
+        writer: LineWriter,
+        limits: LineLimits,
+    ) -> None:
+        super().__init__(level=logbook.DEBUG)
+        self.formatter = formatter
+        self._writer = writer
+        self._limits = limits
+
+    def emit(self, record: Any) -> None:
+        is_routine = record.level < logbook.INFO
+        self._tell(self._limits.take_left_out())
+        if self._limits.allows(record.message, is_routine=is_routine):
+            self._put(record, is_routine=is_routine)
+
+    def close(self) -> None:
+        """Writes what waits, and how much was left out, as far as it can."""
+        self._tell(self._limits.take_left_out(at_once=True))
+        self._writer.close()
+
+    def _put(self, record: Any, *, is_routine: bool) -> None:
+        line = f'{self.format(record)}\n'.encode()
+        if not self._writer.put(line, is_routine=is_routine):
+            self._limits.leave_out(record.message)
+
+    def _tell(self, left_out: dict[str, int]) -> None:
+        if not left_out:
+            return
+        told = logbook.LogRecord(
+            'logs',
+            logbook.INFO,
+            'lines_left_out',
+            extra={'counts': left_out},
+        )
+        told.heavy_init()
+        line = f'{self.format(told)}\n'.encode()
+        if not self._writer.put(line, is_routine=False):
+            # They are told once there is room.
+            self._limits.restore(left_out)
 
 
 class _LineFormatter:
--- /dev/null
+++ b/teaseldale/logs/tests/steps_bounded_lines.py
@@ -0,0 +1,203 @@
+"""Steps for bounded lines."""
+
+import os
+import threading
+import time
+
+import attrs
+import msgspec
+from behave import given, then, when
+
+from teaseldale.logs import LogFormat, StateLog, make_log_handler
+
+# A write that waits for the reader takes for ever, so any bound tells it.
+_HANG_SECONDS = 30
+
+
+@attrs.define(kw_only=True)
+class _SetClock:
+    now_ms: float = 10_000
+
+    def monotonic_ms(self):
+        return int(self.now_ms)
+
+
+class GatedStream:
+    """Stream whose writes wait until the reader reads."""
+
+    def __init__(self, *, is_open):
+        self.gate = threading.Event()
+        self.received = []
+        if is_open:
+            self.gate.set()
+
+    def write(self, received):
+        self.gate.wait()
+        self.received.append(received)
+
+    def flush(self):
+        self.gate.wait()
+
+    def lines(self):
+        whole = b''.join(self.received)
+        return [msgspec.json.decode(line) for line in whole.splitlines()]
+
+
+def number(text):
+    return int(text.replace(',', ''))
+
+
+def open_log(context, stream):
+    context.clock = _SetClock()
+    context.stream = stream
+    context.handler = make_log_handler(
+        LogFormat.JSON,
+        'vm-1',
+        stream=stream,
+        clock=context.clock,
+    )
+    context.log = StateLog(channel='test')
+
+
+@given('a log whose reader takes nothing')
+def reader_takes_nothing(context):
+    open_log(context, GatedStream(is_open=False))
+
+
+@given('a log whose reader takes all')
+def reader_takes_all(context):
+    open_log(context, GatedStream(is_open=True))
+
+
+@given('a log on a pipe that nobody reads')
+def unread_pipe(context):
+    reading, writing = os.pipe()
+    context.add_cleanup(os.close, reading)
+    open_log(context, os.fdopen(writing, 'wb'))
+
+
+def write(context, act):
+    """Runs ``act`` with the log, and tells whether it came back."""
+
+    def run():
+        with context.handler.applicationbound():
+            act()
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    thread.join(_HANG_SECONDS)
+    context.has_waited = thread.is_alive()
+    assert not context.has_waited
+
+
+@when(
+    '{routine} routine and {important} important lines are written over '
+    '{seconds:d} s'
+)
+def write_both(context, routine, important, seconds):
+    counts = number(routine), number(important)
+    step_ms = seconds * 1000 / max(counts)
+
+    def act():
+        for index in range(max(counts)):
+            context.clock.now_ms += step_ms
+            if index < counts[0]:
+                context.log.routine('served', index=index)
+            if index >= max(counts) - counts[1]:
+                context.log.changed('refused', index=index)
+
+    write(context, act)
+
+
+@when('{count} important lines are written over {seconds:d} s')
+def write_important(context, count, seconds):
+    write_both(context, '0', count, seconds)
+
+
+@then('no line was waited for')
+def not_waited(context):
+    assert not context.has_waited
+
+
+@then('at most {limit} bytes wait for the reader')
+def bounded(context, limit):
+    waiting = context.handler._writer.waiting_bytes
+    assert 0 < waiting <= number(limit), waiting
+
+
+@when('the reader begins to read')
+def begin_to_read(context):
+    context.stream.gate.set()
+    wait_until(lambda: not context.handler._writer.waiting_bytes)
+
+
+def wait_until(holds):
+    ends = time.monotonic() + _HANG_SECONDS
+    while not holds():
+        assert time.monotonic() < ends
+        time.sleep(0.01)
+
+
+@when('one more line is written')
+def write_one(context):
+    context.clock.now_ms += 2000
+    write(context, lambda: context.log.changed('last'))
+    wait_until(lambda: context.stream.lines()[-1]['event'] == 'last')
+
+
+@when('a second passes and one more line is written')
+def write_one_later(context):
+    write_one(context)
+
+
+@then('the lines that were read and those told as left out are all {expected}')
+def all_accounted(context, expected):
+    lines = context.stream.lines()
+    told = [line for line in lines if line['event'] == 'lines_left_out']
+    left_out = sum(sum(line['counts'].values()) for line in told)
+    assert left_out > 0
+    assert len(lines) - len(told) + left_out == number(expected), left_out
+
+
+@then('all {count:d} important lines were read')
+def important_read(context, count):
+    events = [line['event'] for line in context.stream.lines()]
+    assert events.count('refused') == count, events.count('refused')
+
+
+@when(
+    '5,000 important lines of one event and 5 of another are written within '
+    'a second'
+)
+def flood(context):
+    def act():
+        for index in range(5000):
+            context.log.changed('refused', index=index)
+            if index >= 4995:
+                context.log.changed('store_lost', index=index)
+
+    write(context, act)
+
+
+@then('500 lines of the flood and 5 of the other were read')
+def flood_cut(context):
+    events = [line['event'] for line in context.stream.lines()]
+    assert events.count('refused') == 500, events.count('refused')
+    assert events.count('store_lost') == 5
+
+
+@then('4,500 lines of the flood are told as left out')
+def flood_told(context):
+    lines = context.stream.lines()
+    told = [line for line in lines if line['event'] == 'lines_left_out']
+    assert [line['counts'] for line in told] == [{'refused': 4500}], told
+
+
+@when('{count:d} important lines are written and the log is closed')
+def write_and_close(context, count):
+    def act():
+        for index in range(count):
+            context.log.changed('refused', index=index)
+        context.handler.close()
+
+    write(context, act)
