Name the cause of every request that was not served

Change: the line of a request tells why its answer was cut (caller, VM, time, runner). `teaseldale causes` reads the lines of all VMs and counts failures by ending and cause; what the lines do not tell is listed. A retry that the window refused is among the reasons. Decoding of lines moved out of explain.

--- /dev/null
+++ b/teaseldale/command/_causes.py
@@ -0,0 +1,191 @@
+"""Names the cause of every request that was not served, from log lines."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from teaseldale.command._log_lines import LogLine, decode_lines
+
+_FIRST_FAILURE_STATUS = 400
+_UNKNOWN = 'unknown'
+
+
+@attrs.frozen(kw_only=True)
+class FailedRequest:
+    """A request that got no success, and why."""
+
+    request_id: str
+    vm: str
+    ending: str  # refusal code, status or how the answer was cut
+    cause: str  # "unknown" if the lines do not tell
+
+
+@attrs.frozen(kw_only=True)
+class FailureReport:
+    """All requests of some logs that were not served."""
+
+    failed: tuple[FailedRequest, ...]
+    request_count: int
+
+    @property
+    def unexplained(self) -> tuple[FailedRequest, ...]:
+        """Requests whose cause the lines do not tell."""
+        return tuple(one for one in self.failed if one.cause == _UNKNOWN)
+
+    def document(self) -> dict[str, object]:
+        """Returns counts by ending and cause, the most frequent first."""
+        counts = Counter((one.ending, one.cause) for one in self.failed)
+        return {
+            'requests': self.request_count,
+            'failed': len(self.failed),
+            'unexplained': [one.request_id for one in self.unexplained],
+            'causes': [
+                {'ending': ending, 'cause': cause, 'count': count}
+                for (ending, cause), count in counts.most_common()
+            ],
+        }
+
+
+@attrs.define(kw_only=True)
+class _VmState:
+    """What a VM had written by the time of a line."""
+
+    is_store_lost: bool = False
+    # Newest line of a refused reservation, by account.
+    refused: dict[str, LogLine] = attrs.field(factory=dict)
+
+    def take(self, line: LogLine) -> None:
+        if line.event == 'grants_store_lost':
+            self.is_store_lost = True
+        elif line.event in {'grants_store_regained', 'started'}:
+            self.is_store_lost = False
+        elif line.event == 'reservation_refused':
+            self.refused[str(line.fields.get('account'))] = line
+
+
+def find_causes(raw_lines: Iterable[str]) -> FailureReport:
+    """Reads the lines of all VMs and explains what was not served."""
+    states: dict[str, _VmState] = {}
+    failed: list[FailedRequest] = []
+    request_count = 0
+    for line in sorted(decode_lines(raw_lines), key=lambda one: one.time):
+        state = states.setdefault(line.vm, _VmState())
+        state.take(line)
+        if not line.event.startswith('request_'):
+            continue
+        request_count += 1
+        ending = _ending_of(line)
+        if ending:
+            failed.append(
+                FailedRequest(
+                    request_id=str(line.fields.get('request', '')),
+                    vm=line.vm,
+                    ending=ending,
+                    cause=_cause_of(ending, line, state),
+                ),
+            )
+    return FailureReport(failed=tuple(failed), request_count=request_count)
+
+
+def _ending_of(line: LogLine) -> str:
+    """Returns how a request failed; nothing if it was served."""
+    for name in ('refusal', 'cut'):
+        told = line.fields.get(name)
+        if told:
+            return str(told)
+    status = line.fields.get('status')
+    if isinstance(status, int) and status >= _FIRST_FAILURE_STATUS:
+        return f'status {status}'
+    return ''
+
+
+def _cause_of(ending: str, line: LogLine, state: _VmState) -> str:
+    if ending.startswith('status '):
+        status = ending.removeprefix('status ')
+        return f'the runner answered {status}'
+    explain = _EXPLANATIONS.get(ending)
+    return _UNKNOWN if explain is None else explain(line, state)
+
+
+def _from_text(line: LogLine, _state: _VmState) -> str:
+    return str(line.fields.get('text') or _UNKNOWN)
+
+
+def _from_reasons(line: LogLine, _state: _VmState) -> str:
+    """Returns what each attempt failed by, without the runners' names."""
+    reasons = line.fields.get('reasons')
+    if not isinstance(reasons, list) or not reasons:
+        return _UNKNOWN
+    kinds = [str(reason).rpartition(': ')[2] for reason in reasons]
+    return ', then '.join(kinds)
+
+
+def _no_upstream(line: LogLine, state: _VmState) -> str:
+    told = _from_reasons(line, state)
+    if told != _UNKNOWN:
+        return told
+    service = line.fields.get('service')
+    return f'no runner of {service} was usable'
+
+
+def _deadline(line: LogLine, state: _VmState) -> str:
+    told = _from_reasons(line, state)
+    if told != _UNKNOWN:
+        return f'{told}, then silence'
+    if line.fields.get('runners'):
+        return 'the runner was silent until the time was over'
+    if state.is_store_lost:
+        return 'waited for tokens while the store was away'
+    return _UNKNOWN
+
+
+def _budget(line: LogLine, state: _VmState) -> str:
+    refused = state.refused.get(str(line.fields.get('account')))
+    if refused is None:
+        return _UNKNOWN
+    if state.is_store_lost:
+        return 'the store did not answer, and what the VM held was used'
+    if _tokens(refused, 'limit') < _tokens(refused, 'granted'):
+        return 'the VM was bound by its mark'
+    if refused.fields.get('code') == 'budget_exhausted':
+        return 'the account is used up'
+    return 'other VMs held the last tokens of the account'
+
+
+def _tokens(line: LogLine, name: str) -> int:
+    found = line.fields.get(f'{name}_tokens')
+    return found if isinstance(found, int) else 0
+
+
+def _time_over(line: LogLine, state: _VmState) -> str:
+    return 'the answer was under way as the time of the request ended'
+
+
+def _caller_left(line: LogLine, state: _VmState) -> str:
+    return 'the caller closed its connection'
+
+
+def _vm_ended(line: LogLine, state: _VmState) -> str:
+    return 'the VM had to end before the answer'
+
+
+_EXPLANATIONS: Mapping[str, Callable[[LogLine, _VmState], str]] = {
+    'unauthorized': _from_text,
+    'unknown_route': _from_text,
+    'bad_request': _from_text,
+    'body_too_large': _from_text,
+    'head_too_large': _from_text,
+    'request_too_slow': _from_text,
+    'not_ready': _from_text,
+    'budget_exhausted': _budget,
+    'budget_held': _budget,
+    'budget_unavailable': _budget,
+    'no_upstream': _no_upstream,
+    'upstream_broke_off': _from_reasons,
+    'runner_broke_off': _from_reasons,
+    'deadline_exceeded': _deadline,
+    'time_over': _time_over,
+    'caller_left': _caller_left,
+    'vm_ended': _vm_ended,
+}
--- a/teaseldale/command/_explain.py
+++ b/teaseldale/command/_explain.py
@@ -1,35 +1,16 @@
 """Puts together one request's story from the log lines of several VMs."""
 
-import datetime
-import pathlib
-import sys
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import attrs
-import msgspec
 
+from teaseldale.command._log_lines import LogLine, decode_lines
 from teaseldale.command._usage import CommandFailedError
 
 # Lines of the same VM about the request's account and runners are shown if
 # they are not older than this.
 _CONTEXT_SECONDS = 10
 _CONTEXT_LINES = 12  # newest ones that are shown
-_HIDDEN = frozenset(('time', 'vm', 'channel', 'event'))
-
-
-@attrs.frozen(kw_only=True)
-class LogLine:
-    """One decoded line."""
-
-    time: datetime.datetime
-    vm: str
-    event: str
-    fields: dict[str, object]  # all other fields, as written
-
-    def mentions(self, names: frozenset[str]) -> bool:
-        """Whether a field is one of ``names``."""
-        texts = {str(found) for found in self.fields.values()}
-        return not names.isdisjoint(texts)
 
 
 @attrs.frozen(kw_only=True)
@@ -57,21 +38,9 @@
         }
 
 
-def read_lines(paths: Iterable[str]) -> Iterator[str]:
-    """Yields the lines of some files, or of standard input."""
-    names = tuple(paths)
-    if not names:
-        yield from sys.stdin
-    for name in names:
-        try:
-            yield from pathlib.Path(name).read_text().splitlines()
-        except OSError as error:
-            raise CommandFailedError(f'{name}: {error.strerror}') from error
-
-
 def tell_story(request_id: str, raw_lines: Iterable[str]) -> RequestStory:
     """Finds a request's lines; raises ``CommandFailedError`` without any."""
-    decoded = sorted(_decode_all(raw_lines), key=lambda line: line.time)
+    decoded = sorted(decode_lines(raw_lines), key=lambda line: line.time)
     lines = tuple(
         line for line in decoded if line.fields.get('request') == request_id
     )
@@ -104,34 +73,6 @@
     return line.mentions(frozenset(filter(None, names)))
 
 
-def _decode_all(raw_lines: Iterable[str]) -> Iterator[LogLine]:
-    """Yields what can be read; other programs may write between the lines."""
-    for raw in raw_lines:
-        start = raw.find('{"time"')
-        line = None if start < 0 else _decode(raw[start:])
-        if line is not None:
-            yield line
-
-
-def _decode(text: str) -> LogLine | None:
-    """Returns None for a line that was cut off as its process ended."""
-    try:
-        return _line_of(msgspec.json.decode(text, type=dict[str, object]))
-    except (msgspec.DecodeError, KeyError, ValueError):
-        return None
-
-
-def _line_of(fields: dict[str, object]) -> LogLine:
-    return LogLine(
-        time=datetime.datetime.fromisoformat(str(fields['time'])),
-        vm=str(fields['vm']),
-        event=str(fields['event']),
-        fields={
-            name: found for name, found in fields.items() if name not in _HIDDEN
-        },
-    )
-
-
 def _text_of(line: LogLine) -> str:
     clock = line.time.time().isoformat('milliseconds')
     details = ' '.join(f'{name}={found}' for name, found in line.fields.items())
--- /dev/null
+++ b/teaseldale/command/_log_lines.py
@@ -0,0 +1,68 @@
+"""Log lines, decoded."""
+
+import datetime
+import pathlib
+import sys
+from collections.abc import Iterable, Iterator
+
+import attrs
+import msgspec
+
+from teaseldale.command._usage import CommandFailedError
+
+_NAMED = frozenset(('time', 'vm', 'channel', 'event'))
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """One decoded line."""
+
+    time: datetime.datetime
+    vm: str
+    event: str
+    fields: dict[str, object]  # all other fields, as written
+
+    def mentions(self, names: frozenset[str]) -> bool:
+        """Whether a field is one of ``names``."""
+        texts = {str(found) for found in self.fields.values()}
+        return not names.isdisjoint(texts)
+
+
+def read_lines(paths: Iterable[str]) -> Iterator[str]:
+    """Yields the lines of some files, or of standard input."""
+    names = tuple(paths)
+    if not names:
+        yield from sys.stdin
+    for name in names:
+        try:
+            yield from pathlib.Path(name).read_text().splitlines()
+        except OSError as error:
+            raise CommandFailedError(f'{name}: {error.strerror}') from error
+
+
+def decode_lines(raw_lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yields what can be read; other programs may write between the lines."""
+    for raw in raw_lines:
+        start = raw.find('{"time"')
+        line = None if start < 0 else _decode(raw[start:])
+        if line is not None:
+            yield line
+
+
+def _decode(text: str) -> LogLine | None:
+    """Returns None for a line that was cut off as its process ended."""
+    try:
+        return _line_of(msgspec.json.decode(text, type=dict[str, object]))
+    except (msgspec.DecodeError, KeyError, ValueError):
+        return None
+
+
+def _line_of(fields: dict[str, object]) -> LogLine:
+    return LogLine(
+        time=datetime.datetime.fromisoformat(str(fields['time'])),
+        vm=str(fields['vm']),
+        event=str(fields['event']),
+        fields={
+            name: found for name, found in fields.items() if name not in _NAMED
+        },
+    )
--- a/teaseldale/command/tests/explain.feature
+++ b/teaseldale/command/tests/explain.feature
@@ -15,3 +15,37 @@
 
   Scenario: Every command of the on-call page runs as printed
     Then the commands of "docs/OPERATIONS.md" succeed
+
+  Scenario Outline: The cause of a request that ended with <ending> is named
+    Given the log of a VM on which <before>
+    When a request ends with "<ending>"
+    Then its cause is "<cause>"
+
+    Examples:
+      | ending                            | before                           | cause                                                     |
+      | refusal budget_exhausted          | the account has nothing left     | the account is used up                                    |
+      | refusal budget_held               | other VMs hold what is left      | other VMs held the last tokens of the account             |
+      | refusal budget_held               | the mark allows no more          | the VM was bound by its mark                              |
+      | refusal budget_unavailable        | the store is lost                | the store did not answer, and what the VM held was used   |
+      | refusal upstream_broke_off        | a runner closed the connection   | the connection was closed                                 |
+      | refusal no_upstream               | no runner is known               | no runner of s was usable                                 |
+      | refusal deadline_exceeded         | a runner says nothing            | the runner was silent until the time was over             |
+      | refusal deadline_exceeded         | the store is lost                | waited for tokens while the store was away                |
+      | refusal unauthorized              | nothing else happens             | The key is unknown.                                       |
+      | cut caller_left                   | nothing else happens             | the caller closed its connection                          |
+      | cut vm_ended                      | nothing else happens             | the VM had to end before the answer                       |
+      | cut runner_broke_off              | a runner closed the connection   | the connection was closed                                 |
+      | cut time_over                     | nothing else happens             | the answer was under way as the time of the request ended |
+      | status 500                        | nothing else happens             | the runner answered 500                                   |
+      | refusal deadline_exceeded         | nothing else happens             | unknown                                                   |
+      | refusal budget_held               | nothing else happens             | unknown                                                   |
+
+  Scenario: Requests that were served are counted and have no cause
+    Given the log of a VM on which nothing else happens
+    When a request ends with "status 200"
+    Then 1 request is counted and none has failed
+
+  Scenario: A request whose cause the lines do not tell is listed
+    Given the log of a VM on which nothing else happens
+    When a request ends with "refusal internal_error"
+    Then it is listed as unexplained
--- a/teaseldale/command/tests/steps_explain.py
+++ b/teaseldale/command/tests/steps_explain.py
@@ -6,9 +6,12 @@
 import subprocess
 import sys
 
-from behave import then, when
+import msgspec
+from behave import given, then, when
 
-from teaseldale.command._explain import read_lines, tell_story
+from teaseldale.command._causes import find_causes
+from teaseldale.command._explain import tell_story
+from teaseldale.command._log_lines import read_lines
 from teaseldale.command._usage import CommandFailedError
 
 _LOGS = pathlib.Path('examples/logs')
@@ -81,3 +84,86 @@
             capture_output=True,
             env={**os.environ, 'PATH': path},
         )
+
+
+_REFUSED = {
+    'event': 'reservation_refused',
+    'account': 'a',
+    'code': 'budget_held',
+    'granted_tokens': 900,
+    'limit_tokens': 900,
+    'used_tokens': 800,
+}
+_CLOSED = {
+    'runners': ['i-1'],
+    'reasons': ['i-1: disconnected: the connection was closed'],
+}
+# Lines before the request's, and fields of its own line.
+_BEFORE = {
+    'nothing else happens': ([], {}),
+    'the account has nothing left': (
+        [{**_REFUSED, 'code': 'budget_exhausted'}],
+        {},
+    ),
+    'other VMs hold what is left': ([_REFUSED], {}),
+    'the mark allows no more': ([{**_REFUSED, 'limit_tokens': 850}], {}),
+    'the store is lost': ([_REFUSED, {'event': 'grants_store_lost'}], {}),
+    'a runner closed the connection': ([], _CLOSED),
+    'no runner is known': ([], {}),
+    'a runner says nothing': ([], {'runners': ['i-1']}),
+}
+
+
+def _line(number, fields):
+    return msgspec.json.encode(
+        {
+            'time': f'2026-01-01T00:00:{number:02}',
+            'vm': 'vm-1',
+            'channel': 'c',
+            **fields,
+        },
+    ).decode()
+
+
+@given('the log of a VM on which {before}')
+def log_before(context, before):
+    context.before = _BEFORE[before]
+
+
+@when('a request ends with "{ending}"')
+def request_ends(context, ending):
+    name, _, told = ending.partition(' ')
+    own = {
+        'event': 'request_ended',
+        'request': 'r-1',
+        'account': 'a',
+        'service': 's',
+        'status': 0,
+        'runners': [],
+        'reasons': [],
+        **context.before[1],
+        name: int(told) if name == 'status' else told,
+    }
+    if told == 'unauthorized':
+        own = {**own, 'event': 'request_refused', 'text': 'The key is unknown.'}
+    lines = [*context.before[0], own]
+    context.report = find_causes(
+        _line(number, fields) for number, fields in enumerate(lines)
+    )
+
+
+@then('its cause is "{cause}"')
+def cause_is(context, cause):
+    causes = [one.cause for one in context.report.failed]
+    assert causes == [cause], causes
+
+
+@then('1 request is counted and none has failed')
+def none_failed(context):
+    assert context.report.request_count == 1
+    assert not context.report.failed
+
+
+@then('it is listed as unexplained')
+def listed(context):
+    assert context.report.document()['unexplained'] == ['r-1']
--- a/teaseldale/forwarding/_caller_answer.py
+++ b/teaseldale/forwarding/_caller_answer.py
@@ -1,5 +1,7 @@
 """The answer that a caller gets, and its final status."""
 
+import enum
+
 from teaseldale.forwarding._wire import BaseWireFormat, ClientRequest
 from teaseldale.outcomes import Refusal
 from teaseldale.upstreams import WireHeaders
@@ -8,6 +10,18 @@
 _CLOSE = (b'connection', b'close')
 
 
+@enum.unique
+class CutReason(enum.StrEnum):
+    """Why an answer was not sent whole."""
+
+    NONE = ''
+    CALLER_LEFT = 'caller_left'
+    VM_ENDED = 'vm_ended'  # its time to drain was over
+    TIME_OVER = 'time_over'  # of the request
+    RUNNER_BROKE_OFF = 'runner_broke_off'
+    VM_FAILED = 'vm_failed'
+
+
 class CallerAnswer:
     """Writes one answer; after an abort nothing more is written."""
 
@@ -24,7 +38,8 @@
         self._added: WireHeaders = (_CLOSE,) if closes_connection else ()
         self.status = 0  # final status, 0 while there is none
         self.refusal: Refusal | None = None
-        self.is_aborted = False
+        self.cut_reason = CutReason.NONE
+        self.is_whole = False  # whether its last byte has been given away
 
     @property
     def has_started(self) -> bool:
@@ -45,6 +60,7 @@
     async def finish(self, part: bytes) -> None:
         """Sends the last part."""
         await self._exchange.write(part, last=True)
+        self.is_whole = True
 
     async def whole(
         self,
@@ -56,6 +72,7 @@
         self.status = status
         kept = self._wire.caller_headers(headers)
         await self._exchange.answer(status, body, kept + self._added)
+        self.is_whole = True
 
     async def refuse(
         self,
@@ -71,8 +88,10 @@
             refusal_body(refusal),
             headers + self._added,
         )
+        self.is_whole = True
 
-    def abort(self) -> None:
+    def abort(self, reason: CutReason) -> None:
         """Closes the connection, so that the answer is visibly not whole."""
-        self.is_aborted = True
+        if self.cut_reason is CutReason.NONE:
+            self.cut_reason = reason
         self._exchange.abort()
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -8,7 +8,7 @@
     AdmittedRequest,
     RequestAdmission,
 )
-from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._caller_answer import CallerAnswer, CutReason
 from teaseldale.forwarding._configuration import EntryLimits
 from teaseldale.forwarding._node import NodeSettings
 from teaseldale.forwarding._parts import ForwardingParts
@@ -103,8 +103,8 @@
                 break
             await self._parts.clock.sleep_ms(_POLL_MS)
         self._parts.log.changed('drained', left_count=self._running_count)
-        for scope in tuple(self._scopes):
-            scope.cancel()
+        while self._scopes:
+            self._scopes.pop().cancel()
 
     async def _respond_ready(self, exchange: Exchange) -> None:
         status = _STATUS_OK if self.is_ready else _STATUS_UNAVAILABLE
@@ -159,17 +159,23 @@
             answer=answer,
         )
         async with anyio.create_task_group() as tasks:
-            self._scopes.add(tasks.cancel_scope)
-            tasks.start_soon(_cancel_when_gone, exchange, tasks.cancel_scope)
+            scope = tasks.cancel_scope
+            self._scopes.add(scope)
+            tasks.start_soon(_cancel_when_gone, exchange, scope)
             try:
                 await self._run_in_time(run, admitted, answer)
             finally:
-                self._scopes.discard(tasks.cancel_scope)
-                tasks.cancel_scope.cancel()
-                if not answer.status:
-                    # The caller has left, or the VM has to end: a closed
-                    # connection promises nothing of the request.
-                    answer.abort()
+                # The drain has taken the scopes that it cancels.
+                is_ended = scope not in self._scopes
+                self._scopes.discard(scope)
+                scope.cancel()
+                if not answer.is_whole:
+                    # A closed connection promises nothing of the request.
+                    answer.abort(
+                        CutReason.VM_ENDED
+                        if is_ended
+                        else CutReason.CALLER_LEFT,
+                    )
                 self._request_log.ended(admitted, run, answer)
 
     async def _read_body(
@@ -201,7 +207,7 @@
         if not limit.cancelled_caught:
             return
         if answer.has_started:
-            answer.abort()
+            answer.abort(CutReason.TIME_OVER)
             return
         refusal = timed_out(not_run=not run.record.may_have_run)
         await answer.refuse(refusal, admitted.request)
@@ -221,7 +227,7 @@
         except Exception as error:
             self._request_log.failed(admitted, error)
             if answer.has_started:
-                answer.abort()
+                answer.abort(CutReason.VM_FAILED)
             else:
                 await answer.refuse(internal_error(), admitted.request)
         finally:
--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -2,13 +2,15 @@
 
 from teaseldale.clock import BaseClock
 from teaseldale.forwarding._admission import AdmittedRequest
-from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._caller_answer import CallerAnswer, CutReason
 from teaseldale.forwarding._request_run import RequestRun
 from teaseldale.forwarding._wire import ClientRequest
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal
 
+_FIRST_FAILURE_STATUS = 400
+
 
 class RequestLog:
     """Writes how each request ended and why."""
@@ -36,7 +38,8 @@
         refusal = answer.refusal
         if refusal is not None:
             self._metrics.increment('refusals', refusal.code)
-        self._log.changed(
+        write = self._log.routine if _is_served(answer) else self._log.changed
+        write(
             'request_ended',
             request=admitted.request.request_id,
             route=admitted.route.name,
@@ -45,7 +48,7 @@
             configuration=admitted.configuration_version,
             status=answer.status,
             refusal='' if refusal is None else refusal.code,
-            is_aborted=answer.is_aborted,
+            cut=answer.cut_reason,
             runners=record.runners,
             reasons=record.reasons,
             may_have_run=record.may_have_run,
@@ -82,3 +85,8 @@
             reason=type(error).__name__,
             text=str(error),
         )
+
+
+def _is_served(answer: CallerAnswer) -> bool:
+    is_success = 0 < answer.status < _FIRST_FAILURE_STATUS
+    return is_success and answer.cut_reason is CutReason.NONE
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -9,7 +9,7 @@
     NotRun,
     Replied,
 )
-from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._caller_answer import CallerAnswer, CutReason
 from teaseldale.forwarding._configuration import Repetition
 from teaseldale.forwarding._events import EventSplitter, StreamOrderError
 from teaseldale.forwarding._parts import ForwardingParts
@@ -114,6 +114,7 @@
             self._admitted.service,
         ):
             self._parts.metrics.increment('retries_refused', 'budget')
+            self.record.reasons.append('no retry left in the window')
             return None
         runner = self._parts.directory.find(backlog.runner)
         if runner is None:
@@ -254,7 +255,7 @@
     async def _give_up(self) -> None:
         failure = self._failure
         if self._answer.has_started:
-            self._answer.abort()
+            self._answer.abort(CutReason.RUNNER_BROKE_OFF)
         elif failure is None:
             await self._answer.refuse(self._refusal(), self._admitted.request)
         else:
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -66,6 +66,17 @@
     Then the runner's connection is closed after 100 ms
     And the caller's connection is closed without an answer
     And 1 runners saw the request
+    And the line of the request tells "caller_left"
+
+  Scenario Outline: The line of a request tells how its answer was cut by <answers>
+    Given 3 runners and a "<kind>" route for 1 runners
+    When runner answers are: <answers>
+    Then the line of the request tells "<cut>"
+
+    Examples:
+      | kind   | answers                   | cut              |
+      | stream | cut after 1-3             | runner_broke_off |
+      | stream | silent after 1-3          | time_over        |
 
   Scenario Outline: A request that <case> is refused with <status>
     Given 3 runners and a "safe" route for 2 runners
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -35,11 +35,14 @@
 class ScriptedAnswer:
     """The head and the parts of one answer."""
 
-    def __init__(self, *, status, parts, headers=(), breaks=False):
+    def __init__(
+        self, *, status, parts, headers=(), breaks=False, stays_silent=False
+    ):
         self.status = status
         self.headers = (STAMP, *headers)
         self._parts = list(parts)
         self._breaks = breaks
+        self._stays_silent = stays_silent
 
     async def read(self, timeout_ms=None):
         await anyio.sleep(0.001)
@@ -47,6 +50,8 @@
             return self._parts.pop(0)
         if self._breaks:
             raise failure(FailureKind.BROKEN)
+        if self._stays_silent:
+            await anyio.sleep_forever()
         return b''
 
     def release(self):
@@ -108,12 +113,13 @@
         first, last = span(detail)
         parts = [events(number, number) for number in range(first, last + 1)]
         return ScriptedAnswer(status=200, parts=parts)
-    if step.startswith('cut after'):
+    if step.startswith(('cut after', 'silent after')):
         first, last = span(step.split()[-1])
         return ScriptedAnswer(
             status=200,
             parts=[events(first, last)],
-            breaks=True,
+            breaks=kind == 'cut',
+            stays_silent=kind == 'silent',
         )
     number = int(step.split()[-1])  # cut within an event
     torn = events(number, number)[:-6]
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -4,6 +4,7 @@
 
 import anyio
 import attrs
+import logbook
 from behave import given, then, when
 
 from teaseldale.budgets import AccountGrants, HolderKey, StoreAccess
@@ -190,7 +191,18 @@
             assert held.reserved_tokens == 0, held
             tasks.cancel_scope.cancel()
 
-    run_in_virtual_time(story)
+    with logbook.TestHandler() as context.lines:
+        run_in_virtual_time(story)
+
+
+@then('the line of the request tells "{cut}"')
+def line_tells(context, cut):
+    told = [
+        record.extra['cut']
+        for record in context.lines.records
+        if record.message == 'request_ended'
+    ]
+    assert told == [cut], told
 
 
 @when('runner answers are: {answers}')
