Count no demand for requests that are refused

The line earlier_start_found shows why: a VM that was killed 0.5 s after the store came back had 639,181 tokens spent and a mark for 1,060,646. Each reservation counted as demand, also if it was refused, and callers repeat what is refused; one large request that was refused also set the typical size.

Change: a refusal takes its demand back, and only paid requests count for the typical size. The first stage of a mark allows 2 s of demand in place of 3, so that each stage leaves one second beside its own time.

Test: fails before with 0 of 75,000 tokens left after 50 refused requests of 1,000,000 tokens and a kill.

--- a/teaseldale/budgets/_account_demand.py
+++ b/teaseldale/budgets/_account_demand.py
@@ -12,7 +12,7 @@
 _HOLD_MS = 12_000
 # Spending that the first stage of a mark allows. It covers several intervals
 # between marks, since requests come in clumps and reserve more than they use.
-_AHEAD_MS = 3000
+_AHEAD_MS = 2000
 _WINDOW_MS = 4000  # short enough for a caller that suddenly sends more
 _FIRST_REQUESTS = 4  # held before any demand is known
 _SIZE_WEIGHT = 0.2  # of the newest request in the average size
@@ -49,6 +49,13 @@
         if self._first_ms is None:
             self._first_ms = self._clock.monotonic_ms()
         self.add(request_tokens)
+
+    def note_refused(self, request_tokens: int) -> None:
+        """Takes a request back that is not paid."""
+        self.add(-request_tokens)
+
+    def note_paid(self, request_tokens: int) -> None:
+        """Counts the size of a request that is paid."""
         step = (request_tokens - self._typical_tokens) * _SIZE_WEIGHT
         self._typical_tokens += step
 
--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -147,9 +147,11 @@
         if held.waiting or not self._waiting.can_pay(held, most_tokens):
             refusal = await self._wait_for_grant(held, most_tokens)
             if refusal is not None:
+                held.demand.note_refused(most_tokens)
                 return refusal
         else:
             held.reserved_tokens += most_tokens
+        held.demand.note_paid(most_tokens)
         return AccountReservation(account=account, most_tokens=most_tokens)
 
     def settle(
--- a/teaseldale/budgets/tests/account_grants.feature
+++ b/teaseldale/budgets/tests/account_grants.feature
@@ -45,6 +45,13 @@
     And VM 1 is killed and starts again after 1,000 ms
     Then VM 1 can still use at least 75,000 tokens
 
+  Scenario: Requests that were refused do not make a mark allow more
+    Given 1 VMs over an account of 100,000 tokens
+    When VM 1 refuses 50 requests of 1,000,000 tokens
+    And VM 1 runs 5 requests of 1,000 tokens, one a second
+    And VM 1 is killed and starts again after 1,000 ms
+    Then VM 1 can still use at least 75,000 tokens
+
   Scenario Outline: A VM that starts again <down_ms> ms later takes back what no stage of its mark allowed by then
     Given 1 VMs over an account of 100,000 tokens
     When VM 1 runs 5 requests of 1,000 tokens, one a second
--- a/teaseldale/budgets/tests/steps_account_grants.py
+++ b/teaseldale/budgets/tests/steps_account_grants.py
@@ -218,12 +218,21 @@
     context.size = 1000
 
 
+@when('VM 1 refuses {count:d} requests of {tokens} tokens')
+def refuse_many(context, count, tokens):
+    context.refused = count, number(tokens)
+
+
 @when('VM 1 is killed and starts again after {down_ms} ms')
 def killed(context, down_ms):
     fleet = context.fleet
+    refused_count, refused_tokens = getattr(context, 'refused', (0, 0))
 
     async def story():
         vm = fleet.vms[0]
+        for _ in range(refused_count):
+            await fleet.request(vm, refused_tokens)
+        assert len(fleet.refusals) == refused_count
         for _ in range(5):
             await fleet.request(vm, context.size, lasts_ms=1000)
         await sleep_ms(700)
