Move traffic to ordered versions and write how far they have got

Cause: runners of an ordered version got no traffic while others were there, and no state was written. A good version was never completed, a bad one never taken back.

Ruled out: one steering VM by a lease, which stands still until the lease of a killed VM runs out, with orders of some seconds; each VM by itself, which sees a part of the evidence only.

Change: any VM takes the next step by a transaction on the order's row. A VM with an old view sends nothing to an unproven version.

Tests: 17 scenarios in virtual time (good and bad versions beside kills, cuts, an outage and lost answers), the rows, and a retry away from a version on trial. They fail for a version of the program without the comparison (9), with an old view in use (1), with a share without bound (6) and with one row of evidence for all VMs (5).

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -17,9 +17,11 @@
     ForwardingEntry,
     ForwardingParts,
     MetricsPage,
+    MoveStore,
     NodeSettings,
     RequestLog,
     RunnerDirectory,
+    VersionMoves,
     VmDatagrams,
     WatchedState,
 )
@@ -29,6 +31,7 @@
 from teaseldale.platform import (
     SETTINGS_VARIABLE,
     PlatformFleetFormat,
+    PlatformOrderStatus,
     PlatformStore,
     PlatformWireFormat,
     read_settings_file,
@@ -59,6 +62,7 @@
     kernel.register(SettingsReload())
     kernel.register(_build_watch(parts, store))
     kernel.register(parts.grants)
+    kernel.register(parts.moves)
     kernel.register(
         VmDatagrams(
             address=settings.peer_address,
@@ -120,11 +124,13 @@
 ) -> ForwardingParts:
     random_source = random.Random()  # noqa: S311
     bounds = settings.retry_bounds
-    grants = _build_grants(settings, store, clock, metrics)
+    holder = HolderKey(vm_name=settings.name, incarnation=uuid.uuid4().hex)
+    grants = _build_grants(settings, holder, store, clock, metrics)
+    directory = RunnerDirectory()
     return ForwardingParts(
         wire=PlatformWireFormat(),
         configuration=ConfigurationHolder(),
-        directory=RunnerDirectory(),
+        directory=directory,
         connections=ConnectionBook(clock=clock, metrics=metrics),
         choice=BacklogChoice(clock=clock, random_source=random_source),
         retries=RetryWindow(
@@ -135,6 +141,18 @@
             vm_count=lambda: grants.lately_running_count,
         ),
         grants=grants,
+        moves=VersionMoves(
+            holder=holder,
+            share_limit=settings.version_move_share,
+            directory=directory,
+            store=MoveStore(
+                table=store,
+                feed=store,
+                status=PlatformOrderStatus(),
+            ),
+            clock=clock,
+            metrics=metrics,
+        ),
         clock=clock,
         metrics=metrics,
         random_source=random_source,
@@ -144,15 +162,13 @@
 
 def _build_grants(
     settings: NodeSettings,
+    holder: HolderKey,
     store: PlatformStore,
     clock: SystemClock,
     metrics: Metrics,
 ) -> AccountGrants:
     return AccountGrants(
-        holder=HolderKey(
-            vm_name=settings.name,
-            incarnation=uuid.uuid4().hex,
-        ),
+        holder=holder,
         address=str(settings.peer_address),
         started_ms=STARTED_MS,
         store=StoreAccess(
@@ -174,6 +190,7 @@
             connections=parts.connections,
             choice=parts.choice,
             grants=parts.grants,
+            moves=parts.moves,
         ),
         clock=parts.clock,
         metrics=parts.metrics,
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -28,6 +28,11 @@
     RunnerDirectory,
     VersionOrder,
 )
+from teaseldale.forwarding._version_moves import (
+    BaseOrderStatus,
+    MoveStore,
+    VersionMoves,
+)
 from teaseldale.forwarding._vm_datagrams import VmDatagrams
 from teaseldale.forwarding._wire import (
     BaseWireFormat,
@@ -41,6 +46,7 @@
 __all__ = (
     'Address',
     'BaseFleetFormat',
+    'BaseOrderStatus',
     'BaseWireFormat',
     'ClientRequest',
     'ConfigurationHolder',
@@ -56,6 +62,7 @@
     'ForwardingRunner',
     'ForwardingService',
     'MetricsPage',
+    'MoveStore',
     'NodeSettings',
     'VmDatagrams',
     'PrepaidAccount',
@@ -67,6 +74,7 @@
     'RunnerReply',
     'TokenUsage',
     'UnreadableRowError',
+    'VersionMoves',
     'VersionOrder',
     'WatchedState',
     'WeightedService',
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -56,9 +56,13 @@
         runner: ForwardingRunner,
         backlog: RunnerBacklog,
         work: PlannedWork,
+        route: str,
     ) -> None:
         """Counts the request at the runner at once."""
         self._parts = parts
+        self._route = route
+        self._sent_ms = parts.clock.monotonic_ms()
+        self._answer_ms: int | None = None  # from the sending to the head
         self.runner = runner
         self._placed: PlacedWork = parts.choice.place(work, backlog)
         self._is_read = False
@@ -85,6 +89,7 @@
             )
         except UpstreamError as error:
             return self._failed(error)
+        self._answer_ms = self._parts.clock.monotonic_ms() - self._sent_ms
         reply = self._parts.wire.read_reply(answer.status, answer.headers)
         self._note_load(reply)
         if reply.is_misdirected:
@@ -130,6 +135,12 @@
             self.runner.runner_id,
             has_failed=has_failed,
         )
+        self._parts.moves.note(
+            self.runner,
+            route=self._route,
+            has_failed=has_failed,
+            answer_ms=self._answer_ms,
+        )
 
     def _failed(self, error: UpstreamError) -> NotRun | BrokeOff:
         if error.may_have_run:
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -18,6 +18,7 @@
     RunnerDirectory,
     VersionOrder,
 )
+from teaseldale.forwarding._version_moves import VersionMoves
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
@@ -71,6 +72,7 @@
     connections: ConnectionBook
     choice: BacklogChoice
     grants: AccountGrants
+    moves: VersionMoves
 
 
 class FleetWatch(BaseService):
@@ -147,15 +149,10 @@
             self._take_configuration(configuration)
 
     def _take_order(self, service: str, row: Row) -> None:
-        version = None
-        if row.value is not None:
-            version = self._format.decode_order(row).version
-        self._state.directory.hold_back(service, version)
-        self._log.changed(
-            'version_held_back',
-            service=service,
-            version=version,
-        )
+        if row.value is None:
+            self._state.moves.drop_order(service)
+        else:
+            self._state.moves.take_order(self._format.decode_order(row))
 
     def _take_configuration(self, offered: ForwardingConfiguration) -> None:
         if self._state.configuration.offer(offered):
--- a/teaseldale/forwarding/_parts.py
+++ b/teaseldale/forwarding/_parts.py
@@ -9,6 +9,7 @@
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_book import ConnectionBook
 from teaseldale.forwarding._runners import RunnerDirectory
+from teaseldale.forwarding._version_moves import VersionMoves
 from teaseldale.forwarding._wire import BaseWireFormat
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
@@ -26,6 +27,7 @@
     choice: BacklogChoice
     retries: RetryWindow
     grants: AccountGrants
+    moves: VersionMoves
     clock: BaseClock
     metrics: Metrics
     random_source: random.Random
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -14,6 +14,7 @@
 from teaseldale.forwarding._events import EventSplitter, StreamOrderError
 from teaseldale.forwarding._parts import ForwardingParts
 from teaseldale.forwarding._refusals import broke_off, no_runner
+from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.forwarding._wire import Dispatch
 from teaseldale.outcomes import Refusal
 from teaseldale.routing import PlannedWork, RunnerBacklog
@@ -74,6 +75,8 @@
         self._work = _work_of(admitted)
         self._events = EventSplitter(last_id=admitted.request.last_event_id)
         self._failure: _WholeReply | None = None  # a runner's own, kept
+        # Of a version on trial, if the first attempt goes there.
+        self._first_runners: tuple[ForwardingRunner, ...] = ()
         self._tried: set[str] = set()
         self._is_retry = False  # whether a wrong runner saw the request
         self._last_event_ms = 0  # monotonic, of the stream's newest event
@@ -90,7 +93,9 @@
 
     async def run(self) -> None:
         """Tries runners until the caller has its final answer."""
-        self._parts.retries.note_request(self._admitted.service)
+        service = self._admitted.service
+        self._parts.retries.note_request(service)
+        self._first_runners = self._parts.moves.draw(service)
         while True:
             attempt = self._next_attempt()
             if attempt is None:
@@ -126,6 +131,7 @@
             runner=runner,
             backlog=backlog,
             work=self._work,
+            route=self._route.name,
         )
 
     def _may_try(self) -> bool:
@@ -134,7 +140,9 @@
         return self.record.arrival_count < max(self._route.runner_limit, 1)
 
     def _candidates(self) -> tuple[RunnerBacklog, ...]:
-        usable = self._parts.directory.usable(self._admitted.service)
+        usable = self._first_runners
+        if self._tried or not usable:
+            usable = self._parts.directory.usable(self._admitted.service)
         return tuple(
             self._parts.choice.backlog(runner.runner_id, runner.slot_count)
             for runner in usable
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -32,6 +32,8 @@
 
     service: str
     version: str  # of the runners that are to take the traffic
+    duration_ms: int  # from the order to its deadline
+    revision: int  # of the order's row; tells two orders apart
 
 
 class RunnerDirectory:
@@ -42,12 +44,24 @@
         self._runners: dict[str, ForwardingRunner] = {}
         self._by_service: dict[str, tuple[ForwardingRunner, ...]] = {}
         self._held_back: dict[str, str] = {}  # unproven version by service
+        self._moved: dict[str, str] = {}  # proven version by service
         self.is_known = False  # whether the list has been read once
 
     def usable(self, service: str) -> tuple[ForwardingRunner, ...]:
         """Returns the runners of ``service`` that take new requests."""
         return self._by_service.get(service, ())
 
+    def unproven(self, service: str) -> tuple[ForwardingRunner, ...]:
+        """Returns the runners of the version that is held back."""
+        held_back = self._held_back.get(service)
+        return tuple(
+            runner
+            for runner in self._runners.values()
+            if runner.service == service
+            and runner.version == held_back
+            and not runner.is_leaving
+        )
+
     def all_runners(self) -> tuple[ForwardingRunner, ...]:
         """Returns every runner, leaving ones too."""
         return tuple(self._runners.values())
@@ -74,16 +88,26 @@
                 self._runners[runner_id] = runner
         self._index()
 
-    def hold_back(self, service: str, version: str | None) -> None:
-        """Keeps traffic from an unproven version; None ends that.
+    def hold_back(self, service: str, version: str) -> None:
+        """Keeps traffic from an unproven version.
 
         If the service has no runner of another version, not even one that
         leaves, the version is used all the same.
         """
-        if version is None:
-            self._held_back.pop(service, None)
-        else:
-            self._held_back[service] = version
+        self._held_back[service] = version
+        self._moved.pop(service, None)
+        self._index()
+
+    def move_to(self, service: str, version: str) -> None:
+        """Uses only a version, as soon as it has a runner."""
+        self._held_back.pop(service, None)
+        self._moved[service] = version
+        self._index()
+
+    def forget_order(self, service: str) -> None:
+        """Uses all versions of a service alike."""
+        self._held_back.pop(service, None)
+        self._moved.pop(service, None)
         self._index()
 
     def _index(self) -> None:
@@ -101,7 +125,11 @@
         members: list[ForwardingRunner],
     ) -> tuple[ForwardingRunner, ...]:
         held_back = self._held_back.get(service)
-        proven = [runner for runner in members if runner.version != held_back]
+        moved = self._moved.get(service)
+        if moved is None:
+            wanted = [one for one in members if one.version != held_back]
+        else:
+            wanted = [one for one in members if one.version == moved]
         return tuple(
-            runner for runner in proven or members if not runner.is_leaving
+            runner for runner in wanted or members if not runner.is_leaving
         )
--- /dev/null
+++ b/teaseldale/forwarding/_version_moves.py
@@ -0,0 +1,385 @@
+"""Service that moves a service's traffic to a version that was ordered.
+
+Every VM counts how its own requests went at both versions, and reads what the
+others counted. Any VM may take the next step: steps are transactions on one
+row, so the first one counts and no VM has to be alive for a move to go on. A
+VM that cannot read the row sends nothing to an unproven version.
+"""
+
+import abc
+
+import attrs
+import msgspec
+from anyio.abc import TaskGroup
+
+from teaseldale.budgets import HolderKey
+from teaseldale.clock import BaseClock
+from teaseldale.forwarding._runners import (
+    ForwardingRunner,
+    RunnerDirectory,
+    VersionOrder,
+)
+from teaseldale.forwarding._version_evidence import VersionEvidence
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.moves import (
+    CanaryPolicy,
+    OrderDecision,
+    OrderPhase,
+    OrderPlan,
+    VersionPair,
+)
+from teaseldale.outcomes import PlatformError
+from teaseldale.tables import (
+    BaseRowFeed,
+    BaseTableService,
+    Committed,
+    Row,
+    RowCheck,
+    RowWrite,
+    make_transaction,
+)
+
+MOVES_TABLE = 'version_moves'
+EVIDENCE_TABLE = 'version_evidence'
+# How often the row of a running move is read. Once all requests are to go to
+# the new version, the others have to follow within a part of a second.
+_ROUND_MS = 100
+# How often counts are told and read. A bad version has to be taken back within
+# some seconds.
+_EVIDENCE_MS = 300
+# A VM whose view is older than this sends nothing to an unproven version. It
+# is a part of the time in which a bad version must be taken back.
+_VIEW_MS = 1500
+_SEPARATOR = '/'
+# Rows of earlier orders that go with a step. Transactions of the store hold a
+# hundred entries.
+_REMOVED_ROWS = 50
+_BEGIN = OrderDecision(phase=OrderPhase.CANARY, reason='the order was read')
+
+
+@attrs.frozen(kw_only=True)
+class MoveRow:
+    """The state of a service's newest order, as all VMs see it."""
+
+    order_revision: int  # of the order's row
+    phase: OrderPhase
+    started_store_ms: int  # store's clock; when a VM first saw the order
+
+
+@attrs.frozen(kw_only=True)
+class EvidenceRow:
+    """What one VM has counted since an order."""
+
+    order_revision: int
+    pair: VersionPair
+
+
+class BaseOrderStatus(abc.ABC):
+    """Tells operators how far an order has got."""
+
+    @abc.abstractmethod
+    def status_write(self, order: VersionOrder, phase: OrderPhase) -> RowWrite:
+        """Returns the write of an order's state."""
+
+
+@attrs.frozen(kw_only=True)
+class MoveStore:
+    """The store and how it is written for operators."""
+
+    table: BaseTableService
+    feed: BaseRowFeed
+    status: BaseOrderStatus
+
+
+@attrs.define(kw_only=True)
+class _RunningOrder:
+    order: VersionOrder
+    policy: CanaryPolicy
+    plan: OrderPlan
+    evidence: VersionEvidence
+    phase: OrderPhase = OrderPhase.CANARY
+    has_begun: bool = False  # whether the row tells of this order
+    started_store_ms: int = 0
+    row_revision: int = 0  # of the row of the move
+    told: VersionPair = VersionPair()  # evidence that the store has
+    total: VersionPair = VersionPair()  # evidence of all VMs, as last read
+    next_evidence_ms: int = 0  # monotonic
+    read_ms: int | None = None  # monotonic, when the row was last read
+    old_keys: set[str] = attrs.field(factory=set)  # rows of earlier orders
+    sent_count: int = 0  # requests of this VM since the order
+    canary_count: int = 0  # of them to the unproven version
+
+    def is_view_old(self, now_ms: int) -> bool:
+        """Whether the order may have been taken back unheard."""
+        return self.read_ms is None or now_ms - self.read_ms > _VIEW_MS
+
+
+class VersionMoves(BaseService):
+    """Follows all orders and takes part in their steps."""
+
+    def __init__(
+        self,
+        *,
+        holder: HolderKey,
+        share_limit: float,
+        directory: RunnerDirectory,
+        store: MoveStore,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """``share_limit`` bounds what a bad version may get of a service.
+
+        ``holder`` names this start of the VM: another start counts anew.
+        """
+        self._holder = holder
+        self._share_limit = share_limit
+        self._directory = directory
+        self._store = store
+        self._clock = clock
+        self._metrics = metrics
+        self._running: dict[str, _RunningOrder] = {}
+        self._log = StateLog(channel='moves')
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'version_moves'
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts to take part in moves."""
+        tasks.start_soon(self._run)
+
+    def take_order(self, order: VersionOrder) -> None:
+        """Begins an order, unless it is known already."""
+        known = self._running.get(order.service)
+        if known is not None and known.order.revision >= order.revision:
+            return
+        plan = OrderPlan(
+            duration_ms=order.duration_ms,
+            share_limit=self._share_limit,
+        )
+        self._running[order.service] = _RunningOrder(
+            order=order,
+            policy=CanaryPolicy(plan=plan),
+            plan=plan,
+            evidence=VersionEvidence(),
+        )
+        self._directory.hold_back(order.service, order.version)
+        self._log.changed(
+            'version_ordered',
+            service=order.service,
+            version=order.version,
+            duration_ms=order.duration_ms,
+        )
+
+    def drop_order(self, service: str) -> None:
+        """Forgets an order whose row was removed."""
+        if self._running.pop(service, None) is not None:
+            self._directory.forget_order(service)
+            self._log.changed('version_order_removed', service=service)
+
+    def draw(self, service: str) -> tuple[ForwardingRunner, ...]:
+        """Returns the runners of the unproven version if a request goes there.
+
+        An empty tuple means that it goes where requests usually go.
+        """
+        running = self._running.get(service)
+        if running is None or running.phase.is_final:
+            return ()
+        running.sent_count += 1
+        if running.is_view_old(self._clock.monotonic_ms()):
+            return ()
+        if running.phase is OrderPhase.CANARY:
+            allowed = running.sent_count * running.plan.canary_share
+            if running.canary_count + 1 > allowed:
+                return ()
+            running.canary_count += 1
+        return self._directory.unproven(service)
+
+    def note(
+        self,
+        runner: ForwardingRunner,
+        *,
+        route: str,
+        has_failed: bool,
+        answer_ms: int | None,
+    ) -> None:
+        """Counts how a request went at a runner."""
+        running = self._running.get(runner.service)
+        if running is not None and not running.phase.is_final:
+            running.evidence.note(
+                route=route,
+                is_new=runner.version == running.order.version,
+                has_failed=has_failed,
+                answer_ms=answer_ms,
+            )
+
+    async def _run(self) -> None:
+        while True:
+            await self._clock.sleep_ms(_ROUND_MS)
+            for running in tuple(self._running.values()):
+                if not running.phase.is_final:
+                    await self._try_round(running)
+
+    async def _try_round(self, running: _RunningOrder) -> None:
+        try:
+            await self._round(running)
+        except PlatformError as error:
+            self._metrics.increment('move_rounds_failed', error.reason)
+        except msgspec.DecodeError as error:
+            # Another release may have written the row; the next round may
+            # find one that can be read.
+            self._metrics.increment('rows_unreadable', MOVES_TABLE)
+            self._log.changed(
+                'row_unreadable',
+                table=MOVES_TABLE,
+                key=running.order.service,
+                reason=str(error),
+            )
+
+    async def _round(self, running: _RunningOrder) -> None:
+        moves = await self._store.feed.read_all(MOVES_TABLE)
+        self._take_move(running, moves.rows)
+        if running.phase.is_final:
+            return
+        if not running.has_begun:
+            running.started_store_ms = moves.store_ms
+            await self._step(running, _BEGIN)
+            return
+        await self._exchange_evidence(running)
+        decision = running.policy.decide(
+            phase=running.phase,
+            elapsed_ms=moves.store_ms - running.started_store_ms,
+            evidence=running.total,
+        )
+        if decision is not None:
+            await self._step(running, decision)
+
+    async def _exchange_evidence(self, running: _RunningOrder) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms >= running.next_evidence_ms:
+            running.next_evidence_ms = now_ms + _EVIDENCE_MS
+            await self._tell_evidence(running)
+            running.total = await self._read_evidence(running)
+
+    async def _tell_evidence(self, running: _RunningOrder) -> None:
+        pair = running.evidence.pair
+        if pair == running.told:
+            return
+        key = _evidence_key(running.order.service, self._holder.text)
+        row = EvidenceRow(order_revision=running.order.revision, pair=pair)
+        await self._store.table.commit(
+            make_transaction(
+                checks=(),
+                writes=(_write(EVIDENCE_TABLE, key, row),),
+            ),
+        )
+        running.told = pair
+
+    async def _read_evidence(self, running: _RunningOrder) -> VersionPair:
+        rows = (await self._store.feed.read_all(EVIDENCE_TABLE)).rows
+        prefix = _evidence_key(running.order.service, '')
+        total = VersionPair()
+        for row in rows:
+            if row.value is None or not row.key.startswith(prefix):
+                continue
+            read = msgspec.msgpack.decode(row.value, type=EvidenceRow)
+            if read.order_revision == running.order.revision:
+                total = total.plus(read.pair)
+            else:
+                running.old_keys.add(row.key)
+        return total
+
+    def _take_move(
+        self,
+        running: _RunningOrder,
+        rows: tuple[Row, ...],
+    ) -> None:
+        running.read_ms = self._clock.monotonic_ms()
+        for row in rows:
+            if row.key != running.order.service or row.value is None:
+                continue
+            read = msgspec.msgpack.decode(row.value, type=MoveRow)
+            running.row_revision = row.revision
+            if read.order_revision != running.order.revision:
+                # The row is of an earlier order; it is to be replaced.
+                continue
+            running.has_begun = True
+            running.started_store_ms = read.started_store_ms
+            self._enter(running, read.phase, 'another VM has decided')
+
+    async def _step(
+        self,
+        running: _RunningOrder,
+        decision: OrderDecision,
+    ) -> None:
+        order = running.order
+        row = MoveRow(
+            order_revision=order.revision,
+            phase=decision.phase,
+            started_store_ms=running.started_store_ms,
+        )
+        outcome = await self._store.table.commit(
+            make_transaction(
+                checks=(
+                    RowCheck(
+                        table=MOVES_TABLE,
+                        key=order.service,
+                        revision=running.row_revision,
+                    ),
+                ),
+                writes=(
+                    _write(MOVES_TABLE, order.service, row),
+                    self._store.status.status_write(order, decision.phase),
+                    *_removals(running.old_keys),
+                ),
+            ),
+        )
+        if isinstance(outcome, Committed):
+            running.has_begun = True
+            running.row_revision = outcome.revision
+            self._enter(running, decision.phase, decision.reason)
+
+    def _enter(
+        self,
+        running: _RunningOrder,
+        phase: OrderPhase,
+        reason: str,
+    ) -> None:
+        if running.phase is phase:
+            return
+        order = running.order
+        running.phase = phase
+        if phase is OrderPhase.COMPLETED:
+            self._directory.move_to(order.service, order.version)
+        self._metrics.increment('version_steps', phase)
+        self._log.changed(
+            'version_step',
+            service=order.service,
+            version=order.version,
+            phase=phase,
+            reason=reason,
+            requests=running.evidence.new.requests,
+            failures=running.evidence.new.failures,
+        )
+
+
+def _evidence_key(service: str, holder: str) -> str:
+    return f'{service}{_SEPARATOR}{holder}'
+
+
+def _removals(keys: set[str]) -> tuple[RowWrite, ...]:
+    return tuple(
+        RowWrite(table=EVIDENCE_TABLE, key=key, value=None)
+        for key in sorted(keys)[:_REMOVED_ROWS]
+    )
+
+
+def _write(table: str, key: str, record: MoveRow | EvidenceRow) -> RowWrite:
+    return RowWrite(
+        table=table,
+        key=key,
+        value=msgspec.msgpack.encode(record),
+    )
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -44,6 +44,13 @@
       | stream    | 2     | broken, events 1-5          | 502 of the VM's own              | 1     |
       | resumable | 2     | broken, events 1-5          | 200 with events 1-5              | 2     |
 
+  Scenario: A request that a version on trial fails is tried again elsewhere
+    Given 3 runners and a "safe" route for 2 runners
+    And a version on trial takes the request
+    When runner answers are: whole 500, whole 200
+    Then the caller gets 200 with the runner's body
+    And the version on trial was asked first, and not again
+
   Scenario: A stream is billed for its prompt and the events that were passed on
     Given 3 runners and a "stream" route for 1 runners
     When runner answers are: cut after 1-3
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -63,10 +63,12 @@
 
     def __init__(self, script):
         self.script = list(script)
+        self.asked = []  # runners
         self.seen = []  # messages that runners saw
         self.closed_ms = None
 
     def of(self, runner):
+        self.asked.append(runner)
         return self
 
     def keep_only(self, runners):
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -24,12 +24,14 @@
     ForwardingRoute,
     ForwardingRunner,
     ForwardingService,
+    MoveStore,
     NodeSettings,
     PrepaidAccount,
     Repetition,
     RequestLog,
     RetryBounds,
     RunnerDirectory,
+    VersionMoves,
     WeightedService,
 )
 from teaseldale.forwarding.tests.scripted_caller import ScriptedCaller
@@ -40,7 +42,7 @@
 )
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.platform import PlatformWireFormat
+from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
 from teaseldale.platform.tests.wire_names import CALLER_HEADERS, STAMP
 from teaseldale.routing import BacklogChoice, RetryWindow
 from teaseldale.tables import InMemoryTable
@@ -59,6 +61,7 @@
 @given('{count:d} runners and a "{kind}" route for {limit:d} runners')
 def runners_for(context, count, kind, limit):
     repetition, is_resumable = _REPETITIONS[kind]
+    context.on_trial = None
     context.runner_count = count
     context.configuration = ForwardingConfiguration(
         version=1,
@@ -108,6 +111,14 @@
         state=InMemoryTable(),
         random_source=random.Random(1),
     )
+    moves = VersionMoves(
+        holder=HolderKey(vm_name='vm', incarnation='1'),
+        share_limit=0.1,
+        directory=directory,
+        store=MoveStore(table=table, feed=table, status=PlatformOrderStatus()),
+        clock=clock,
+        metrics=metrics,
+    )
     holder = ConfigurationHolder()
     if context.configuration is not None:
         holder.offer(context.configuration)
@@ -135,6 +146,7 @@
                 metrics=metrics,
             ),
         ),
+        moves=moves,
         clock=clock,
         metrics=metrics,
         random_source=random.Random(1),
@@ -182,6 +194,9 @@
         entry, parts = make_entry(context, context.connections, clock)
         async with anyio.create_task_group() as tasks:
             parts.grants.follow_accounts({'a': 1_000_000})
+            if context.on_trial is not None:
+                parts.directory.change({'i-trial': context.on_trial})
+                parts.moves.draw = lambda service: (context.on_trial,)
             await parts.grants.start(tasks)
             await anyio.sleep(1)
             context.start_ms = clock.monotonic_ms()
@@ -205,6 +220,21 @@
     assert told == [cut], told
 
 
+@given('a version on trial takes the request')
+def on_trial(context):
+    context.on_trial = attrs.evolve(
+        make_runner(9),
+        runner_id='i-trial',
+        version='v2',
+    )
+
+
+@then('the version on trial was asked first, and not again')
+def trial_first(context):
+    asked = [runner.version for runner in context.connections.asked]
+    assert asked == ['v2', 'v1'], asked
+
+
 @when('runner answers are: {answers}')
 def answers_are(context, answers):
     context.script = answers.split(', ')
--- /dev/null
+++ b/teaseldale/forwarding/tests/steps_version_moves.py
@@ -0,0 +1,372 @@
+"""Steps for version moves, with several VMs in virtual time."""
+
+import random
+import re
+
+import anyio
+import attrs
+import msgspec
+from behave import given, then, when
+
+from teaseldale.budgets import HolderKey
+from teaseldale.fakes import (
+    FakeTableService,
+    VirtualClock,
+    run_in_virtual_time,
+)
+from teaseldale.forwarding import (
+    Address,
+    ForwardingRunner,
+    MoveStore,
+    RunnerDirectory,
+    VersionMoves,
+    VersionOrder,
+)
+from teaseldale.metrics import Metrics
+from teaseldale.platform import PlatformOrderStatus
+from teaseldale.tables import InMemoryTable
+
+_ORDERED_MS = 5000  # the usual times are known by then
+_FAULT_MS = 4000  # after the order
+_AFTER_MS = 3000  # requests go on so long after the deadline
+_SERVICE = 's'
+_USUAL_MS = 60
+
+
+@attrs.frozen(kw_only=True)
+class SentRequest:
+    """A request as its runner saw it."""
+
+    vm_number: int
+    sent_ms: int  # after the order
+    is_new: bool
+    is_bad: bool
+
+
+class MoveVm:
+    """One VM; a start of it knows only what it reads."""
+
+    def __init__(self, *, number, fleet):
+        self.number = number
+        self.fleet = fleet
+        self.scope = None
+        self.moves = None
+        self.table = None
+        self.starts = 0
+
+    async def run(self):
+        self.starts += 1
+        fleet = self.fleet
+        clock = VirtualClock()
+        self.table = FakeTableService(
+            state=fleet.state,
+            random_source=fleet.random,
+        )
+        self.directory = RunnerDirectory()
+        self.directory.replace_all(fleet.runners())
+        self.moves = VersionMoves(
+            holder=HolderKey(
+                vm_name=f'vm-{self.number}',
+                incarnation=str(self.starts),
+            ),
+            share_limit=0.1,
+            directory=self.directory,
+            store=MoveStore(
+                table=self.table,
+                feed=self.table,
+                status=PlatformOrderStatus(),
+            ),
+            clock=clock,
+            metrics=Metrics(),
+        )
+        with anyio.CancelScope() as self.scope:
+            async with anyio.create_task_group() as tasks:
+                await self.moves.start(tasks)
+                if fleet.order is not None:
+                    self.moves.take_order(fleet.order)
+                await self._send(clock)
+        self.moves = None
+
+    async def _send(self, clock):
+        fleet = self.fleet
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(1 / fleet.per_s)
+                tasks.start_soon(self._request, clock)
+
+    async def _request(self, clock):
+        fleet = self.fleet
+        route = fleet.random.choice(('a', 'b'))
+        runners = self.moves.draw(_SERVICE) or self.directory.usable(_SERVICE)
+        runner = fleet.random.choice(runners)
+        sent_ms = clock.monotonic_ms() - fleet.ordered_ms
+        is_new = fleet.order is not None and (
+            runner.version == fleet.order.version
+        )
+        has_failed, takes_ms = fleet.answer(is_new, sent_ms, route)
+        fleet.sent.append(
+            SentRequest(
+                vm_number=self.number,
+                sent_ms=sent_ms,
+                is_new=is_new,
+                is_bad=has_failed or takes_ms > 2 * _USUAL_MS,
+            )
+        )
+        moves = self.moves
+        await anyio.sleep(takes_ms / 1000)
+        moves.note(
+            runner,
+            route=route,
+            has_failed=has_failed,
+            answer_ms=takes_ms,
+        )
+
+
+class MoveFleet:
+    """VMs, runners of two versions and an order."""
+
+    def __init__(self, *, vm_count, per_s, old_count):
+        self.random = random.Random(7)
+        self.state = InMemoryTable()
+        self.per_s = per_s
+        self.vms = [
+            MoveVm(number=number + 1, fleet=self) for number in range(vm_count)
+        ]
+        self.old_count = old_count
+        self.new_count = 0
+        self.order = None
+        self.ordered_ms = _ORDERED_MS
+        self.fault = 'good'
+        self.sent = []
+        self.state_at = []  # times after the order and states of its row
+
+    def runners(self):
+        return [
+            *self._of('v1', self.old_count),
+            *self._of('v2', self.new_count),
+            *self._of('v3', self.new_count),
+        ]
+
+    def _of(self, version, count):
+        return [
+            ForwardingRunner(
+                runner_id=f'{version}-{number}',
+                started_wall_ms=1,
+                service=_SERVICE,
+                address=Address(ip='10.0.0.1', port=number + 1),
+                availability_zone='z',
+                version=version,
+                slot_count=4,
+            )
+            for number in range(count)
+        ]
+
+    def answer(self, is_new, sent_ms, route):
+        """Returns whether a request fails and how long it takes."""
+        takes_ms = _USUAL_MS * self.random.uniform(0.8, 1.4)
+        if not is_new:
+            return self.random.random() < 0.01, int(takes_ms)
+        share = {
+            'fails 40 in 100 requests': 0.4,
+            'fails all requests': 1,
+            'fails 40 in 100 after 8 s': 0.4 * (sent_ms > 8000),
+            'fails 40 in 100 on one route': 0.4 * (route == 'a'),
+        }.get(self.fault, 0.01)
+        if self.fault == 'is 4 times as slow':
+            takes_ms *= 4
+        return self.random.random() < share, int(takes_ms)
+
+    def take_order(self, version, duration_ms, revision):
+        self.order = VersionOrder(
+            service=_SERVICE,
+            version=version,
+            duration_ms=duration_ms,
+            revision=revision,
+        )
+        for vm in self.vms:
+            if vm.moves is not None:
+                vm.moves.take_order(self.order)
+
+    def read_state(self, now_ms):
+        row = self.state.read(table='status', key=f'rollout/{_SERVICE}')
+        if row is not None:
+            record = msgspec.json.decode(row.value)
+            if record['Target'] == self.order.version:
+                self.state_at.append((now_ms, record['State']))
+
+
+def play(context):
+    fleet = context.fleet
+    duration_ms = context.duration_ms
+
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            for vm in fleet.vms:
+                tasks.start_soon(vm.run)
+            await anyio.sleep(_ORDERED_MS / 1000)
+            if context.second:
+                fleet.take_order('v2', duration_ms, 10)
+                await anyio.sleep(duration_ms / 1000 + 2)
+                fleet.ordered_ms += duration_ms + 2000
+                fleet.fault = 'good'
+                fleet.sent.clear()
+                fleet.take_order('v3', duration_ms, 20)
+            else:
+                fleet.take_order('v2', duration_ms, 10)
+            tasks.start_soon(faults, fleet, tasks, context.beside)
+            for _ in range((duration_ms + _AFTER_MS) // 100):
+                await anyio.sleep(0.1)
+                now_ms = round(anyio.current_time() * 1000)
+                fleet.read_state(now_ms - fleet.ordered_ms)
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(story)
+
+
+async def faults(fleet, tasks, kind):
+    if kind.startswith('a VM is killed'):
+        while True:
+            await anyio.sleep(2)
+            vm = fleet.random.choice(fleet.vms)
+            vm.scope.cancel()
+            await anyio.sleep(1)
+            tasks.start_soon(vm.run)
+    if kind == 'nothing fails':
+        return
+    seconds = int(re.search(r'for (\d+) s', kind).group(1))
+    touched = fleet.vms[:1] if kind.startswith('VM 1') else fleet.vms
+    flag = 'lose_answers' if kind.startswith('answers') else 'down'
+    await anyio.sleep(_FAULT_MS / 1000)
+    for vm in touched:
+        setattr(vm.table, flag, True)
+    await anyio.sleep(seconds)
+    for vm in touched:
+        setattr(vm.table, flag, False)
+
+
+@given(
+    '{count:d} VMs that send {per_s:d} requests a second each to a service '
+    'with {runners:d} runners'
+)
+def vms_and_service(context, count, per_s, runners):
+    context.fleet = MoveFleet(
+        vm_count=count,
+        per_s=per_s,
+        old_count=runners,
+    )
+    context.second = False
+
+
+@when(
+    'a good version with {count:d} runners is ordered for {seconds:d} s, '
+    '{beside}'
+)
+def order_good(context, count, seconds, beside):
+    order_bad(context, 'good', count, seconds, beside)
+
+
+@when(
+    'a version that {fault} with {count:d} runners is ordered for '
+    '{seconds:d} s, {beside}'
+)
+def order_bad(context, fault, count, seconds, beside):
+    fleet = context.fleet
+    fleet.fault = fault
+    fleet.new_count = count
+    context.duration_ms = seconds * 1000
+    context.beside = beside
+    steps = context.scenario.steps
+    if not any(step.name.endswith('s after it') for step in steps):
+        play(context)
+
+
+@when('a good version is ordered for {seconds:d} s after it')
+def order_again(context, seconds):
+    context.second = True
+    play(context)
+
+
+@then('the order\'s state is "{state}" by its deadline')
+def state_by_deadline(context, state):
+    seen = [told for at_ms, told in context.fleet.state_at]
+    by_then = [
+        told
+        for at_ms, told in context.fleet.state_at
+        if at_ms <= context.duration_ms
+    ]
+    assert by_then[-1] == state, by_then[-1]
+    assert seen[-1] == state, seen[-1]
+
+
+@then('the order\'s state is "{state}" soon after its deadline')
+def state_after_deadline(context, state):
+    assert context.fleet.state_at[-1][1] == state
+
+
+def sent_between(context, first_ms, last_ms):
+    return [
+        one for one in context.fleet.sent if first_ms <= one.sent_ms < last_ms
+    ]
+
+
+@then('at the end all requests go to the {which} version')
+def all_go(context, which):
+    end_ms = context.duration_ms + _AFTER_MS
+    last = sent_between(context, end_ms - 1000, end_ms)
+    assert last
+    assert all(one.is_new == (which == 'new') for one in last)
+
+
+@then(
+    'in the {before_ms:d} ms before its completion no request goes to the old '
+    'version'
+)
+def none_old(context, before_ms):
+    completed_ms = min(
+        at_ms for at_ms, told in context.fleet.state_at if told == 'completed'
+    )
+    in_touch = [
+        one
+        for one in sent_between(context, completed_ms - before_ms, completed_ms)
+        if not one.is_new
+    ]
+    assert not in_touch, len(in_touch)
+
+
+@then('until then the new version got at least {count:d} requests')
+def enough_evidence(context, count):
+    new = [one for one in context.fleet.sent if one.is_new]
+    assert len(new) >= count, len(new)
+
+
+@then('the new version got at most {share:g} of all requests and {more:d}')
+def bounded(context, share, more):
+    sent = sent_between(context, 0, context.duration_ms)
+    new = sum(one.is_new for one in sent)
+    assert new <= share * len(sent) + more, (new, len(sent))
+
+
+@then(
+    'it got none that was sent {seconds:d} s after its {count:d}th bad answer'
+)
+def none_after(context, seconds, count):
+    bad = [one for one in context.fleet.sent if one.is_new and one.is_bad]
+    if len(bad) < count:
+        return
+    last_ms = bad[count - 1].sent_ms + seconds * 1000
+    late = [
+        one
+        for one in context.fleet.sent
+        if one.is_new and one.sent_ms > last_ms
+    ]
+    assert not late, len(late)
+
+
+@then('VM 1 sent nothing to it from {seconds:d} s after the cut on')
+def cut_off(context, seconds):
+    first_ms = _FAULT_MS + seconds * 1000
+    sent = sent_between(context, first_ms, _FAULT_MS + 6000)
+    own = [one for one in sent if one.vm_number == 1]
+    assert len(own) > 50
+    assert not any(one.is_new for one in own)
+    assert any(one.is_new for one in sent)
--- a/teaseldale/moves/__init__.py
+++ b/teaseldale/moves/__init__.py
@@ -5,6 +5,12 @@
     InForceVersion,
     RunningRequest,
 )
+from teaseldale.moves._canary import (
+    CanaryPolicy,
+    OrderDecision,
+    OrderPhase,
+    OrderPlan,
+)
 from teaseldale.moves._endpoints import MoveEndpoints
 from teaseldale.moves._evidence import (
     EvidenceCounts,
@@ -34,6 +40,7 @@
     'BaseMovePolicy',
     'BaseOrderClient',
     'BaseVersionAssignment',
+    'CanaryPolicy',
     'EngineOrder',
     'EvidenceCounts',
     'EvidenceSample',
@@ -50,7 +57,10 @@
     'MoveView',
     'MovesParts',
     'MovesService',
+    'OrderDecision',
     'OrderOutcome',
+    'OrderPhase',
+    'OrderPlan',
     'RunningRequest',
     'SequentialPolicy',
     'TimedRampPolicy',
--- a/teaseldale/platform/__init__.py
+++ b/teaseldale/platform/__init__.py
@@ -1,6 +1,7 @@
 """Adapter to the users' platform: settings, store, rows and headers."""
 
 from teaseldale.platform._fleet_rows import PlatformFleetFormat
+from teaseldale.platform._order_status import PlatformOrderStatus
 from teaseldale.platform._settings_file import (
     SETTINGS_VARIABLE,
     read_settings_file,
@@ -11,6 +12,7 @@
 __all__ = (
     'SETTINGS_VARIABLE',
     'PlatformFleetFormat',
+    'PlatformOrderStatus',
     'PlatformStore',
     'PlatformWireFormat',
     'read_settings_file',
--- a/teaseldale/platform/_fleet_rows.py
+++ b/teaseldale/platform/_fleet_rows.py
@@ -22,6 +22,7 @@
 
 _CONFIGURATION_KEY = 'config'
 _ORDER_PREFIX = 'rollout/'
+_MS_PER_SECOND = 1000
 _REPETITIONS = {
     'safe': Repetition.SAFE,
     'unsafe': Repetition.ONCE,
@@ -115,6 +116,7 @@
     service: str = msgspec.field(name='Service')
     # Version of the runners that are to take the traffic.
     version: str = msgspec.field(name='Target')
+    duration_seconds: float = msgspec.field(name='DurationS')
 
 
 class PlatformFleetFormat(BaseFleetFormat):
@@ -152,7 +154,12 @@
             record = msgspec.json.decode(row.value or b'', type=_OrderRecord)
         except ValueError as error:
             raise UnreadableRowError(str(error)) from error
-        return VersionOrder(service=record.service, version=record.version)
+        return VersionOrder(
+            service=record.service,
+            version=record.version,
+            duration_ms=int(record.duration_seconds * _MS_PER_SECOND),
+            revision=row.revision,
+        )
 
     def decode_runner(self, row: Row) -> ForwardingRunner:
         """Decodes a runner's entry."""
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -74,6 +74,20 @@
     And the order is removed
     Then runners of both versions are used
 
+  Scenario: An order tells its deadline
+    When an order for 12.5 s is decoded
+    Then its deadline is 12,500 ms after it
+
+  Scenario Outline: The state of an order is written for operators
+    Then the row of its state in phase "<phase>" tells "<state>"
+
+    Examples:
+      | phase      | state       |
+      | canary     | in_progress |
+      | full       | in_progress |
+      | completed  | completed   |
+      | taken_back | rolled_back |
+
   Scenario: A caller's request is decoded
     Given a caller's request
     Then its key, deadline, usage and 3 prompt parts are known
--- a/teaseldale/platform/tests/steps_orders.py
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -13,11 +13,15 @@
     ConnectionBook,
     FleetWatch,
     ForwardingRunner,
+    MoveStore,
     RunnerDirectory,
+    VersionMoves,
+    VersionOrder,
     WatchedState,
 )
 from teaseldale.metrics import Metrics
-from teaseldale.platform import PlatformFleetFormat
+from teaseldale.moves import OrderPhase
+from teaseldale.platform import PlatformFleetFormat, PlatformOrderStatus
 from teaseldale.routing import BacklogChoice
 from teaseldale.tables import InMemoryTable, Row
 
@@ -34,6 +38,7 @@
         random_source=random.Random(1),
     )
     store = StoreAccess(table=table, feed=table, clock=clock, metrics=metrics)
+    holder = HolderKey(vm_name='vm', incarnation='1')
     return FleetWatch(
         feed=table,
         format=PlatformFleetFormat(),
@@ -43,11 +48,23 @@
             connections=ConnectionBook(clock=clock, metrics=metrics),
             choice=BacklogChoice(clock=clock, random_source=random.Random(1)),
             grants=AccountGrants(
-                holder=HolderKey(vm_name='vm', incarnation='1'),
+                holder=holder,
                 address='127.0.0.1:1',
                 started_ms=0,
                 store=store,
             ),
+            moves=VersionMoves(
+                holder=holder,
+                share_limit=0.1,
+                directory=directory,
+                store=MoveStore(
+                    table=table,
+                    feed=table,
+                    status=PlatformOrderStatus(),
+                ),
+                clock=clock,
+                metrics=metrics,
+            ),
         ),
         clock=clock,
         metrics=metrics,
@@ -125,3 +142,34 @@
 @then('runners of both versions are used')
 def both_versions(context):
     assert used_versions(context) == {'v1', 'v2'}, used_versions(context)
+
+
+@when('an order for {seconds:g} s is decoded')
+def decode_order(context, seconds):
+    document = {'Service': 's', 'Target': 'v2', 'DurationS': seconds}
+    context.order = PlatformFleetFormat().decode_order(
+        order_row(msgspec.json.encode(document)),
+    )
+
+
+@then('its deadline is {duration} ms after it')
+def deadline_is(context, duration):
+    assert context.order.duration_ms == int(duration.replace(',', ''))
+    assert context.order.revision == 1
+
+
+@then('the row of its state in phase "{phase}" tells "{state}"')
+def state_row(context, phase, state):
+    order = VersionOrder(
+        service='s',
+        version='v2',
+        duration_ms=12_000,
+        revision=1,
+    )
+    write = PlatformOrderStatus().status_write(order, OrderPhase(phase))
+    assert (write.table, write.key) == ('status', 'rollout/s')
+    assert msgspec.json.decode(write.value) == {
+        'Service': 's',
+        'Target': 'v2',
+        'State': state,
+    }
