--- a/teaseldale/command/_causes.py
+++ b/teaseldale/command/_causes.py
@@ -137,7 +137,8 @@
         return 'the runner was silent until the time was over'
     if state.is_store_lost:
         return 'waited for tokens while the store was away'
-    return _UNKNOWN
+    # Nothing else is waited for before a runner is asked.
+    return 'waited for tokens until its time was over'
 
 
 def _budget(line: LogLine, state: _VmState) -> str:
--- a/teaseldale/command/tests/explain.feature
+++ b/teaseldale/command/tests/explain.feature
@@ -37,7 +37,7 @@
       | cut runner_broke_off              | a runner closed the connection   | the connection was closed                                 |
       | cut time_over                     | nothing else happens             | the answer was under way as the time of the request ended |
       | status 500                        | nothing else happens             | the runner answered 500                                   |
-      | refusal deadline_exceeded         | nothing else happens             | unknown                                                   |
+      | refusal deadline_exceeded         | nothing else happens             | waited for tokens until its time was over                 |
       | refusal budget_held               | nothing else happens             | unknown                                                   |
 
   Scenario: Requests that were served are counted and have no cause
