Split the choice of runner and the version moves into their parts

Records of work and of a runner's backlog stand beside the choice now; rows of version moves and what a VM knows of an order beside the service. Rows of earlier orders are forgotten once they are removed.

--- a/teaseldale/forwarding/_version_moves.py
+++ b/teaseldale/forwarding/_version_moves.py
@@ -19,7 +19,17 @@
     RunnerDirectory,
     VersionOrder,
 )
+from teaseldale.forwarding._running_order import RunningOrder
 from teaseldale.forwarding._version_evidence import VersionEvidence
+from teaseldale.forwarding._version_rows import (
+    EVIDENCE_TABLE,
+    MOVES_TABLE,
+    EvidenceRow,
+    MoveRow,
+    evidence_key,
+    record_write,
+    removals,
+)
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
@@ -41,41 +51,15 @@
     make_transaction,
 )
 
-MOVES_TABLE = 'version_moves'
-EVIDENCE_TABLE = 'version_evidence'
 # How often the row of a running move is read. Once all requests are to go to
 # the new version, the others have to follow within a part of a second.
 _ROUND_MS = 100
 # How often counts are told and read. A bad version has to be taken back within
 # some seconds.
 _EVIDENCE_MS = 300
-# A VM whose view is older than this sends nothing to an unproven version. It
-# is a part of the time in which a bad version must be taken back.
-_VIEW_MS = 1500
-_SEPARATOR = '/'
-# Rows of earlier orders that go with a step. Transactions of the store hold a
-# hundred entries.
-_REMOVED_ROWS = 50
 _BEGIN = OrderDecision(phase=OrderPhase.CANARY, reason='the order was read')
 
 
-@attrs.frozen(kw_only=True)
-class MoveRow:
-    """The state of a service's newest order, as all VMs see it."""
-
-    order_revision: int  # of the order's row
-    phase: OrderPhase
-    started_store_ms: int  # store's clock; when a VM first saw the order
-
-
-@attrs.frozen(kw_only=True)
-class EvidenceRow:
-    """What one VM has counted since an order."""
-
-    order_revision: int
-    pair: VersionPair
-
-
 class BaseOrderStatus(abc.ABC):
     """Tells operators how far an order has got."""
 
@@ -93,29 +77,6 @@
     status: BaseOrderStatus
 
 
-@attrs.define(kw_only=True)
-class _RunningOrder:
-    order: VersionOrder
-    policy: CanaryPolicy
-    plan: OrderPlan
-    evidence: VersionEvidence
-    phase: OrderPhase = OrderPhase.CANARY
-    has_begun: bool = False  # whether the row tells of this order
-    started_store_ms: int = 0
-    row_revision: int = 0  # of the row of the move
-    told: VersionPair = VersionPair()  # evidence that the store has
-    total: VersionPair = VersionPair()  # evidence of all VMs, as last read
-    next_evidence_ms: int = 0  # monotonic
-    read_ms: int | None = None  # monotonic, when the row was last read
-    old_keys: set[str] = attrs.field(factory=set)  # rows of earlier orders
-    sent_count: int = 0  # requests of this VM since the order
-    canary_count: int = 0  # of them to the unproven version
-
-    def is_view_old(self, now_ms: int) -> bool:
-        """Whether the order may have been taken back unheard."""
-        return self.read_ms is None or now_ms - self.read_ms > _VIEW_MS
-
-
 class VersionMoves(BaseService):
     """Follows all orders and takes part in their steps."""
 
@@ -139,7 +100,7 @@
         self._store = store
         self._clock = clock
         self._metrics = metrics
-        self._running: dict[str, _RunningOrder] = {}
+        self._running: dict[str, RunningOrder] = {}
         self._log = StateLog(channel='moves')
 
     @property
@@ -160,7 +121,7 @@
             duration_ms=order.duration_ms,
             share_limit=self._share_limit,
         )
-        self._running[order.service] = _RunningOrder(
+        self._running[order.service] = RunningOrder(
             order=order,
             policy=CanaryPolicy(plan=plan),
             plan=plan,
@@ -223,7 +184,7 @@
                 if not running.phase.is_final:
                     await self._try_round(running)
 
-    async def _try_round(self, running: _RunningOrder) -> None:
+    async def _try_round(self, running: RunningOrder) -> None:
         try:
             await self._round(running)
         except PlatformError as error:
@@ -239,7 +200,7 @@
                 reason=str(error),
             )
 
-    async def _round(self, running: _RunningOrder) -> None:
+    async def _round(self, running: RunningOrder) -> None:
         moves = await self._store.feed.read_all(MOVES_TABLE)
         self._take_move(running, moves.rows)
         if running.phase.is_final:
@@ -257,30 +218,30 @@
         if decision is not None:
             await self._step(running, decision)
 
-    async def _exchange_evidence(self, running: _RunningOrder) -> None:
+    async def _exchange_evidence(self, running: RunningOrder) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms >= running.next_evidence_ms:
             running.next_evidence_ms = now_ms + _EVIDENCE_MS
             await self._tell_evidence(running)
             running.total = await self._read_evidence(running)
 
-    async def _tell_evidence(self, running: _RunningOrder) -> None:
+    async def _tell_evidence(self, running: RunningOrder) -> None:
         pair = running.evidence.pair
         if pair == running.told:
             return
-        key = _evidence_key(running.order.service, self._holder.text)
+        key = evidence_key(running.order.service, self._holder.text)
         row = EvidenceRow(order_revision=running.order.revision, pair=pair)
         await self._store.table.commit(
             make_transaction(
                 checks=(),
-                writes=(_write(EVIDENCE_TABLE, key, row),),
+                writes=(record_write(EVIDENCE_TABLE, key, row),),
             ),
         )
         running.told = pair
 
-    async def _read_evidence(self, running: _RunningOrder) -> VersionPair:
+    async def _read_evidence(self, running: RunningOrder) -> VersionPair:
         rows = (await self._store.feed.read_all(EVIDENCE_TABLE)).rows
-        prefix = _evidence_key(running.order.service, '')
+        prefix = evidence_key(running.order.service, '')
         total = VersionPair()
         for row in rows:
             if row.value is None or not row.key.startswith(prefix):
@@ -294,7 +255,7 @@
 
     def _take_move(
         self,
-        running: _RunningOrder,
+        running: RunningOrder,
         rows: tuple[Row, ...],
     ) -> None:
         running.read_ms = self._clock.monotonic_ms()
@@ -312,7 +273,7 @@
 
     async def _step(
         self,
-        running: _RunningOrder,
+        running: RunningOrder,
         decision: OrderDecision,
     ) -> None:
         order = running.order
@@ -331,20 +292,21 @@
                     ),
                 ),
                 writes=(
-                    _write(MOVES_TABLE, order.service, row),
+                    record_write(MOVES_TABLE, order.service, row),
                     self._store.status.status_write(order, decision.phase),
-                    *_removals(running.old_keys),
+                    *removals(running.old_keys),
                 ),
             ),
         )
         if isinstance(outcome, Committed):
             running.has_begun = True
+            running.old_keys.clear()
             running.row_revision = outcome.revision
             self._enter(running, decision.phase, decision.reason)
 
     def _enter(
         self,
-        running: _RunningOrder,
+        running: RunningOrder,
         phase: OrderPhase,
         reason: str,
     ) -> None:
@@ -364,22 +326,3 @@
             requests=running.evidence.new.requests,
             failures=running.evidence.new.failures,
         )
-
-
-def _evidence_key(service: str, holder: str) -> str:
-    return f'{service}{_SEPARATOR}{holder}'
-
-
-def _removals(keys: set[str]) -> tuple[RowWrite, ...]:
-    return tuple(
-        RowWrite(table=EVIDENCE_TABLE, key=key, value=None)
-        for key in sorted(keys)[:_REMOVED_ROWS]
-    )
-
-
-def _write(table: str, key: str, record: MoveRow | EvidenceRow) -> RowWrite:
-    return RowWrite(
-        table=table,
-        key=key,
-        value=msgspec.msgpack.encode(record),
-    )
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -1,6 +1,7 @@
 """Choice of the upstream that runs a request."""
 
 from teaseldale.routing._affinity import AffinityChoice
+from teaseldale.routing._backlog_choice import BacklogChoice
 from teaseldale.routing._choice import (
     BaseUpstreamChoice,
     LeastInFlightChoice,
@@ -24,7 +25,6 @@
 from teaseldale.routing._retry_window import RetryWindow
 from teaseldale.routing._router import BaseRouter, LocalRouter
 from teaseldale.routing._runner_backlog import (
-    BacklogChoice,
     PlacedWork,
     PlannedWork,
     RunnerBacklog,
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from teaseldale.clock import BaseClock
-from teaseldale.routing._runner_backlog import BacklogChoice, RunnerBacklog
+from teaseldale.routing._backlog_choice import BacklogChoice
+from teaseldale.routing._runner_backlog import RunnerBacklog
 
 # Counts of a VM that has been silent for so long are dropped: it has gone, or
 # cannot be reached, and its requests end without it.
