Refuse new requests once the balancer has left a draining VM

A VM that was told to stop took a request 6.2 s later and cut its stream when it had to end: with fewer than half of a zone's VMs ready, the balancer sends to all of them. Lines: draining at 14.4 s, request_ended with cut vm_ended at 21.7 s.

Ruled out: requests on kept connections (answers of a draining VM close them), and the time that streams get (4.8 s for those that came in time).

Change: from 2.5 s after the order to stop, when the balancer has noticed, new requests are refused with 503, not run, Retry-After 50 ms.

Test: four scenarios of a draining VM, two of which failed before.

Accepting what would still end in time was considered: it needs the usual time of each route, and keeps the VM longer in a restart of all.

--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -16,6 +16,7 @@
     bad_request,
     body_too_large,
     body_too_slow,
+    draining,
     internal_error,
     timed_out,
 )
@@ -58,6 +59,7 @@
         self._admission = RequestAdmission(parts=parts)
         self._request_log = request_log
         self._is_draining = False
+        self._is_closed = False  # whether new requests are refused
         self._running_count = 0
         self._scopes: set[anyio.CancelScope] = set()
         self._callers = EmbeddedServer(
@@ -97,6 +99,9 @@
         self._is_draining = True
         started_ms = self._parts.clock.monotonic_ms()
         await self._parts.clock.sleep_ms(_BALANCER_MS)
+        # The balancer sends nothing more here, unless it has nobody else. What
+        # came now could be cut by the end of the process.
+        self._is_closed = True
         ends_ms = started_ms + self._settings.grace_ms - _EXIT_RESERVE_MS
         while self._running_count:
             if self._parts.clock.monotonic_ms() >= ends_ms:
@@ -132,6 +137,9 @@
         except ValueError as error:
             await self._refuse(answer, None, bad_request(str(error)))
             return
+        if self._is_closed:
+            await self._refuse(answer, request, draining())
+            return
         admitted = self._admission.admit(request, arrival_ms)
         if isinstance(admitted, Refusal):
             await self._refuse(answer, request, admitted)
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -5,6 +5,8 @@
 # Answers that a short wait may change: a list of runners or a configuration
 # arrives within some hundred ms.
 _SOON_MS = 400
+# Requests that another VM can take at once.
+_ELSEWHERE_MS = 50
 
 
 def bad_request(reason: str) -> Refusal:
@@ -58,6 +60,17 @@
     )
 
 
+def draining() -> Refusal:
+    """The VM ends, and may end before the request would."""
+    return Refusal(
+        code=RefusalCode.DRAINING,
+        message='The VM ends; another one takes the request.',
+        not_run=True,
+        step=Step.ADMIT,
+        retry_after_ms=_ELSEWHERE_MS,
+    )
+
+
 def body_too_slow() -> Refusal:
     """The body was not whole within the request's time."""
     return Refusal(
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -116,3 +116,16 @@
     Given 2 runners and a "safe" route
     When the configuration allows heads of 2,000 bytes in 500 ms and 9 s of idleness
     Then callers' connections have these bounds
+
+  Scenario Outline: A VM that drains <result> what comes <after> ms later
+    Given 2 runners and a "safe" route
+    When the VM is told to drain while a request runs
+    And another request comes <after> ms later
+    Then the other request is <result>
+
+    Examples:
+      | after | result  |
+      | 100   | served  |
+      | 2,400 | served  |
+      | 2,600 | refused |
+      | 6,000 | refused |
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -437,3 +437,50 @@
 def closed_without_answer(context):
     assert context.caller.status is None, context.caller.status
     assert context.caller.is_closed
+
+
+@when('the VM is told to drain while a request runs')
+def drains(context):
+    context.script = ['silent', 'whole 200']
+    # The first request may last as long as the VM drains.
+    route = attrs.evolve(context.configuration.routes[0], timeout_ms=20_000)
+    context.configuration = attrs.evolve(
+        context.configuration,
+        routes=(route,),
+    )
+
+
+@when('another request comes {delay} ms later')
+def comes_later(context, delay):
+    context.connections = ScriptedConnections(context.script)
+    context.caller = ScriptedCaller(headers=CALLER_HEADERS)
+
+    async def story():
+        clock = VirtualClock()
+        entry, parts = make_entry(context, context.connections, clock)
+        async with anyio.create_task_group() as tasks:
+            parts.grants.follow_accounts({'a': 1_000_000})
+            await parts.grants.start(tasks)
+            await anyio.sleep(1)
+            first = ScriptedCaller(headers=CALLER_HEADERS)
+            tasks.start_soon(entry._respond, first.exchange())
+            await anyio.sleep(0.01)
+            tasks.start_soon(entry.drain)
+            await anyio.sleep(int(delay.replace(',', '')) / 1000)
+            await entry._respond(context.caller.exchange())
+            tasks.cancel_scope.cancel()
+
+    run_in_virtual_time(story)
+
+
+@then('the other request is served')
+def other_served(context):
+    gets_body(context, 200)
+
+
+@then('the other request is refused')
+def other_refused(context):
+    gets_own_later(context, 503)
+    assert b'"not_run":true' in context.caller.body, context.caller.body
+    assert context.caller.headers[b'connection'] == b'close'
+    assert len(context.connections.seen) == 1, context.connections.seen
