Write loop lag, processor time and control traffic of each VM once a second

The logs of the incident cannot tell a full link from a late event loop or from transactions that fail: no line has bytes, lag or the size of a feed's answer. vm_load has them for each second, feed_answer for each answer with rows. Both are routine lines, the first to be left out under load.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -23,6 +23,7 @@
     RunnerDirectory,
     VersionMoves,
     VmDatagrams,
+    VmLoad,
     WatchedState,
 )
 from teaseldale.kernel import BaseService, Kernel
@@ -59,6 +60,7 @@
         kernel.register(
             MetricsPage(address=settings.metrics_address, metrics=metrics),
         )
+    kernel.register(VmLoad(clock=clock, metrics=metrics))
     kernel.register(SettingsReload())
     kernel.register(_build_watch(parts, store))
     kernel.register(parts.grants)
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -34,6 +34,7 @@
     VersionMoves,
 )
 from teaseldale.forwarding._vm_datagrams import VmDatagrams
+from teaseldale.forwarding._vm_load import VmLoad
 from teaseldale.forwarding._wire import (
     BaseWireFormat,
     ClientRequest,
@@ -65,6 +66,7 @@
     'MoveStore',
     'NodeSettings',
     'VmDatagrams',
+    'VmLoad',
     'PrepaidAccount',
     'Repetition',
     'RequestLog',
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -90,6 +90,7 @@
         ip, _, port = address.rpartition(':')
         self._transport.sendto(datagram, (ip, int(port)))
         self._metrics.increment('datagrams_sent')
+        self._metrics.increment('datagram_bytes_sent', amount=len(datagram))
 
 
 class _Receiver(asyncio.DatagramProtocol):
@@ -105,6 +106,8 @@
         self._metrics = metrics
 
     def datagram_received(self, data: bytes, addr: object) -> None:
+        self._metrics.increment('datagrams_received')
+        self._metrics.increment('datagram_bytes_received', amount=len(data))
         try:
             self._take(data[:1], data[1:])
         except msgspec.DecodeError:
--- /dev/null
+++ b/teaseldale/forwarding/_vm_load.py
@@ -0,0 +1,96 @@
+"""Service that writes how busy this VM and its links are.
+
+A VM that is late can be short of processor time, of bandwidth or of answers
+of the store. One line a second tells them apart.
+"""
+
+import time
+
+import attrs
+from anyio.abc import TaskGroup
+
+from teaseldale.clock import BaseClock
+from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+
+_LINE_MS = 1000
+# Pause whose excess is the lag; short beside the lags that delay callers.
+_TICK_MS = 100
+# Counters of work that is done for the fleet rather than for a request.
+CONTROL_COUNTERS = (
+    'store_calls',
+    'store_bytes_sent',
+    'store_bytes_received',
+    'datagrams_sent',
+    'datagram_bytes_sent',
+    'datagrams_received',
+    'datagram_bytes_received',
+    'grant_conflicts',
+)
+
+
+@attrs.define(kw_only=True)
+class _Window:
+    started_ms: int  # monotonic
+    cpu_ms: float  # processor time of the process when it began
+    counts: dict[str, int]
+    longest_lag_ms: int = 0
+
+
+class VmLoad(BaseService):
+    """Writes loop lag, processor time and control traffic of each second."""
+
+    def __init__(self, *, clock: BaseClock, metrics: Metrics) -> None:
+        """Reads the counters in ``metrics``."""
+        self._clock = clock
+        self._metrics = metrics
+        self._log = StateLog(channel='load')
+
+    @property
+    def name(self) -> str:
+        """Service name."""
+        return 'vm_load'
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Starts to watch."""
+        tasks.start_soon(self._watch)
+
+    async def _watch(self) -> None:
+        window = self._window()
+        while True:
+            before_ms = self._clock.monotonic_ms()
+            await self._clock.sleep_ms(_TICK_MS)
+            now_ms = self._clock.monotonic_ms()
+            lag_ms = now_ms - before_ms - _TICK_MS
+            window.longest_lag_ms = max(window.longest_lag_ms, lag_ms)
+            if now_ms - window.started_ms >= _LINE_MS:
+                self._write(window, now_ms)
+                window = self._window()
+
+    def _window(self) -> _Window:
+        return _Window(
+            started_ms=self._clock.monotonic_ms(),
+            cpu_ms=_cpu_ms(),
+            counts={
+                name: self._metrics.count_of(name) for name in CONTROL_COUNTERS
+            },
+        )
+
+    def _write(self, window: _Window, now_ms: int) -> None:
+        self._metrics.set_gauge('loop_lag_ms', window.longest_lag_ms)
+        self._metrics.record_ms('loop_lag', window.longest_lag_ms)
+        self._log.routine(
+            'vm_load',
+            window_ms=now_ms - window.started_ms,
+            loop_lag_ms=window.longest_lag_ms,
+            cpu_ms=int(_cpu_ms() - window.cpu_ms),
+            **{
+                name: self._metrics.count_of(name) - before
+                for name, before in window.counts.items()
+            },
+        )
+
+
+def _cpu_ms() -> float:
+    return time.process_time() * _LINE_MS
--- a/teaseldale/platform/_store.py
+++ b/teaseldale/platform/_store.py
@@ -173,6 +173,7 @@
         return RowChanges(
             rows=tuple(map(_row_of, answer.rows)),
             revision=answer.revision,
+            received_bytes=len(reply.content),
         )
 
     async def close(self) -> None:
@@ -188,6 +189,7 @@
     ) -> RowChanges:
         rows: list[Row] = []
         revision: int | None = None
+        received_bytes = 0
         while True:
             query = {_TABLE: table, _PART_NAME: _PART, 'From': first_key}
             if end_key:
@@ -200,6 +202,7 @@
                 path=f'/-/rows-get?{encoded}',
             )
             answer = self._checked(reply)
+            received_bytes += len(reply.content)
             rows.extend(map(_row_of, answer.rows))
             if revision is None:
                 revision = answer.revision
@@ -208,6 +211,7 @@
                     rows=tuple(rows),
                     revision=revision,
                     store_ms=int(answer.store_ms),
+                    received_bytes=received_bytes,
                 )
             last_key = answer.rows[-1].key
             first_key = f'{last_key}\0'
--- a/teaseldale/tables/_http_client.py
+++ b/teaseldale/tables/_http_client.py
@@ -116,6 +116,8 @@
     ) -> HttpReply:
         """Returns an answer of any status, or raises ``PlatformError``."""
         content = b'' if body is None else msgspec.json.encode(body)
+        self._metrics.increment('store_calls')
+        self._metrics.increment('store_bytes_sent', amount=len(content))
         try:
             response = await self._request(method, path, content)
         except (
@@ -124,6 +126,10 @@
             httpcore.ProtocolError,
         ) as error:
             raise self.failed(step, type(error).__name__) from error
+        self._metrics.increment(
+            'store_bytes_received',
+            amount=len(response.content),
+        )
         return HttpReply(status=response.status, content=response.content)
 
     async def close(self) -> None:
--- a/teaseldale/tables/_row_feed.py
+++ b/teaseldale/tables/_row_feed.py
@@ -19,6 +19,7 @@
     rows: tuple[Row, ...]  # value None marks a removed row
     revision: int  # where to go on
     store_ms: int = 0  # the store's steady clock, where it has one
+    received_bytes: int = 0  # of the answer, where it is a message
 
 
 class BaseRowFeed(abc.ABC):
--- a/teaseldale/tables/_table_follower.py
+++ b/teaseldale/tables/_table_follower.py
@@ -51,6 +51,7 @@
         self._pause_ms = _FIRST_PAUSE_MS
         self._last_answer_ms = clock.monotonic_ms()
         self._lost_since_ms: int | None = None
+        self._asked_ms = self._last_answer_ms
         self._log = StateLog(channel='store')
 
     @property
@@ -78,6 +79,7 @@
                 await self._lost(error)
 
     async def _step(self) -> None:
+        self._asked_ms = self._clock.monotonic_ms()
         if self._revision is None:
             self._answered(await self._feed.read_all(self._table), self._all)
             return
@@ -104,8 +106,21 @@
         whole = self._revision is None
         if whole or changes.rows:
             take(changes.rows)
+            self._note_answer(changes, is_whole=whole)
         self._revision = max(self._revision or 0, changes.revision)
 
+    def _note_answer(self, changes: RowChanges, *, is_whole: bool) -> None:
+        self._log.routine(
+            'feed_answer',
+            table=self._table,
+            is_whole=is_whole,
+            rows=len(changes.rows),
+            received_bytes=changes.received_bytes,
+            duration_ms=self._last_answer_ms - self._asked_ms,
+            taken_ms=self._clock.monotonic_ms() - self._last_answer_ms,
+            revision=changes.revision,
+        )
+
     async def _lost(self, error: PlatformError) -> None:
         self._metrics.increment('feed_failures', error.reason)
         if self._lost_since_ms is None:
