--- a/teaseldale/budgets/tests/account_fleet.py
+++ b/teaseldale/budgets/tests/account_fleet.py
@@ -13,6 +13,7 @@
 
 ACCOUNT = 'ben-salah'
 _LEAD_MS = 1500
+_FIRST_PORT = 7000
 
 
 class AccountVm:
@@ -25,12 +26,13 @@
         self.grants = None
         self.scope = None
         self.table = None
+        self.metrics = Metrics()
+        self.sent_count = 0  # datagrams
 
     async def run(self, started):
         self.starts += 1
         fleet = self.fleet
         clock = VirtualClock()
-        metrics = Metrics()
         self.table = FakeTableService(
             state=fleet.state,
             random_source=fleet.random,
@@ -40,19 +42,21 @@
                 vm_name=f'vm-{self.number}',
                 incarnation=f'start-{self.starts}',
             ),
-            address=f'10.0.0.{self.number}:7000',
+            address=f'10.0.0.1:{_FIRST_PORT + self.number}',
             started_ms=clock.monotonic_ms(),
             store=StoreAccess(
                 table=self.table,
                 feed=self.table,
                 clock=clock,
-                metrics=metrics,
+                metrics=self.metrics,
             ),
         )
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 self.grants.loans.send_by(self._send)
-                self.grants.follow_accounts({ACCOUNT: fleet.prepaid_tokens})
+                self.grants.follow_accounts(
+                    dict.fromkeys(fleet.accounts, fleet.prepaid_tokens),
+                )
                 await self.grants.start(tasks)
                 started.set()
                 await anyio.sleep_forever()
@@ -60,9 +64,10 @@
 
     def _send(self, address, datagram):
         """Delivers a datagram late, sometimes twice, sometimes never."""
-        number = int(address.split(':')[0].rpartition('.')[2])
-        target = self.fleet.vms[number - 1]
+        self.sent_count += 1
+        number = int(address.rpartition(':')[2]) - _FIRST_PORT
         fleet = self.fleet
+        target = fleet.vms[number - 1]
         if fleet.loses_datagrams and fleet.random.random() < 0.2:
             return
         copies = 1
@@ -92,7 +97,15 @@
 class AccountFleet:
     """Several VMs, and the true use of their account."""
 
-    def __init__(self, *, vm_count, prepaid_tokens, seed=1):
+    def __init__(
+        self,
+        *,
+        vm_count,
+        prepaid_tokens,
+        seed=1,
+        accounts=(ACCOUNT,),
+    ):
+        self.accounts = accounts  # each of ``prepaid_tokens``
         self.random = random.Random(seed)
         self.state = InMemoryTable()
         self.prepaid_tokens = prepaid_tokens
@@ -122,12 +135,20 @@
         self.tasks.start_soon(vm.run, started)
         await started.wait()
 
-    async def request(self, vm, tokens, *, used=None, lasts_ms=200):
+    async def request(
+        self,
+        vm,
+        tokens,
+        *,
+        used=None,
+        lasts_ms=200,
+        account=ACCOUNT,
+    ):
         """Runs one request; its reservation counts as used until it ends."""
         grants = vm.grants
         if grants is None:
             return
-        outcome = await grants.reserve(account=ACCOUNT, most_tokens=tokens)
+        outcome = await grants.reserve(account=account, most_tokens=tokens)
         if isinstance(outcome, Refusal):
             self.refusals.append(outcome)
             return
@@ -143,7 +164,8 @@
 
     def check(self):
         """Fails if more was used than the account holds."""
-        assert self.used_tokens <= self.prepaid_tokens, (
+        paid_tokens = self.prepaid_tokens * len(self.accounts)
+        assert self.used_tokens <= paid_tokens, (
             self.used_tokens,
             self.prepaid_tokens,
         )
--- /dev/null
+++ b/teaseldale/budgets/tests/steps_fleet_size.py
@@ -0,0 +1,124 @@
+"""Steps that compare what a VM does for accounts in fleets of many sizes."""
+
+import functools
+import random
+
+import anyio
+from behave import given, then, when
+
+from teaseldale.budgets.tests.account_fleet import AccountFleet, sleep_ms
+from teaseldale.fakes import run_in_virtual_time
+
+_ACCOUNTS = tuple(f'account-{number}' for number in range(24))
+_TOKENS = 1000
+_ROUNDING = 10  # calls that a window may cut differently
+
+
+@given('fleets of 8, 80 and 320 VMs over 24 accounts')
+def fleets(context):
+    context.fleets = [
+        AccountFleet(
+            vm_count=count,
+            prepaid_tokens=100_000_000,
+            accounts=_ACCOUNTS,
+        )
+        for count in (8, 80, 320)
+    ]
+
+
+@when('each VM runs {per_s:d} requests a second for {seconds:d} s')
+def run_fleets(context, per_s, seconds):
+    context.requests_each = per_s * seconds
+    context.usage = [
+        run_in_virtual_time(
+            functools.partial(measured, fleet, per_s, seconds),
+        )
+        for fleet in context.fleets
+    ]
+
+
+async def measured(fleet, per_s, seconds):
+    usage = []
+
+    async def story():
+        before = [counts_of(vm) for vm in fleet.vms]
+        async with anyio.create_task_group() as loads:
+            for vm in fleet.vms:
+                loads.start_soon(load, fleet, vm, per_s, seconds)
+        after = [counts_of(vm) for vm in fleet.vms]
+        usage.extend(
+            {name: later[name] - first[name] for name in first}
+            for first, later in zip(before, after, strict=True)
+        )
+
+    await fleet.play(story)
+    return usage
+
+
+async def load(fleet, vm, per_s, seconds):
+    drawn = random.Random(vm.number)
+    await sleep_ms(drawn.uniform(0, 1000 / per_s))
+    for _ in range(per_s * seconds):
+        fleet.tasks.start_soon(
+            functools.partial(
+                fleet.request,
+                vm,
+                _TOKENS,
+                account=drawn.choice(_ACCOUNTS),
+            ),
+        )
+        await sleep_ms(1000 / per_s)
+
+
+def counts_of(vm):
+    return {
+        'calls': vm.table.commit_count + vm.table.read_count,
+        'commits': vm.table.commit_count,
+        'bytes': vm.table.read_bytes + vm.table.written_bytes,
+        'datagrams': vm.sent_count,
+        'conflicts': vm.metrics.count_of('grant_conflicts'),
+    }
+
+
+def most(usage, name):
+    return max(counts[name] for counts in usage)
+
+
+@then(
+    'no VM of a larger fleet makes more than twice the store calls of one in '
+    'the smallest'
+)
+def calls_bounded(context):
+    check_bounded(context, 'calls', _ROUNDING)
+
+
+@then('no VM of a larger fleet reads or writes more than twice the bytes')
+def bytes_bounded(context):
+    check_bounded(context, 'bytes', 0)
+
+
+def check_bounded(context, name, spare):
+    smallest, *larger = [most(usage, name) for usage in context.usage]
+    for found in larger:
+        assert found <= 2 * smallest + spare, (name, smallest, larger)
+
+
+@then('no VM sends more than {count:d} datagrams for each of its requests')
+def datagrams_bounded(context, count):
+    for usage in context.usage:
+        found = most(usage, 'datagrams')
+        assert found <= count * context.requests_each, (len(usage), found)
+
+
+@then('fewer than 1 in 100 transactions conflict in each fleet')
+def few_conflicts(context):
+    for usage in context.usage:
+        commits = sum(counts['commits'] for counts in usage)
+        conflicts = sum(counts['conflicts'] for counts in usage)
+        assert conflicts * 100 < max(commits, 1), (conflicts, commits)
+
+
+@then('no request of these fleets is refused')
+def none_refused(context):
+    for fleet in context.fleets:
+        assert not fleet.refusals, (len(fleet.vms), fleet.refusals[:2])
--- a/teaseldale/fakes/_table.py
+++ b/teaseldale/fakes/_table.py
@@ -47,6 +47,8 @@
         self.latency_ms = latency_ms
         self.commit_count = 0
         self.read_count = 0
+        self.read_bytes = 0  # of the rows that were read
+        self.written_bytes = 0
         self._random = random_source
         self._timeout_ms = timeout_ms
         self._gate = gate or PauseGate()
@@ -54,6 +56,9 @@
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
         """Applies the transaction under the faults switched on."""
         self.commit_count += 1
+        self.written_bytes += sum(
+            len(write.value or b'') for write in transaction.writes
+        )
         await self._delay(Step.TABLE_COMMIT)
         if self.late_commits:
             delay_ms = self._timeout_ms * 2
@@ -74,8 +79,10 @@
         """Returns all rows of a table."""
         self.read_count += 1
         await self._delay(Step.TABLE_READ)
+        rows = self.state.scan(table=table, prefix='', after_revision=0)
+        self.read_bytes += _size_of(rows)
         return RowChanges(
-            rows=self.state.scan(table=table, prefix='', after_revision=0),
+            rows=rows,
             revision=self.state.revision,
             store_ms=_store_ms(),
         )
@@ -105,6 +112,7 @@
                 after_revision=max(after_revision, 1),
             )
             if rows or _store_ms() >= ends_ms:
+                self.read_bytes += _size_of(rows)
                 return RowChanges(
                     rows=rows,
                     revision=self.state.revision,
@@ -146,6 +154,10 @@
     return round(asyncio.get_running_loop().time() * _MS_PER_SECOND)
 
 
+def _size_of(rows: tuple[Row, ...]) -> int:
+    return sum(len(row.key) + len(row.value or b'') for row in rows)
+
+
 def _apply_later(
     state: InMemoryTable,
     transaction: Transaction,
