Take a window without requests for no evidence

A VM that steers a version move ended when a VM that had been replaced took its counts with it: the window between two totals then held failures and no requests, and the comparison divided by zero.

The new scenario failed before with ZeroDivisionError and, for negative counts, with a math domain error.

--- a/teaseldale/moves/_comparison.py
+++ b/teaseldale/moves/_comparison.py
@@ -129,7 +129,10 @@
     error_rate: float,
 ) -> bool:
     new = pair.new
-    if not new.of(guard) or new.of(guard) / new.requests <= limit:
+    if min(new.of(guard), new.requests) <= 0:
+        # Counts of a VM that was replaced are missing from the later total.
+        return False
+    if new.of(guard) / new.requests <= limit:
         return False
     least = lower_bound(new.of(guard), new.requests, error_rate)
     if least <= limit:
--- a/teaseldale/moves/tests/moves.feature
+++ b/teaseldale/moves/tests/moves.feature
@@ -89,3 +89,15 @@
     And an operator takes the move back
     Then the move is taken back with the evidence
     And the move stays taken back
+
+  # Guards against a VM that ends because it compares counts of a window to
+  # which a replaced VM has left failures and no requests.
+  Scenario Outline: A window of <requests> requests and <failures> failures is no evidence
+    When a window of <requests> requests and <failures> failures at the new version is compared
+    Then the new version is not called worse
+
+    Examples:
+      | requests | failures |
+      | 0        | 3        |
+      | -4       | 2        |
+      | -4       | -2       |
--- a/teaseldale/moves/tests/steps_moves.py
+++ b/teaseldale/moves/tests/steps_moves.py
@@ -27,8 +27,9 @@
     TimedRampPolicy,
     VersionPair,
 )
+from teaseldale.moves._canary import _GUARDS
 from teaseldale.moves._comparison import find_worse
-from teaseldale.moves._windows import EvidenceWindows
+from teaseldale.moves._windows import EvidenceWindows, Window
 from teaseldale.moves.tests.moves_world import run_script
 from teaseldale.notes import MovePhase, MoveStep, VersionMove
 from teaseldale.requests import RequestIdentity
@@ -420,3 +421,23 @@
     assert {order.version for order in orders} == {'v2'}
     assert len({order.order_id for order in orders}) == 1
     assert len({order.fencing_number for order in orders}) > 1
+
+
+@when(
+    'a window of {requests:d} requests and {failures:d} failures at the new '
+    'version is compared'
+)
+def compare_window(context, requests, failures):
+    old = EvidenceCounts(requests=500, failures=2)
+    new = EvidenceCounts(requests=requests, failures=failures)
+    context.finding = find_worse(
+        _GUARDS,
+        [Window(pair=VersionPair(old=old, new=new), error_share=1)],
+        reference=old,
+        place='all zones',
+    )
+
+
+@then('the new version is not called worse')
+def not_worse(context):
+    assert context.finding is None, context.finding
