Wake for news of placements, draws and orders instead of polling

An idle VM woke some 140 times a second: 66 for placements, 30 in three servers that look whether to end, 10 each for version moves, returns and the lag of the loop. These now wait for an event, or look twice or four times a second.

--- a/teaseldale/budgets/_account_book.py
+++ b/teaseldale/budgets/_account_book.py
@@ -47,6 +47,11 @@
         """Tokens that the VM holds and has not used."""
         return self.granted_tokens - self.used_tokens
 
+    @property
+    def drawn_tokens(self) -> int:
+        """Unused tokens beside those that the store has granted."""
+        return self.available_tokens - max(0, self.granted_tokens)
+
     @property
     def free_tokens(self) -> int:
         """Tokens that nobody holds, as far as known."""
--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -172,9 +172,13 @@
 
     async def _return_unused(self) -> None:
         while not self._is_closing:
+            await self._draws.has_paid.wait()
             await self._clock.sleep_ms(_RETURN_ROUND_MS)
             self._return_all(kept_ms=_KEPT_MS)
             self._returns.send_again()
+            is_drawn = any(one.holds_drawn for one in self._shards.values())
+            if self._returns.is_done and not is_drawn:
+                self._draws.has_paid = anyio.Event()
 
     def _return_all(self, *, kept_ms: int) -> None:
         oldest_ms = self._clock.monotonic_ms() - kept_ms
--- a/teaseldale/budgets/_account_shard.py
+++ b/teaseldale/budgets/_account_shard.py
@@ -83,6 +83,13 @@
         """Whether this VM is a keeper of the account."""
         return self.rounds.is_assigned and not self._is_closing
 
+    @property
+    def holds_drawn(self) -> bool:
+        """Whether tokens that were drawn may have to be returned."""
+        held = self.held
+        is_left = held.reserved_tokens > 0 or held.drawn_tokens > 0
+        return is_left and not self.is_kept and bool(held.lender)
+
     def borrow_by(self, ask: Callable[['AccountShard'], None]) -> None:
         """Sets what asks other keepers for tokens."""
         self._ask_for_loan = ask
--- a/teaseldale/budgets/_token_draws.py
+++ b/teaseldale/budgets/_token_draws.py
@@ -76,6 +76,7 @@
         self._closed: dict[str, AccountShard] = {}  # given up, by draw id
         self._taken = SeenIds(limit=_REMEMBERED_DRAWS)
         self._suspected_until_ms: dict[str, int] = {}  # by VM name
+        self.has_paid = anyio.Event()  # while drawn tokens may be held
         self._numbers: Iterator[int] = itertools.count()
         self._send: Callable[[str, bytes], None] | None = None
         self._log = StateLog(channel='draws')
@@ -147,6 +148,7 @@
         held.lender = answer.keeper
         held.lender_address = answer.keeper_address
         held.settled_ms = self._clock.monotonic_ms()
+        self.has_paid.set()
         self._metrics.increment('draws_paid')
 
     def _by_trust(
--- a/teaseldale/budgets/_token_returns.py
+++ b/teaseldale/budgets/_token_returns.py
@@ -64,12 +64,16 @@
         """Sets what sends a datagram to an address of another VM."""
         self._send = send
 
+    @property
+    def is_done(self) -> bool:
+        """Whether all returns have a receipt or were given up."""
+        return not self._open
+
     def return_unused(self, shard: AccountShard) -> None:
         """Sends what is not needed back to the keeper that paid last."""
         held = shard.held
         # What the store has granted goes back there.
-        tokens = held.available_tokens - max(0, held.granted_tokens)
-        tokens = min(held.available_tokens, tokens)
+        tokens = held.drawn_tokens
         if tokens <= 0 or not held.lender:
             return
         # The tokens are on their way, whether or not they arrive.
--- a/teaseldale/forwarding/_version_moves.py
+++ b/teaseldale/forwarding/_version_moves.py
@@ -9,6 +9,7 @@
 import abc
 from collections.abc import Collection
 
+import anyio
 import attrs
 import msgspec
 from anyio.abc import TaskGroup
@@ -102,6 +103,7 @@
         self._clock = clock
         self._metrics = metrics
         self._running: dict[str, RunningOrder] = {}
+        self._has_order = anyio.Event()  # set by the first one
         self._log = StateLog(channel='moves')
 
     @property
@@ -122,6 +124,7 @@
             duration_ms=order.duration_ms,
             share_limit=self._share_limit,
         )
+        self._has_order.set()
         self._running[order.service] = RunningOrder(
             order=order,
             policy=CanaryPolicy(plan=plan),
@@ -186,6 +189,7 @@
 
     async def _run(self) -> None:
         while True:
+            await self._has_order.wait()
             await self._clock.sleep_ms(_ROUND_MS)
             for running in tuple(self._running.values()):
                 if not running.phase.is_final:
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -19,7 +19,8 @@
 from teaseldale.metrics import Metrics
 from teaseldale.routing import PlacementExchange
 
-# How often changed counts are told. Prompts take some ten to some hundred ms
+# Pause in which changed counts gather before they are told. Prompts take some
+# ten to some hundred ms
 # to be read, so that older counts would often miss the newest one.
 _INTERVAL_MS = 15
 # First byte of a datagram.
@@ -83,6 +84,7 @@
 
     async def _send(self) -> None:
         while True:
+            await self._exchange.wait_for_news()
             await self._clock.sleep_ms(_INTERVAL_MS)
             self._exchange.drop_silent()
             notice = self._exchange.next_notice()
--- a/teaseldale/forwarding/_vm_load.py
+++ b/teaseldale/forwarding/_vm_load.py
@@ -16,7 +16,7 @@
 
 _LINE_MS = 1000
 # Pause whose excess is the lag; short beside the lags that delay callers.
-_TICK_MS = 100
+_TICK_MS = 250
 # Counters of work that is done for the fleet rather than for a request.
 CONTROL_COUNTERS = (
     'store_calls',
--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -74,6 +75,11 @@
         self._backlogs: dict[str, RunnerBacklog] = {}
         self._new_parts: dict[tuple[str, str], None] = {}
         self._sizes = PromptSizes()
+        self._notice: Callable[[], None] | None = None
+
+    def call_on_change(self, notice: Callable[[], None]) -> None:
+        """Calls ``notice`` after each change of this VM's own work."""
+        self._notice = notice
 
     def backlog(self, runner: str, slot_count: int) -> RunnerBacklog:
         """Returns what is known of a runner, which may be nothing."""
@@ -158,6 +164,7 @@
         # The last part is the request's own; the others are shared.
         for part in work.parts[:-1]:
             self._new_parts[backlog.runner, part.part_id] = None
+        self._changed()
         return PlacedWork(
             runner=backlog.runner,
             unread_tokens=unread,
@@ -169,12 +176,14 @@
         backlog = self._backlogs.get(placed.runner)
         if backlog is not None:
             backlog.unread_tokens -= placed.unread_tokens
+            self._changed()
 
     def has_ended(self, placed: PlacedWork) -> None:
         """Notes that the runner has nothing more to do for the request."""
         backlog = self._backlogs.get(placed.runner)
         if backlog is not None:
             backlog.running_count -= 1
+            self._changed()
 
     def note_outcome(self, runner: str, *, has_failed: bool) -> None:
         """Counts a request that a runner has answered or failed."""
@@ -205,6 +214,10 @@
             backlog.reported_ms = self._clock.monotonic_ms()
             backlog.slot_count = slot_count
 
+    def _changed(self) -> None:
+        if self._notice is not None:
+            self._notice()
+
     def _least_unread(self, work: PlannedWork) -> int:
         return min(
             (backlog.unread_of(work) for backlog in self._backlogs.values()),
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+import anyio
 import attrs
 import msgspec
 
@@ -14,6 +15,7 @@
 from teaseldale.routing._backlog_choice import BacklogChoice
 from teaseldale.routing._runner_backlog import RunnerBacklog
 
+_MS_PER_SECOND = 1000
 # Counts of a VM that has been silent for so long are dropped: it has gone, or
 # cannot be reached, and its requests end without it.
 _VALID_MS = 3000
@@ -73,6 +75,14 @@
         self._last_heard_ms: dict[str, int] = {}  # of each VM, silent or not
         self._last_counts: tuple[RunnerCounts, ...] = ()
         self._last_sent_ms = clock.monotonic_ms()
+        self._is_changed = anyio.Event()
+        choice.call_on_change(lambda: self._is_changed.set())
+
+    async def wait_for_news(self) -> None:
+        """Returns once there may be something to tell or to forget."""
+        with anyio.move_on_after(_REPEAT_MS / _MS_PER_SECOND):
+            await self._is_changed.wait()
+        self._is_changed = anyio.Event()
 
     def next_notice(self) -> bytes | None:
         """Returns a datagram, or None if the others know everything."""
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -19,6 +19,8 @@
 from teaseldale.web._protocol import GuardedProtocol
 
 _POLL_MS = 5
+# Time in which an ending server notices; most of its wakes find nothing.
+_END_CHECK_MS = 500
 _MS_PER_SECOND = 1000
 _BACKLOG = 2048
 
@@ -28,6 +30,12 @@
     def capture_signals(self) -> Iterator[None]:
         yield
 
+    async def main_loop(self) -> None:
+        # The library looks ten times a second whether to end, and sets
+        # headers that are not used here.
+        while not self.should_exit:
+            await anyio.sleep(_END_CHECK_MS / _MS_PER_SECOND)
+
 
 class EmbeddedServer:
     """Serves one address; each exchange runs in its own task."""
