Bound what a busy VM tells its cell, and draw for the next second

Notices are sent without names of fields and, in a cell of twelve, each 33 ms. A VM that expects two requests of an account within a second draws for all of them. A keeper that does not answer within 100 ms is asked last for 2 s; it is not asked twice, since a late payment is returned.

--- a/teaseldale/budgets/_account_shard.py
+++ b/teaseldale/budgets/_account_shard.py
@@ -83,6 +83,13 @@
         """Whether this VM is a keeper of the account."""
         return self.rounds.is_assigned and not self._is_closing
 
+    @property
+    def spare_tokens(self) -> int:
+        """Tokens that may be spent now and are not needed soon."""
+        held = self.held
+        limit = self.waiting.limit_tokens()
+        return limit - held.used_tokens - held.demand.kept_tokens()
+
     @property
     def holds_drawn(self) -> bool:
         """Whether tokens that were drawn may have to be returned."""
--- a/teaseldale/budgets/_draw_answers.py
+++ b/teaseldale/budgets/_draw_answers.py
@@ -71,8 +71,15 @@
         if refusal is None:
             # The tokens are the drawer's now; what it does not use it returns.
             shard.settle(draw.tokens, draw.tokens)
+            more_tokens = max(0, min(draw.spare_tokens, shard.spare_tokens))
+            shard.held.spent_tokens += more_tokens
+            shard.held.demand.add(more_tokens)
             self._metrics.increment('draws_answered', DrawState.PAID)
-            self._answer(draw, state=DrawState.PAID, tokens=draw.tokens)
+            self._answer(
+                draw,
+                state=DrawState.PAID,
+                tokens=draw.tokens + more_tokens,
+            )
             return
         code = refusal.code
         is_older = shard.held.prepaid_tokens < draw.prepaid_tokens
--- a/teaseldale/budgets/_draw_messages.py
+++ b/teaseldale/budgets/_draw_messages.py
@@ -22,11 +22,12 @@
 
 @attrs.frozen(kw_only=True)
 class Draw:
-    """Asks a keeper to pay for one request."""
+    """Asks a keeper to pay for one request, and for more if it can."""
 
     draw_id: str  # new for each keeper that is asked
     account: str
-    tokens: int
+    tokens: int  # of the request
+    spare_tokens: int  # that the next requests may need
     prepaid_tokens: int  # of the account, by the asking VM's configuration
     drawer: str  # key of the start of the VM that asks
     drawer_address: str
--- a/teaseldale/budgets/_token_draws.py
+++ b/teaseldale/budgets/_token_draws.py
@@ -1,7 +1,8 @@
-"""Draws of a VM on the keepers of an account, one for each request.
+"""Draws of a VM on the keepers of an account, for requests as they come.
 
-The keepers are asked one after another until one pays or says that the account
-cannot pay. A keeper that is silent is asked last for some time.
+A VM with many requests of an account draws for those of the next second as
+well. The keepers are asked one after another until one pays or says that the
+account cannot pay. A keeper that is silent is asked last for some time.
 """
 
 import itertools
@@ -28,13 +29,15 @@
 _MS_PER_SECOND = 1000
 # A keeper answers each datagram at once, at the least that it needs time. The
 # way there and back takes some ms, more on a link or a VM that is busy.
-_ANSWER_MS = 60
-_SENDINGS = 2  # of a draw to one keeper; a datagram may be lost
+_ANSWER_MS = 100
 # Longest time that a request waits for a draw. A keeper that waits for the
 # store gives up a little earlier, and says why.
 _DRAW_MS = 800
 # How long a silent keeper is asked last.
 _SUSPECTED_MS = 2000
+# Requests expected in the next second from which it pays to draw for them.
+# The first request of a caller alone looks like one a second.
+_BUSY_REQUESTS = 2
 _REMEMBERED_DRAWS = 2000  # answers that may arrive again, some seconds' worth
 _FINAL_CODES = frozenset(
     (RefusalCode.BUDGET_EXHAUSTED, RefusalCode.BUDGET_HELD),
@@ -190,6 +193,7 @@
                 draw_id=draw_id,
                 account=shard.held.account,
                 tokens=tokens,
+                spare_tokens=_more_tokens(shard, tokens),
                 prepaid_tokens=shard.held.prepaid_tokens,
                 drawer=holder,
                 drawer_address=self._start.address,
@@ -214,10 +218,9 @@
         message: bytes,
         ends_ms: int,
     ) -> DrawAnswer | None:
-        for _ in range(_SENDINGS):
-            if draw.answer is None and self._send is not None:
-                self._send(keeper.address, message)
-                await draw.wait(_ANSWER_MS)
+        if self._send is not None:
+            self._send(keeper.address, message)
+            await draw.wait(_ANSWER_MS)
         while draw.answer is not None:
             remaining_ms = ends_ms - self._clock.monotonic_ms()
             if draw.answer.state is not DrawState.PENDING or remaining_ms <= 0:
@@ -235,3 +238,13 @@
 def _is_final(answer: DrawAnswer) -> bool:
     """Whether no other keeper would say anything else."""
     return answer.state is DrawState.PAID or answer.refusal in _FINAL_CODES
+
+
+def _more_tokens(shard: AccountShard, tokens: int) -> int:
+    """Returns what the requests of the next second need, if there are some.
+
+    A VM with fewer requests would return most of it.
+    """
+    expected_tokens = shard.held.demand.kept_tokens()
+    is_busy = expected_tokens >= tokens * _BUSY_REQUESTS
+    return expected_tokens if is_busy else 0
--- a/teaseldale/budgets/_token_loans.py
+++ b/teaseldale/budgets/_token_loans.py
@@ -107,7 +107,7 @@
         if shard is None or shard.held.waiting or self._send is None:
             return
         held = shard.held
-        tokens = min(request.tokens, _spare_tokens(shard))
+        tokens = min(request.tokens, shard.spare_tokens)
         if tokens < request.tokens:
             # The next mark allows it, and the borrower asks again.
             held.lending_tokens = request.tokens
@@ -150,10 +150,3 @@
         self._given_count += 1
         giver = self._holder.text
         return f'{giver}/{self._given_count}'
-
-
-def _spare_tokens(shard: AccountShard) -> int:
-    """Returns what this VM may spend now and does not need soon."""
-    held = shard.held
-    limit = shard.waiting.limit_tokens()
-    return limit - held.used_tokens - held.demand.kept_tokens()
--- a/teaseldale/budgets/tests/steps_fleet_size.py
+++ b/teaseldale/budgets/tests/steps_fleet_size.py
@@ -137,6 +137,7 @@
 )
 def keepers_killed(context, per_s, tokens, seconds):
     fleet = context.fleet
+    fleet.datagram_seconds = (0.002,)
 
     async def story():
         keepers, others = divided(fleet)
@@ -183,6 +184,7 @@
 def others_can_use(context, tokens):
     fleet = context.fleet
     wanted = int(tokens.replace(',', ''))
+    fleet.datagram_seconds = (0.002,)
 
     async def story():
         _, others = divided(fleet)
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -23,6 +23,9 @@
 # ten to some hundred ms
 # to be read, so that older counts would often miss the newest one.
 _INTERVAL_MS = 15
+# Longer in a large cell: each VM sends up to 300 notices a second, which leaves
+# the thinnest links of today's deployments to requests.
+_PAUSE_MS_OF_PEER = 3
 # First byte of a datagram.
 _PLACEMENTS = b'p'
 # A VM of the cell that is silent for so long has gone. It is longer than cuts
@@ -85,7 +88,8 @@
     async def _send(self) -> None:
         while True:
             await self._exchange.wait_for_news()
-            await self._clock.sleep_ms(_INTERVAL_MS)
+            pause_ms = len(self._cells.peers) * _PAUSE_MS_OF_PEER
+            await self._clock.sleep_ms(max(_INTERVAL_MS, pause_ms))
             self._exchange.drop_silent()
             notice = self._exchange.next_notice()
             if notice is not None:
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -25,25 +25,27 @@
 _PARTS_IN_NOTICE = 40  # newest parts told for each datagram; bounds its size
 
 
-@attrs.frozen(kw_only=True)
-class RunnerCounts:
-    """One VM's requests at one runner."""
+class RunnerCounts(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """One VM's requests at one runner; sent without the fields' names."""
 
     runner: str
     running_count: int
     unread_tokens: int
 
 
-@attrs.frozen(kw_only=True)
-class ReadPart:
+class ReadPart(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A prompt part that a runner has been given."""
 
     runner: str
     part_id: str
 
 
-@attrs.frozen(kw_only=True)
-class PlacementNotice:
+class PlacementNotice(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    kw_only=True,
+):
     """What a VM tells the others."""
 
     vm_name: str
