--- a/teaseldale/command/_causes.py
+++ b/teaseldale/command/_causes.py
@@ -9,6 +9,7 @@
 
 _FIRST_FAILURE_STATUS = 400
 _UNKNOWN = 'unknown'
+_DRAW_REFUSED = 'draw_refused'
 
 
 @attrs.frozen(kw_only=True)
@@ -51,17 +52,26 @@
 class _VmState:
     """What a VM had written by the time of a line."""
 
-    is_store_lost: bool = False
-    # Newest line of a refused reservation, by account.
+    # Accounts for which the store does not answer; empty for all of them, as
+    # in logs of earlier releases.
+    lost_accounts: set[str] = attrs.field(factory=set)
+    # Newest line of a refused reservation or draw, by account.
     refused: dict[str, LogLine] = attrs.field(factory=dict)
 
+    def is_store_lost(self, line: LogLine) -> bool:
+        """Whether the store does not answer for the account of a line."""
+        return not self.lost_accounts.isdisjoint((line.account, ''))
+
     def take(self, line: LogLine) -> None:
+        account = line.account
         if line.event == 'grants_store_lost':
-            self.is_store_lost = True
-        elif line.event in {'grants_store_regained', 'started'}:
-            self.is_store_lost = False
-        elif line.event == 'reservation_refused':
-            self.refused[str(line.fields.get('account'))] = line
+            self.lost_accounts.add(account)
+        elif line.event == 'grants_store_regained':
+            self.lost_accounts.discard(account)
+        elif line.event == 'started':
+            self.lost_accounts.clear()
+        elif line.event in {'reservation_refused', _DRAW_REFUSED}:
+            self.refused[account] = line
 
 
 def find_causes(raw_lines: Iterable[str]) -> FailureReport:
@@ -135,17 +145,19 @@
         return f'{told}, then silence'
     if line.fields.get('runners'):
         return 'the runner was silent until the time was over'
-    if state.is_store_lost:
+    if state.is_store_lost(line):
         return 'waited for tokens while the store was away'
     # Nothing else is waited for before a runner is asked.
     return 'waited for tokens until its time was over'
 
 
 def _budget(line: LogLine, state: _VmState) -> str:
-    refused = state.refused.get(str(line.fields.get('account')))
+    refused = state.refused.get(line.account)
     if refused is None:
         return _UNKNOWN
-    if state.is_store_lost:
+    if refused.event == _DRAW_REFUSED:
+        return _draw_cause(refused)
+    if state.is_store_lost(line):
         return 'the store did not answer, and what the VM held was used'
     if _tokens(refused, 'limit') < _tokens(refused, 'granted'):
         return 'the VM was bound by its mark'
@@ -154,6 +166,16 @@
     return 'other VMs held the last tokens of the account'
 
 
+def _draw_cause(refused: LogLine) -> str:
+    if refused.fields.get('code') == 'budget_exhausted':
+        return 'the account is used up'
+    if refused.fields.get('code') == 'budget_held':
+        return 'other VMs held the last tokens of the account'
+    if refused.fields.get('silent_keepers'):
+        return 'keepers of the account did not answer'
+    return 'no keeper of the account could pay in time'
+
+
 def _tokens(line: LogLine, name: str) -> int:
     found = line.fields.get(f'{name}_tokens')
     return found if isinstance(found, int) else 0
--- a/teaseldale/command/_log_lines.py
+++ b/teaseldale/command/_log_lines.py
@@ -27,6 +27,11 @@
         texts = {str(found) for found in self.fields.values()}
         return not names.isdisjoint(texts)
 
+    @property
+    def account(self) -> str:
+        """The account that the line tells of, if any."""
+        return str(self.fields.get('account', ''))
+
 
 def read_lines(paths: Iterable[str]) -> Iterator[str]:
     """Yields the lines of some files, or of standard input."""
--- a/teaseldale/command/tests/explain.feature
+++ b/teaseldale/command/tests/explain.feature
@@ -27,6 +27,8 @@
       | refusal budget_held               | other VMs hold what is left      | other VMs held the last tokens of the account             |
       | refusal budget_held               | the mark allows no more          | the VM was bound by its mark                              |
       | refusal budget_unavailable        | the store is lost                | the store did not answer, and what the VM held was used   |
+      | refusal budget_unavailable        | keepers are silent               | keepers of the account did not answer                     |
+      | refusal budget_held               | a keeper has too little          | other VMs held the last tokens of the account             |
       | refusal upstream_broke_off        | a runner closed the connection   | the connection was closed                                 |
       | refusal no_upstream               | no runner is known               | no runner of s was usable                                 |
       | refusal deadline_exceeded         | a runner says nothing            | the runner was silent until the time was over             |
--- a/teaseldale/command/tests/steps_explain.py
+++ b/teaseldale/command/tests/steps_explain.py
@@ -98,6 +98,12 @@
     'runners': ['i-1'],
     'reasons': ['i-1: disconnected: the connection was closed'],
 }
+_DRAW = {
+    'event': 'draw_refused',
+    'account': 'a',
+    'code': 'budget_unavailable',
+    'silent_keepers': [],
+}
 # Lines before the request's, and fields of its own line.
 _BEFORE = {
     'nothing else happens': ([], {}),
@@ -108,6 +114,8 @@
     'other VMs hold what is left': ([_REFUSED], {}),
     'the mark allows no more': ([{**_REFUSED, 'limit_tokens': 850}], {}),
     'the store is lost': ([_REFUSED, {'event': 'grants_store_lost'}], {}),
+    'keepers are silent': ([{**_DRAW, 'silent_keepers': ['vm-2']}], {}),
+    'a keeper has too little': ([{**_DRAW, 'code': 'budget_held'}], {}),
     'a runner closed the connection': ([], _CLOSED),
     'no runner is known': ([], {}),
     'a runner says nothing': ([], {'runners': ['i-1']}),
