Say ready only once the keepers of accounts are known

A VM that has just started and has not read the list of VMs refuses requests of prepaid accounts. The new scenario failed before: such a VM was ready.

--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -94,6 +94,11 @@
         """Service name."""
         return 'account_grants'
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the keepers of accounts are known."""
+        return self._keepers.members.revision > 0
+
     def send_by(self, send: Callable[[str, bytes], None]) -> None:
         """Sets what sends a datagram to an address of another VM."""
         self._loans.send_by(send)
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -86,6 +86,7 @@
             not self._is_draining
             and self._parts.configuration.current is not None
             and self._parts.directory.is_known
+            and self._parts.grants.is_known
         )
 
     async def start(self, tasks: TaskGroup) -> None:
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -129,3 +129,9 @@
       | 2,400 | served  |
       | 2,600 | refused |
       | 6,000 | refused |
+
+  # Guards against requests that are refused for their accounts by a VM that has
+  # just started and knows no keeper to draw on.
+  Scenario: A VM is ready once it knows the other VMs
+    Given 1 runners and a "safe" route
+    Then the VM is ready if it knows the other VMs, and not before
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -502,3 +502,21 @@
     assert b'"not_run":true' in context.caller.body, context.caller.body
     assert context.caller.headers[b'connection'] == b'close'
     assert len(context.connections.seen) == 1, context.connections.seen
+
+
+class UnknownMembers(FixedMembers):
+    """A list that has not been read yet."""
+
+    revision = 0
+
+
+@then('the VM is ready if it knows the other VMs, and not before')
+def ready_with_members(context):
+    async def main():
+        connections = ScriptedConnections(('whole 200',))
+        entry, parts = make_entry(context, connections, VirtualClock())
+        assert entry.is_ready
+        parts.grants._keepers._members = UnknownMembers(entries={})
+        assert not entry.is_ready
+
+    run_in_virtual_time(main)
