Return tokens that gave way to another change, and take none too early

Cause: a VM lowers what it may spend before it returns tokens. When the transaction conflicted, it then found nothing to return, and if it was no keeper it did not look at the row again. Such VMs took tokens at the start, when they knew a part of the fleet only and took themselves for keepers.

After a transaction is acknowledged the VM may spend what the row grants it: no other transaction of it can be done any more. If a lost one turns out to have been done, the row is read before the next change. Tokens are taken once the list of VMs has not changed for a second, or if a request waits.

--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -151,6 +151,8 @@
                 self._note_change(row, conflicts, started_ms)
                 return
             self._store.metrics.increment('grant_conflicts')
+            if not self._is_read:
+                return
         self._log.changed('grants_contended', account=self._held.account)
 
     def _note_earlier_start(self) -> None:
@@ -189,6 +191,9 @@
         held = self._held
         read = held.row or _NO_ROW
         change = grant_change(self._need())
+        if change > 0 and not held.waiting and not self._assigned.is_settled:
+            # Keepers of a part of the fleet would take what others keep.
+            change = 0
         if gives_all_back or not self.is_assigned:
             change = -max(0, min(held.available_tokens, held.granted_tokens))
         tokens = read.row.granted_to(self._holder) + change
@@ -270,9 +275,13 @@
         self._own_row = read
         self.keepers.put(self._holder.vm_name, read)
         self.limits.acknowledge()
+        held = self._held
         if row is not None:
-            self._held.row = ReadAccountRow(row=row, revision=outcome.revision)
-            self._held.granted_tokens = row.granted_to(self._holder)
+            held.row = ReadAccountRow(row=row, revision=outcome.revision)
+        # No other transaction of this VM can be done any more: each checks
+        # the row that this one has replaced.
+        if held.row is not None:
+            held.granted_tokens = held.row.row.granted_to(self._holder)
         self._store.metrics.increment('grant_transactions')
 
     def _take_rows(self, rows: Iterable[Row], *, is_whole: bool) -> None:
@@ -291,8 +300,10 @@
         known = 0 if self._own_row is None else self._own_row.revision
         is_own = own.row.incarnation == self._holder.incarnation
         if is_own and own.revision > known:
-            # The lost transaction was done: its mark is in force.
+            # The lost transaction was done: its mark is in force, and the
+            # account's row as seen may be older.
             self.limits.acknowledge()
+            self._is_read = False
         self._own_row = own
 
     def _take_account(self, row: Row | None) -> None:
--- a/teaseldale/budgets/tests/fleet_size.feature
+++ b/teaseldale/budgets/tests/fleet_size.feature
@@ -38,3 +38,15 @@
     When VMs that keep nothing draw 60,000 tokens and use 1,000 of them
     And 2 s pass for the fleet
     Then another VM can use 80,000 tokens at once
+
+  # Guards against tokens that nobody can use: a return that gave way to another
+  # keeper's change was taken for done by the VM and never came to the store.
+  Scenario: A return that gives way to another keeper's change is made again
+    Given 1 VMs over an account of 100,000 tokens
+    When VM 1 is a keeper no more and another one changes the row as it returns tokens
+    Then the store has granted VM 1 only the 1,000 tokens that it spent
+
+  Scenario: VMs that start together take tokens once they know who keeps them
+    Given 24 VMs over an account of 1,000,000 tokens
+    When the VMs learn of each other one after another
+    Then only keepers hold tokens
--- a/teaseldale/budgets/tests/steps_fleet_size.py
+++ b/teaseldale/budgets/tests/steps_fleet_size.py
@@ -6,13 +6,15 @@
 import anyio
 from behave import given, then, when
 
+from teaseldale.budgets._account_rows import decode_account_row
 from teaseldale.budgets.tests.account_fleet import (
     ACCOUNT,
     AccountFleet,
     sleep_ms,
 )
 from teaseldale.fakes import run_in_virtual_time
-from teaseldale.members import KEEPER_COUNT, ranked
+from teaseldale.members import KEEPER_COUNT, FixedMembers, ranked
+from teaseldale.tables import RowWrite, make_transaction
 
 _ACCOUNTS = tuple(f'account-{number}' for number in range(24))
 _TOKENS = 1000
@@ -207,3 +209,118 @@
         assert fleet.used_tokens - before == wanted, fleet.refusals[:2]
 
     run_in_virtual_time(functools.partial(fleet.play, story))
+
+
+@when(
+    'VM 1 is a keeper no more and another one changes the row as it returns '
+    'tokens'
+)
+def return_conflicts(context):
+    fleet = context.fleet
+
+    async def story():
+        vm = fleet.vms[0]
+        await fleet.request(vm, 1000, lasts_ms=10)
+        commit = vm.table.commit
+        context.conflict_count = 0
+
+        async def late_commit(transaction):
+            changes = {write.key: write for write in transaction.writes}
+            if 'grants' in changes and not context.conflict_count:
+                context.conflict_count += 1
+                row = stored_row(vm, 'grants')
+                fleet.state.commit(
+                    make_transaction(
+                        checks=(),
+                        writes=(
+                            RowWrite(
+                                table=row.table,
+                                key=row.key,
+                                value=row.value,
+                            ),
+                        ),
+                        part=ACCOUNT,
+                    ),
+                )
+            return await commit(transaction)
+
+        vm.table.commit = late_commit
+        vm.grants._shards[ACCOUNT].rounds._assigned.keeps = lambda account: (
+            False
+        )
+        await sleep_ms(2500)
+        decoded = decode_account_row(stored_row(vm, 'grants')).row
+        context.stored = sum(decoded.granted_tokens.values())
+
+    run_in_virtual_time(functools.partial(fleet.play, story))
+
+
+def stored_row(vm, key):
+    rows = vm.table.state.scan(
+        table='account_grants',
+        prefix=key,
+        after_revision=0,
+        part=ACCOUNT,
+    )
+    return rows[0]
+
+
+@then('the store has granted VM 1 only the {spent} tokens that it spent')
+def nothing_held(context, spent):
+    assert context.conflict_count == 1
+    assert context.stored == int(spent.replace(',', '')), context.stored
+
+
+class GrowingMembers(FixedMembers):
+    """A list on which VMs appear one after another."""
+
+    def __init__(self, *, entries):
+        super().__init__(entries={})
+        self.coming = dict(entries)
+        self.notices = []
+        self.count = 0
+
+    @property
+    def revision(self):
+        return self.count
+
+    @property
+    def is_settled(self):
+        return not self.coming
+
+    def call_on_change(self, notice):
+        self.notices.append(notice)
+
+    def add_one(self):
+        name = next(iter(self.coming))
+        self._entries[name] = self.coming.pop(name)
+        self.count += 1
+        for notice in self.notices:
+            notice()
+
+
+@when('the VMs learn of each other one after another')
+def learn_slowly(context):
+    fleet = context.fleet
+    fleet.members = GrowingMembers(entries=fleet.members.entries())
+
+    async def story():
+        while fleet.members.coming:
+            fleet.members.add_one()
+            await sleep_ms(40)
+        await sleep_ms(3000)
+        decoded = decode_account_row(stored_row(fleet.vms[0], 'grants')).row
+        context.stored = {
+            key.partition('/')[0]: tokens
+            for key, tokens in decoded.granted_tokens.items()
+        }
+
+    run_in_virtual_time(functools.partial(fleet.play, story))
+
+
+@then('only keepers hold tokens')
+def only_keepers(context):
+    keepers, others = divided(context.fleet)
+    for vm in others:
+        assert not context.stored.get(vm.name, 0), (vm.name, context.stored)
+    assert all(context.stored[vm.name] > 0 for vm in keepers), context.stored
--- a/teaseldale/members/_keepers.py
+++ b/teaseldale/members/_keepers.py
@@ -28,6 +28,11 @@
         """The list that the keepers are chosen from."""
         return self._members
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the keepers will hardly change at once."""
+        return self._members.is_settled
+
     def of(self, account: str) -> dict[str, VmEntry]:
         """Returns the keepers in the order in which this VM asks them.
 
--- a/teaseldale/members/_member_list.py
+++ b/teaseldale/members/_member_list.py
@@ -32,6 +32,9 @@
 # How often the own row is looked for. Rows are written again if somebody has
 # taken them away, and after a store that was away at the start.
 _CHECK_MS = 500
+# A list that has not changed for so long is taken for whole. The VMs of a
+# fleet that starts register within some hundred ms of each other.
+_SETTLED_MS = 1000
 # Wait of the feed. Nothing that has to be done in time hangs on this list.
 _FEED_WAIT_MS = 5000
 
@@ -58,6 +61,7 @@
         self._entries: dict[str, VmEntry] = {}
         self._row_revisions: dict[str, int] = {}
         self._revision = 0
+        self._changed_ms = 0  # monotonic, of the newest change
         self._notices: list[Callable[[], None]] = []
         self._is_leaving = False
         self._log = StateLog(channel='members')
@@ -81,6 +85,12 @@
         """Grows with each change; 0 while the list is not known."""
         return self._revision
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the list has stayed the same for some time."""
+        age_ms = self._clock.monotonic_ms() - self._changed_ms
+        return self._revision > 0 and age_ms >= _SETTLED_MS
+
     @property
     def vm_count(self) -> int:
         """VMs that share the fleet's bounds, this one included."""
@@ -154,6 +164,7 @@
         for row in rows:
             self._take(row)
         self._revision += 1
+        self._changed_ms = self._clock.monotonic_ms()
         self._metrics.set_gauge('members', len(self._entries))
         self._log.changed('members_changed', count=len(self._entries))
         for notice in self._notices:
--- a/teaseldale/members/_members.py
+++ b/teaseldale/members/_members.py
@@ -22,6 +22,11 @@
     def revision(self) -> int:
         """Grows with each change; 0 while the list is not known."""
 
+    @property
+    @abc.abstractmethod
+    def is_settled(self) -> bool:
+        """Whether the list has stayed the same for some time."""
+
     @abc.abstractmethod
     def entries(self) -> Mapping[str, VmEntry]:
         """Returns the VMs by name."""
@@ -43,6 +48,11 @@
         """Always the first revision."""
         return 1
 
+    @property
+    def is_settled(self) -> bool:
+        """Always settled."""
+        return True
+
     def entries(self) -> Mapping[str, VmEntry]:
         """Returns the VMs by name."""
         return self._entries
