Let keepers close what ended starts of other VMs held

What a VM was granted is closed by its next start, but one that is no keeper does not look at the account.

A VM registers with the starts that it follows. A keeper that sees one of these in an account's row closes it, with the bound of its mark, unless the VM is a keeper itself and will do so with the time of its start. The mark that was used is checked in the same transaction.

--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -39,6 +39,7 @@
     Committed,
     Conflicted,
     Row,
+    RowCheck,
     make_transaction,
 )
 
@@ -198,6 +199,14 @@
             change = -max(0, min(held.available_tokens, held.granted_tokens))
         tokens = read.row.granted_to(self._holder) + change
         closed = read.row.with_closed(self._holder, self._earlier_bound())
+        if self.is_assigned:
+            ended = _ended_starts(closed, held.account, self._assigned)
+            closed = closed.with_ended(
+                {
+                    start.text: self.keepers.bound_tokens(start)
+                    for start in ended
+                },
+            )
         if not change and closed == read.row:
             return None
         return closed.with_granted(self._holder, tokens)
@@ -221,6 +230,8 @@
         if row is not None:
             read = self._held.row or _NO_ROW
             checks.append(check_of(GRANTS_KEY, read.revision))
+            closed = read.row.granted_tokens.keys() - row.granted_tokens.keys()
+            checks.extend(_checks_of_marks(closed, self.keepers))
             writes.append(row_write(GRANTS_KEY, row))
         try:
             outcome = await self._store.table.commit(
@@ -348,3 +359,34 @@
             incarnation=own.row.incarnation,
             spent_limit_tokens=bound_tokens,
         )
+
+
+def _checks_of_marks(
+    closed: Iterable[str],
+    keepers: KeeperRegister,
+) -> Iterable[RowCheck]:
+    """Returns conditions that the marks of starts are those that were used."""
+    for key in closed:
+        start = HolderKey.of(key)
+        read = keepers.find(start.vm_name)
+        if read is not None and read.row.incarnation == start.incarnation:
+            yield check_of(keeper_key(start.vm_name), read.revision)
+
+
+def _ended_starts(
+    row: AccountRow,
+    account: str,
+    keepers: AccountKeepers,
+) -> list[HolderKey]:
+    """Returns starts that have ended and that no later one will close.
+
+    A keeper that starts again closes its own, with the time of its start.
+    """
+    assigned = keepers.of(account)
+    starts = map(HolderKey.of, row.granted_tokens)
+    return [
+        start
+        for start in starts
+        if start.vm_name not in assigned
+        and keepers.has_ended(start.vm_name, start.incarnation)
+    ]
--- a/teaseldale/budgets/_account_rows.py
+++ b/teaseldale/budgets/_account_rows.py
@@ -35,6 +35,12 @@
     vm_name: str
     incarnation: str  # new at each start
 
+    @classmethod
+    def of(cls, text: str) -> 'HolderKey':
+        """Decodes a key within a row."""
+        vm_name, _, incarnation = text.rpartition(_SEPARATOR)
+        return cls(vm_name=vm_name, incarnation=incarnation)
+
     @property
     def text(self) -> str:
         """Key within a row."""
@@ -86,6 +92,20 @@
                 closed_tokens += granted
         return AccountRow(granted_tokens=kept, closed_tokens=closed_tokens)
 
+    def with_ended(self, bounds: Mapping[str, int | None]) -> 'AccountRow':
+        """Closes starts by their keys; ``bounds`` has what each spent.
+
+        A start without a bound has spent all that it was granted.
+        """
+        kept = dict(self.granted_tokens)
+        closed_tokens = self.closed_tokens
+        for key, bound_tokens in bounds.items():
+            granted = kept.pop(key)
+            if bound_tokens is not None:
+                granted = min(granted, bound_tokens)
+            closed_tokens += granted
+        return AccountRow(granted_tokens=kept, closed_tokens=closed_tokens)
+
 
 @attrs.frozen(kw_only=True)
 class EarlierBound:
--- a/teaseldale/budgets/_keeper_register.py
+++ b/teaseldale/budgets/_keeper_register.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from teaseldale.budgets._account_rows import (
+    HolderKey,
     ReadKeeperRow,
     decode_keeper_row,
     keeper_of,
@@ -13,6 +14,9 @@
 # Marks that are older than this do not count their VM as running. An idle
 # keeper marks and reads every five seconds.
 _RUNNING_MS = 15_000
+# The store's time as known here is behind it by less than this: answers that
+# take longer are given up.
+_AHEAD_MS = 1000
 
 
 class KeeperRegister:
@@ -41,6 +45,19 @@
             for read in self._rows.values()
         )
 
+    def bound_tokens(self, start: HolderKey) -> int | None:
+        """Returns the most that a start that has ended spent; None if unknown.
+
+        It may have ended just now, by a clock that is ahead of this one by as
+        long as an answer of the store takes.
+        """
+        read = self._rows.get(start.vm_name)
+        if read is None or read.row.incarnation != start.incarnation:
+            return None
+        mark = read.row.mark
+        age_ms = self.store_ms - mark.made_store_ms + _AHEAD_MS
+        return mark.bound_tokens(age_ms)
+
     def find(self, vm_name: str) -> ReadKeeperRow | None:
         """Returns a VM's row as last seen."""
         return self._rows.get(vm_name)
--- a/teaseldale/budgets/tests/fleet_size.feature
+++ b/teaseldale/budgets/tests/fleet_size.feature
@@ -50,3 +50,17 @@
     Given 24 VMs over an account of 1,000,000 tokens
     When the VMs learn of each other one after another
     Then only keepers hold tokens
+
+  # Guards against accounts that have nothing left after a power failure, while
+  # starts that have ended are still granted what they never spent.
+  Scenario: What a VM held that is no keeper any more can be used once it has started again
+    Given 24 VMs over an account of 1,000,000 tokens
+    When a VM that keeps nothing has started again, and had spent 10,000 of 500,000 tokens at most
+    Then another VM can use 950,000 tokens at once
+    And no more than the account holds was used
+
+  Scenario: What a VM holds is left to it while it runs
+    Given 24 VMs over an account of 1,000,000 tokens
+    When a VM that keeps nothing runs, and had spent 10,000 of 500,000 tokens at most
+    Then another VM can use 450,000 tokens at once
+    And the store has still granted it 500,000 tokens
--- a/teaseldale/budgets/tests/steps_fleet_size.py
+++ b/teaseldale/budgets/tests/steps_fleet_size.py
@@ -4,9 +4,19 @@
 import random
 
 import anyio
+import attrs
 from behave import given, then, when
 
-from teaseldale.budgets._account_rows import decode_account_row
+from teaseldale.budgets._account_rows import (
+    AccountRow,
+    HolderKey,
+    KeeperRow,
+    MarkedAccount,
+    SpendingMark,
+    decode_account_row,
+    keeper_key,
+    row_write,
+)
 from teaseldale.budgets.tests.account_fleet import (
     ACCOUNT,
     AccountFleet,
@@ -324,3 +334,53 @@
     for vm in others:
         assert not context.stored.get(vm.name, 0), (vm.name, context.stored)
     assert all(context.stored[vm.name] > 0 for vm in keepers), context.stored
+
+
+@when(
+    'a VM that keeps nothing {state}, and had spent {spent} of {held} tokens '
+    'at most'
+)
+def held_before(context, state, spent, held):
+    fleet = context.fleet
+    _, others = divided(fleet)
+    holder = HolderKey(vm_name=others[0].name, incarnation='earlier')
+    entries = fleet.members.entries()
+    if state == 'has started again':
+        entries[holder.vm_name] = attrs.evolve(
+            entries[holder.vm_name],
+            ended=('earlier',),
+        )
+    granted = AccountRow(
+        granted_tokens={holder.text: int(held.replace(',', ''))},
+    )
+    mark = SpendingMark(
+        made_store_ms=0,
+        allowed=MarkedAccount(
+            limit_tokens=int(spent.replace(',', '')),
+            step_tokens=0,
+            spare_tokens=0,
+        ),
+    )
+    row = KeeperRow(incarnation='earlier', address='', mark=mark)
+    fleet.state.commit(
+        make_transaction(
+            checks=(),
+            writes=(
+                row_write('grants', granted),
+                row_write(keeper_key(holder.vm_name), row),
+            ),
+            part=ACCOUNT,
+        ),
+    )
+    fleet.used_tokens = int(spent.replace(',', ''))
+    context.drawn = context.used = 0
+    context.pause_ms = 2000
+    context.holder = holder
+
+
+@then('the store has still granted it {tokens} tokens')
+def still_granted(context, tokens):
+    decoded = decode_account_row(stored_row(context.fleet.vms[0], 'grants'))
+    assert decoded.row.granted_to(context.holder) == int(
+        tokens.replace(',', ''),
+    )
--- a/teaseldale/members/_keepers.py
+++ b/teaseldale/members/_keepers.py
@@ -33,6 +33,11 @@
         """Whether the keepers will hardly change at once."""
         return self._members.is_settled
 
+    def has_ended(self, vm_name: str, incarnation: str) -> bool:
+        """Whether a later start of the VM has registered."""
+        entry = self._members.entries().get(vm_name)
+        return entry is not None and incarnation in entry.ended
+
     def of(self, account: str) -> dict[str, VmEntry]:
         """Returns the keepers in the order in which this VM asks them.
 
--- a/teaseldale/members/_member_list.py
+++ b/teaseldale/members/_member_list.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import anyio
+import attrs
 import msgspec
 from anyio.abc import TaskGroup
 
@@ -35,6 +36,9 @@
 # A list that has not changed for so long is taken for whole. The VMs of a
 # fleet that starts register within some hundred ms of each other.
 _SETTLED_MS = 1000
+# Starts of a VM that are remembered as ended. Rows of accounts are cleared of
+# each within seconds of the next start.
+_KEPT_INCARNATIONS = 8
 # Wait of the feed. Nothing that has to be done in time hangs on this list.
 _FEED_WAIT_MS = 5000
 
@@ -127,11 +131,25 @@
 
     async def _keep_registered(self) -> None:
         while not self._is_leaving:
-            is_listed = self._entries.get(self._vm_name) == self._entry
-            if self._revision and not is_listed:
-                await self._write(self._vm_name, self._entry)
+            if self._revision and not self._is_listed:
+                await self._write(self._vm_name, self._next_entry())
             await self._clock.sleep_ms(_CHECK_MS)
 
+    @property
+    def _is_listed(self) -> bool:
+        known = self._entries.get(self._vm_name)
+        return known is not None and (
+            known.incarnation == self._entry.incarnation
+        )
+
+    def _next_entry(self) -> VmEntry:
+        """Returns the own entry, with the start that it replaces."""
+        known = self._entries.get(self._vm_name)
+        if known is None:
+            return self._entry
+        ended = (known.incarnation, *known.ended)[:_KEPT_INCARNATIONS]
+        return attrs.evolve(self._entry, ended=ended)
+
     async def _write(self, name: str, entry: VmEntry | None) -> None:
         """Replaces a row as it was last seen; else the feed tells of it."""
         encoded = None if entry is None else msgspec.msgpack.encode(entry)
--- a/teaseldale/members/_members.py
+++ b/teaseldale/members/_members.py
@@ -12,6 +12,8 @@
 
     address: str  # where datagrams of other VMs are taken
     incarnation: str  # new at each start
+    # Earlier incarnations, the newest first; none of them runs any more.
+    ended: tuple[str, ...] = ()
 
 
 class BaseFleetMembers(abc.ABC):
--- a/teaseldale/members/tests/members.feature
+++ b/teaseldale/members/tests/members.feature
@@ -40,6 +40,11 @@
     When VM 2 takes VM 3 off the list
     Then each other VM knows 2 VMs
 
+  Scenario: A VM that starts again tells that its earlier start has ended
+    Given 3 VMs with a store
+    When VM 1 starts again
+    Then the others know that its first start has ended, and of no other
+
   Scenario: A list that does not change costs few calls
     Given 3 VMs with a store
     When 60 s pass without a change
--- a/teaseldale/members/tests/steps_members.py
+++ b/teaseldale/members/tests/steps_members.py
@@ -5,6 +5,7 @@
 import random
 
 import anyio
+import attrs
 from behave import given, then, when
 
 from teaseldale.fakes import (
@@ -217,6 +218,7 @@
 def play(context):
     async def main():
         async with anyio.create_task_group() as tasks:
+            context.tasks = tasks
             for vm in context.vms:
                 await vm.make().start(tasks)
             for part in context.story:
@@ -245,3 +247,26 @@
 def few_calls(context, count):
     play(context)
     assert max(context.calls) <= count, context.calls
+
+
+@when('VM {number:d} starts again')
+def starts_again(context, number):
+    vm = context.vms[number - 1]
+
+    async def restart():
+        vm.members._is_leaving = True  # the first start writes no more
+        vm.entry = attrs.evolve(vm.entry, incarnation='2')
+        await vm.make().start(context.tasks)
+        await anyio.sleep(2)
+
+    context.story.append(restart)
+
+
+@then('the others know that its first start has ended, and of no other')
+def ended_known(context):
+    play(context)
+    keepers = AccountKeepers(members=context.vms[1].members, vm_name='vm-1')
+    assert keepers.has_ended('vm-0', '1')
+    assert not keepers.has_ended('vm-0', '2')
+    assert not keepers.has_ended('vm-1', '1')
+    assert not keepers.has_ended('vm-2', '1')
