Restore two bounds of new tests that were eased before they landed

Both scenarios failed as first written: 90,000 of 100,000 tokens could not be drawn at once, and 5 of 320 requests were refused while two keepers were gone, with datagrams of up to 300 ms. The draw was lowered to 60,000 and the datagrams were made faster before they landed, which hid a fault. The calmer scenarios stay beside them.

--- a/teaseldale/budgets/tests/fleet_size.feature
+++ b/teaseldale/budgets/tests/fleet_size.feature
@@ -64,3 +64,18 @@
     When a VM that keeps nothing runs, and had spent 10,000 of 500,000 tokens at most
     Then another VM can use 450,000 tokens at once
     And the store has still granted it 500,000 tokens
+
+  @known_red
+  Scenario: Nine tenths of an account can be drawn at once over slow datagrams
+    Given 24 VMs over an account of 100,000 tokens
+    And datagrams that take up to 300 ms
+    When VMs that keep nothing draw 90,000 tokens and use 1,000 of them
+    And 2 s pass for the fleet
+    Then another VM can use 80,000 tokens at once
+
+  @known_red
+  Scenario: Requests are paid over slow datagrams while two keepers are gone
+    Given 24 VMs over an account of 10,000,000 tokens
+    And datagrams that take up to 300 ms
+    When two keepers are killed while each VM runs 2 requests of 500 tokens a second for 10 s
+    Then fewer than 1 in 100 requests were refused
--- a/teaseldale/budgets/tests/steps_fleet_size.py
+++ b/teaseldale/budgets/tests/steps_fleet_size.py
@@ -149,7 +149,7 @@
 )
 def keepers_killed(context, per_s, tokens, seconds):
     fleet = context.fleet
-    fleet.datagram_seconds = (0.002,)
+    use_fast_datagrams(context)
 
     async def story():
         keepers, others = divided(fleet)
@@ -196,7 +196,7 @@
 def others_can_use(context, tokens):
     fleet = context.fleet
     wanted = int(tokens.replace(',', ''))
-    fleet.datagram_seconds = (0.002,)
+    use_fast_datagrams(context)
 
     async def story():
         _, others = divided(fleet)
@@ -384,3 +384,13 @@
     assert decoded.row.granted_to(context.holder) == int(
         tokens.replace(',', ''),
     )
+
+
+@given('datagrams that take up to 300 ms')
+def slow_datagrams(context):
+    context.has_slow_datagrams = True
+
+
+def use_fast_datagrams(context):
+    if not getattr(context, 'has_slow_datagrams', False):
+        context.fleet.datagram_seconds = (0.002,)
