Log which broken-off requests are the same one

Cause: not known yet. The hypotheses differ in which attempts share method, path, account and body, and no line says that. Change: request_ended names the fingerprint once an answer broke off. The function that computes it has a module of its own, so that the node does not load the peer links for it. Evidence: path.feature, 44 scenarios passed.

--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -51,6 +51,7 @@
             cut=answer.cut_reason,
             runners=record.runners,
             reasons=record.reasons,
+            fingerprint=record.fingerprint,
             may_have_run=record.may_have_run,
             reserved_tokens=record.reserved_tokens,
             used_tokens=record.used_tokens,
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -22,6 +22,7 @@
     RunnerAnswer,
     UpstreamError,
     WireHeaders,
+    fingerprint_of,
     header_of,
 )
 
@@ -53,6 +54,9 @@
     longest_gap_ms: int = 0  # between events of a stream
     reserved_tokens: int = 0  # reserved from the account
     used_tokens: int = 0  # billed to the account
+    # Identifies the request in all of its attempts; empty until an answer broke
+    # off.
+    fingerprint: str = ''
 
 
 class RequestRun:
@@ -165,6 +169,7 @@
             self._uncount_arrival(sent)
         if isinstance(sent, BrokeOff):
             self.record.may_have_run = True
+            self._note_break()
         self._note_failure(attempt, sent.reason)
         return False
 
@@ -201,6 +206,7 @@
             return await self._relay_whole(sent)
         except (UpstreamError, StreamOrderError) as error:
             attempt.note_broken_answer()
+            self._note_break()
             self._note_failure(attempt, str(error))
             self._events.resume()
             return False
@@ -284,12 +290,23 @@
             return answer_broke_off(reasons, ','.join(self.record.runners))
         return no_runner(self._admitted.service)
 
+    def _note_break(self) -> None:
+        if not self.record.fingerprint:
+            self.record.fingerprint = _fingerprint(self._admitted, self._body)
+
     def _note_failure(self, attempt: Attempt, reason: str) -> None:
         runner_id = attempt.runner.runner_id
         self.record.reasons.append(f'{runner_id}: {reason}')
         self._parts.metrics.increment('attempts_failed')
 
 
+def _fingerprint(admitted: AdmittedRequest, body: bytes) -> str:
+    request = admitted.request
+    account = '' if admitted.account is None else admitted.account.name
+    target = request.target.decode('latin-1')
+    return fingerprint_of(f'{request.method} {target} {account}', body)
+
+
 def _work_of(admitted: AdmittedRequest) -> PlannedWork:
     usage = admitted.request.usage
     return PlannedWork(
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -16,6 +16,7 @@
         ServiceCall,
         UpstreamError,
     )
+    from teaseldale.upstreams._fingerprint import fingerprint_of
     from teaseldale.upstreams._http_connection import UpstreamPool
     from teaseldale.upstreams._http_engine import (
         HttpEngineClient,
@@ -25,7 +26,6 @@
     from teaseldale.upstreams._quarantine import (
         CrashQuarantine,
         SuspectState,
-        fingerprint_of,
     )
     from teaseldale.upstreams._quarantine_interface import (
         BaseQuarantine,
@@ -62,6 +62,7 @@
             'ServiceCall',
             'UpstreamError',
         ),
+        'teaseldale.upstreams._fingerprint': ('fingerprint_of',),
         'teaseldale.upstreams._http_connection': ('UpstreamPool',),
         'teaseldale.upstreams._http_engine': (
             'HttpEngineClient',
@@ -71,7 +72,6 @@
         'teaseldale.upstreams._quarantine': (
             'CrashQuarantine',
             'SuspectState',
-            'fingerprint_of',
         ),
         'teaseldale.upstreams._quarantine_interface': (
             'BaseQuarantine',
--- a/teaseldale/upstreams/_quarantine.py
+++ b/teaseldale/upstreams/_quarantine.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable
 
 import attrs
-import xxhash
 
 from teaseldale.clock import BaseClock
 from teaseldale.kernel import BaseService
@@ -242,13 +241,5 @@
             self._suspects.pop(next(iter(self._suspects)))
 
 
-def fingerprint_of(route: str, body: bytes) -> str:
-    """Returns the hash of a route and a body, without the request key."""
-    hashed = xxhash.xxh3_128(route.encode())
-    hashed.update(b'\0')
-    hashed.update(body)
-    return hashed.hexdigest()
-
-
 def _is_quarantined(suspect: _Suspect) -> bool:
     return len(suspect.upstreams) >= _UPSTREAMS_TO_QUARANTINE
