--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -1,43 +1,18 @@
 """Steps for request forwarding, in virtual time and without a network."""
 
-import random
-
 import anyio
 import attrs
 import logbook
 from behave import given, then, when
 
-from teaseldale.budgets import (
-    AccountGrants,
-    HolderKey,
-    StoreAccess,
-    VmIncarnation,
-)
-from teaseldale.fakes import (
-    FakeTableService,
-    VirtualClock,
-    run_in_virtual_time,
-)
-from teaseldale.forwarding import (
-    Address,
-    ConfigurationHolder,
-    EngineLimits,
-    EntryLimits,
-    ForwardingConfiguration,
-    ForwardingDependencies,
-    ForwardingEntry,
-    ForwardingRoute,
-    ForwardingRunner,
-    ForwardingService,
-    MoveStore,
-    NodeSettings,
-    PrepaidAccount,
-    RequestLog,
-    RetryLimits,
-    RetryPolicy,
-    RunnerDirectory,
-    VersionMoves,
-    WeightedService,
+from teaseldale.fakes import VirtualClock, run_in_virtual_time
+from teaseldale.forwarding import EntryLimits
+from teaseldale.forwarding.tests import entry_world
+from teaseldale.forwarding.tests.entry_world import (
+    BODY_LIMIT_BYTES,
+    EntryOptions,
+    make_configuration,
+    make_runner,
 )
 from teaseldale.forwarding.tests.scripted_caller import ScriptedCaller
 from teaseldale.forwarding.tests.scripted_runners import (
@@ -45,67 +20,17 @@
     events,
     span,
 )
-from teaseldale.logs import StateLog
-from teaseldale.members import (
-    AccountKeepers,
-    FixedMembers,
-    FleetCells,
-    VmEntry,
-)
-from teaseldale.metrics import Metrics
-from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
+from teaseldale.members import FixedMembers
 from teaseldale.platform.tests.wire_names import CALLER_HEADERS, STAMP
-from teaseldale.routing import BacklogChoice, RetryWindow
-from teaseldale.tables import InMemoryTable
+from teaseldale.routing import RetryWindow
 from teaseldale.web import HeadLimits
 
-_REPETITIONS = {
-    'safe': (RetryPolicy.SAFE, False),
-    'once': (RetryPolicy.ONCE, False),
-    'stream': (RetryPolicy.STREAM, False),
-    'resumable': (RetryPolicy.STREAM, True),
-}
-_ADDRESS = Address(ip='127.0.0.1', port=1)
-_BODY_LIMIT_BYTES = 100
-
 
 @given('{count:d} runners and a "{kind}" route limited to {limit:d} runners')
 def runners_for(context, count, kind, limit):
-    repetition, is_resumable = _REPETITIONS[kind]
     context.unproven_runner = None
     context.runner_count = count
-    context.configuration = ForwardingConfiguration(
-        version=1,
-        routes=(
-            ForwardingRoute(
-                name='route',
-                host='h',
-                path_prefix='/a/',
-                repetition=repetition,
-                services=(WeightedService(service='s', weight=1),),
-                runner_limit=limit,
-                timeout_ms=1000,
-                objective_ms=100,
-                priority=1,
-                is_resumable=is_resumable,
-            ),
-        ),
-        services={
-            's': ForwardingService(
-                name='s',
-                connection_limit=10,
-                engine=EngineLimits(
-                    slot_count=4,
-                    memory_tokens=100_000,
-                    tokens_per_event=5,
-                ),
-            )
-        },
-        accounts=(
-            PrepaidAccount(name='a', keys=('key',), prepaid_tokens=1_000_000),
-        ),
-        limits=EntryLimits(body_bytes=_BODY_LIMIT_BYTES),
-    )
+    context.configuration = make_configuration(kind, limit)
 
 
 @given('{count:d} runners and a "{kind}" route')
@@ -114,92 +39,13 @@
 
 
 def make_entry(context, connections, clock):
-    metrics = Metrics()
-    members = FixedMembers(
-        entries={'vm': VmEntry(address='127.0.0.1:1', incarnation='1')},
-    )
-    directory = RunnerDirectory()
-    if context.configuration is not None:
-        directory.replace_all(map(make_runner, range(context.runner_count)))
-    table = FakeTableService(
-        state=InMemoryTable(),
-        random_source=random.Random(1),
-    )
-    moves = VersionMoves(
-        holder=HolderKey(vm_name='vm', incarnation='1'),
-        share_limit=0.1,
-        directory=directory,
-        store=MoveStore(table=table, feed=table, status=PlatformOrderStatus()),
-        clock=clock,
-        metrics=metrics,
-    )
-    holder = ConfigurationHolder()
-    if context.configuration is not None:
-        holder.adopt_if_newer(context.configuration)
-    parts = ForwardingDependencies(
-        wire=PlatformWireFormat(),
-        configuration=holder,
-        directory=directory,
-        connections=connections,
-        choice=BacklogChoice(clock=clock, random_source=random.Random(1)),
-        cells=FleetCells(members=members, vm_name='vm'),
-        retries=RetryWindow(
+    return entry_world.make_entry(
+        EntryOptions(
+            connections=connections,
             clock=clock,
-            share=0.2,
-            extra_count=56,
-            window_ms=10_000,
-            vm_count=lambda: 1,
-        ),
-        grants=AccountGrants(
-            start=VmIncarnation(
-                holder=HolderKey(vm_name='vm', incarnation='1'),
-                address='127.0.0.1:1',
-                started_ms=0,
-            ),
-            keepers=AccountKeepers(members=members, vm_name='vm'),
-            store=StoreAccess(
-                table=table,
-                feed=table,
-                clock=clock,
-                metrics=metrics,
-            ),
+            configuration=context.configuration,
+            runners=tuple(map(make_runner, range(context.runner_count))),
         ),
-        moves=moves,
-        clock=clock,
-        metrics=metrics,
-        random_source=random.Random(1),
-        log=StateLog(channel='test'),
-    )
-    settings = NodeSettings(
-        name='vm',
-        availability_zone='z',
-        callers_address=_ADDRESS,
-        readiness_address=_ADDRESS,
-        metrics_address=None,
-        peer_address=_ADDRESS,
-        store_address=_ADDRESS,
-        retry_bounds=RetryLimits(share=0.2, extra_count=56, window_ms=10_000),
-        drain_ms=2000,
-        grace_ms=8000,
-        version_move_share=0.1,
-    )
-    entry = ForwardingEntry(
-        settings=settings,
-        parts=parts,
-        request_log=RequestLog(clock=clock, metrics=metrics),
-    )
-    return entry, parts
-
-
-def make_runner(number):
-    return ForwardingRunner(
-        runner_id=f'i-{number}',
-        started_wall_ms=1,
-        service='s',
-        address=Address(ip='10.0.0.9', port=number + 1),
-        availability_zone='z',
-        version='v1',
-        slot_count=4,
     )
 
 
@@ -327,7 +173,7 @@
     elif case == 'has no id':
         headers.pop(b'x-request-id')
     elif case == 'has a body beyond the limit':
-        body = b'x' * (_BODY_LIMIT_BYTES + 1)
+        body = b'x' * (BODY_LIMIT_BYTES + 1)
     else:
         context.configuration = None
     caller = ScriptedCaller(
