Hold back requests that crash runners on the forwarding path

Cause: the quarantine of such requests was asked by the own interface only; the forwarding path kept nothing of a crash between client attempts. Evidence: crashing_requests.feature. Ruled out: more than the allowed runners in one client attempt (each reaches two at most); lost evidence (there was none). Change: CrashSuspects counts crashes for both interfaces; CrashReports finds them on the platform (connection broken, runner not leaving, new connections refused or a new incarnation registered) and shares them as rows that all VMs follow. After two attempts that did not overlap in time the request is refused with 503 crashes_runners until it completes somewhere or 10 minutes have passed. Why it works: an attempt that ends its runner leaves a row before the caller can have sent the next one; VMs that start later read it, and an outage of the store only delays it, within which the bound is not in force. Overlapping attempts count as one, so a fault of several runners holds nothing back. Crash notices between VMs of the own interface have a new form: during an upgrade VMs of both builds do not tell each other crashes.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -17,6 +17,7 @@
 from teaseldale.clock import PROCESS_START_MS, SystemClock
 from teaseldale.forwarding import (
     ConfigurationHolder,
+    CrashReports,
     FleetState,
     FleetWatch,
     ForwardingDependencies,
@@ -87,6 +88,7 @@
     kernel.register(members)
     kernel.register(parts.grants)
     kernel.register(parts.moves)
+    kernel.register(parts.crashes)
     kernel.register(
         VmDatagrams(
             address=settings.peer_address,
@@ -167,11 +169,12 @@
     clock = store.clock
     metrics = store.metrics
     directory = RunnerDirectory()
+    connections = RunnerConnectionPools(clock=clock, metrics=metrics)
     return ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=ConfigurationHolder(),
         directory=directory,
-        connections=RunnerConnectionPools(clock=clock, metrics=metrics),
+        connections=connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
         cells=FleetCells(members=members, vm_name=settings.name),
         retries=RetryWindow(
@@ -181,6 +184,13 @@
             window_ms=bounds.window_ms,
             vm_count=lambda: members.vm_count,
         ),
+        crashes=CrashReports(
+            vm_name=settings.name,
+            members=members,
+            directory=directory,
+            connections=connections,
+            store=store,
+        ),
         grants=AccountGrants(
             start=start,
             keepers=AccountKeepers(members=members, vm_name=settings.name),
--- a/teaseldale/entry/_attempts.py
+++ b/teaseldale/entry/_attempts.py
@@ -35,6 +35,7 @@
     fresh_connection: bool = False  # set after a connection stalled
     trial_upstream: str = ''  # upstream reserved for a suspect's trial
     holds_trial: bool = False  # whether the trial lock is held
+    placed_ms: int = 0  # monotonic time of the current attempt's start
 
     def note_failure(self, refusal: Refusal, upstream: str) -> None:
         """Records a failed attempt and excludes its upstream."""
@@ -81,6 +82,7 @@
         if isinstance(placement, Refusal):
             await self.end_trial(attempts)
             return choose_refusal(attempts.last_refusal, placement)
+        attempts.placed_ms = self._parts.clock.monotonic_ms()
         return placement
 
     async def end_trial(self, attempts: Attempts) -> None:
@@ -112,6 +114,9 @@
             await self._parts.quarantine.report_break(
                 attempts.fingerprint,
                 placement.upstream,
+                running_ms=(
+                    self._parts.clock.monotonic_ms() - attempts.placed_ms
+                ),
             )
 
     def may_retry(self, attempts: Attempts, refusal: Refusal) -> bool:
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -12,6 +12,7 @@
     WeightedService,
 )
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
+from teaseldale.forwarding._crash_reports import CrashReports
 from teaseldale.forwarding._dependencies import ForwardingDependencies
 from teaseldale.forwarding._entry import ForwardingEntry
 from teaseldale.forwarding._fleet_watch import (
@@ -51,6 +52,7 @@
     'BaseWireFormat',
     'ClientRequest',
     'ConfigurationHolder',
+    'CrashReports',
     'RunnerConnectionPools',
     'Dispatch',
     'EngineLimits',
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -14,6 +14,7 @@
 )
 from teaseldale.routing import PlacedWork, PlannedWork, RunnerBacklog
 from teaseldale.upstreams import (
+    FailureKind,
     RunnerAnswer,
     RunnerMessage,
     UpstreamError,
@@ -36,6 +37,7 @@
     """The runner may have run the request but did not answer fully."""
 
     reason: str
+    is_connection_lost: bool  # False if the runner was silent
 
 
 @attrs.frozen(kw_only=True)
@@ -104,6 +106,11 @@
         self._note_outcome(has_failed=reply.status >= _FIRST_FAILURE_STATUS)
         return Replied(answer=answer, reply=reply)
 
+    @property
+    def running_ms(self) -> int:
+        """Returns the time since the attempt started."""
+        return self._parts.clock.monotonic_ms() - self._sent_ms
+
     @property
     def fetch_from(self) -> Address | None:
         """Returns the address of a runner with more of the prompt cached."""
@@ -145,7 +152,10 @@
     def _outcome_of_error(self, error: UpstreamError) -> NotRun | BrokeOff:
         if error.may_have_run:
             self._note_outcome(has_failed=True)
-            return BrokeOff(reason=f'{error.kind}: {error.reason}')
+            return BrokeOff(
+                reason=f'{error.kind}: {error.reason}',
+                is_connection_lost=error.kind is FailureKind.BROKEN,
+            )
         self._parts.choice.mark_unreachable(self.runner.runner_id)
         return NotRun(reason=error.reason, has_arrived=False)
 
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -8,6 +8,7 @@
 from teaseldale.clock import BaseClock
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
+from teaseldale.forwarding._crash_reports import CrashReports
 from teaseldale.forwarding._runners import RunnerDirectory
 from teaseldale.forwarding._version_moves import VersionMoves
 from teaseldale.forwarding._wire import BaseWireFormat
@@ -28,6 +29,7 @@
     choice: BacklogChoice
     cells: FleetCells
     retries: RetryWindow
+    crashes: CrashReports
     grants: AccountGrants
     moves: VersionMoves
     clock: BaseClock
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -81,6 +81,20 @@
     )
 
 
+def crashes_runners(retry_after_ms: int) -> Refusal:
+    """Returns the refusal of a request under which runners have crashed.
+
+    Earlier attempts of the caller have run; this one has not.
+    """
+    return Refusal(
+        code=RefusalCode.CRASHES_RUNNERS,
+        message='Runners crashed while they ran this request; change it.',
+        not_run=True,
+        step=Step.CHOOSE_UPSTREAM,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def no_runner(service: str) -> Refusal:
     """Returns the refusal of a request that no runner has run or can run."""
     return Refusal(
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -11,18 +11,22 @@
 )
 from teaseldale.forwarding._caller_answer import CallerAnswer, CutReason
 from teaseldale.forwarding._configuration import RetryPolicy
+from teaseldale.forwarding._crash_guard import CrashGuard
 from teaseldale.forwarding._dependencies import ForwardingDependencies
 from teaseldale.forwarding._events import EventSplitter, StreamOrderError
-from teaseldale.forwarding._refusals import answer_broke_off, no_runner
+from teaseldale.forwarding._refusals import (
+    answer_broke_off,
+    no_runner,
+)
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.forwarding._wire import Dispatch
 from teaseldale.outcomes import Refusal
 from teaseldale.routing import PlannedWork, RunnerBacklog
 from teaseldale.upstreams import (
+    FailureKind,
     RunnerAnswer,
     UpstreamError,
     WireHeaders,
-    fingerprint_of,
     header_of,
 )
 
@@ -81,6 +85,11 @@
         self._failed_reply: _CompleteReply | None = None  # last 5xx answer
         # Runners of an unproven version if the first attempt goes to it.
         self._unproven_runners: tuple[ForwardingRunner, ...] = ()
+        self._crash_guard = CrashGuard(
+            crashes=parts.crashes,
+            admitted=admitted,
+            body=body,
+        )
         self._tried_runner_ids: set[str] = set()
         self._is_retry = False  # whether a misdirected attempt was made
         self._last_event_ms = 0  # monotonic, of the latest stream event
@@ -107,12 +116,13 @@
                 return
             try:
                 if await self._run_attempt(attempt):
+                    self._crash_guard.clear()
                     return
             finally:
                 attempt.end()
 
     def _next_attempt(self) -> Attempt | None:
-        if not self._may_attempt():
+        if not self._may_attempt() or self._crash_guard.is_quarantined:
             return None
         candidates = self._candidates()
         backlog = self._parts.choice.choose(self._work, candidates)
@@ -169,7 +179,9 @@
             self._uncount_arrival(sent)
         if isinstance(sent, BrokeOff):
             self.record.may_have_run = True
-            self._note_break()
+            self.record.fingerprint = self._crash_guard.fingerprint
+            if sent.is_connection_lost:
+                await self._crash_guard.examine_break(attempt)
         self._note_failure(attempt, sent.reason)
         return False
 
@@ -206,7 +218,9 @@
             return await self._relay_whole(sent)
         except (UpstreamError, StreamOrderError) as error:
             attempt.note_broken_answer()
-            self._note_break()
+            self.record.fingerprint = self._crash_guard.fingerprint
+            if _is_connection_lost(error):
+                await self._crash_guard.examine_break(attempt)
             self._note_failure(attempt, str(error))
             self._events.resume()
             return False
@@ -288,23 +302,19 @@
         reasons = '; '.join(self.record.reasons)
         if self.record.may_have_run:
             return answer_broke_off(reasons, ','.join(self.record.runners))
+        if self._crash_guard.is_quarantined:
+            self.record.fingerprint = self._crash_guard.fingerprint
+            return self._crash_guard.refusal()
         return no_runner(self._admitted.service)
 
-    def _note_break(self) -> None:
-        if not self.record.fingerprint:
-            self.record.fingerprint = _fingerprint(self._admitted, self._body)
-
     def _note_failure(self, attempt: Attempt, reason: str) -> None:
         runner_id = attempt.runner.runner_id
         self.record.reasons.append(f'{runner_id}: {reason}')
         self._parts.metrics.increment('attempts_failed')
 
 
-def _fingerprint(admitted: AdmittedRequest, body: bytes) -> str:
-    request = admitted.request
-    account = '' if admitted.account is None else admitted.account.name
-    target = request.target.decode('latin-1')
-    return fingerprint_of(f'{request.method} {target} {account}', body)
+def _is_connection_lost(error: Exception) -> bool:
+    return isinstance(error, UpstreamError) and error.kind is FailureKind.BROKEN
 
 
 def _work_of(admitted: AdmittedRequest) -> PlannedWork:
--- a/teaseldale/forwarding/tests/crashing_fleet.py
+++ b/teaseldale/forwarding/tests/crashing_fleet.py
@@ -18,7 +18,10 @@
     ScriptedAnswer,
     failure,
 )
-from teaseldale.platform.tests.wire_names import CALLER_HEADERS
+from teaseldale.platform.tests.wire_names import (
+    request_id_of,
+    unbilled_headers,
+)
 from teaseldale.tables import InMemoryTable
 from teaseldale.upstreams import FailureKind
 
@@ -28,6 +31,7 @@
 _WORK_MS = 80
 _CRASH_AFTER_MS = 20  # from the start of a request until its runner crashes
 _SLOT_COUNT = 64
+_DEADLINE_MS = 1000
 # Slow enough for the many followers of a large fleet.
 _STORE_LATENCY_MS = 15
 
@@ -64,7 +68,7 @@
         self.fleet.arrivals.append(
             Arrival(
                 runner_id=self.entry.runner_id,
-                request_id=dict(message.headers)[b'x-request-id'],
+                request_id=request_id_of(message),
                 body=message.body,
                 at_ms=_now_ms(),
             )
@@ -128,7 +132,7 @@
             raise failure(FailureKind.REFUSED)
         return await self._runner.run(message)
 
-    async def is_refused(self):
+    async def is_refused(self, timeout_ms):
         """Returns whether a new connection to the runner is refused."""
         await anyio.sleep(0.002)
         return not self._runner.is_up
@@ -164,14 +168,8 @@
         fleet = self.fleet
         fleet.asked_count += 1
         request_id = b'r-%d' % fleet.asked_count
-        headers = {
-            **dict(CALLER_HEADERS),
-            b'x-request-id': request_id,
-            b'x-deadline-ms': b'1000',
-        }
-        headers.pop(b'x-token-usage')
         caller = ScriptedCaller(
-            headers=tuple(headers.items()),
+            headers=unbilled_headers(request_id, _DEADLINE_MS),
             body=body,
             path=path,
         )
@@ -195,6 +193,7 @@
             for number in range(runner_count)
         }
         self.vms = []
+        self.sends_others = True
         self.tasks = None
         self.asked_count = 0
         self.arrivals = []
@@ -211,6 +210,7 @@
     async def start_vm(self, number):
         """Starts one VM."""
         vm = CrashingVm(number=number, fleet=self)
+        await vm.parts.crashes.start(self.tasks)
         self.vms.append(vm)
 
     async def send_other_requests(self, per_s):
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -14,6 +14,7 @@
 from teaseldale.forwarding import (
     Address,
     ConfigurationHolder,
+    CrashReports,
     EngineLimits,
     EntryLimits,
     ForwardingConfiguration,
@@ -150,6 +151,7 @@
         holder.adopt_if_newer(options.configuration)
     vm_holder = HolderKey(vm_name=options.vm_name, incarnation='1')
     random_source = random.Random(options.seed)
+    store = StoreAccess(table=table, feed=table, clock=clock, metrics=metrics)
     parts = ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=holder,
@@ -164,6 +166,13 @@
             window_ms=10_000,
             vm_count=lambda: len(members.entries()),
         ),
+        crashes=CrashReports(
+            vm_name=options.vm_name,
+            members=members,
+            directory=directory,
+            connections=options.connections,
+            store=store,
+        ),
         grants=AccountGrants(
             start=VmIncarnation(
                 holder=vm_holder,
@@ -171,12 +180,7 @@
                 started_ms=0,
             ),
             keepers=AccountKeepers(members=members, vm_name=options.vm_name),
-            store=StoreAccess(
-                table=table,
-                feed=table,
-                clock=clock,
-                metrics=metrics,
-            ),
+            store=store,
         ),
         moves=VersionMoves(
             holder=vm_holder,
--- a/teaseldale/forwarding/tests/steps_crashing_requests.py
+++ b/teaseldale/forwarding/tests/steps_crashing_requests.py
@@ -33,12 +33,20 @@
 
 
 def play(context, scenario):
+    context.scenario_run = scenario
+    if any('minutes pass' in step.name for step in context.scenario.steps):
+        return
+    run_scenario(context, scenario)
+
+
+def run_scenario(context, scenario):
     world = context.fleet
 
     async def run():
         async with anyio.create_task_group() as tasks:
             await world.start(tasks)
-            tasks.start_soon(world.send_other_requests, _OTHERS_PER_S)
+            if world.sends_others:
+                tasks.start_soon(world.send_other_requests, _OTHERS_PER_S)
             await scenario(world)
             await anyio.sleep(1)
             tasks.cancel_scope.cancel()
@@ -155,3 +163,58 @@
     ]
     assert len(context.fleet.callers) > 500, len(context.fleet.callers)
     assert not refused, len(refused)
+
+
+@when('{minutes:d} minutes pass')
+def minutes_pass(context, minutes):
+    async def scenario(world):
+        world.vms = world.vms[:2]
+        await context.scenario_run(world)
+        assert stored_crashes(world)
+        await anyio.sleep(minutes * 60)
+
+    world = context.fleet
+    world.sends_others = False
+    run_scenario(context, scenario)
+
+
+@then('no row of a crash is left in the store')
+def no_rows(context):
+    assert not stored_crashes(context.fleet)
+
+
+def stored_crashes(world):
+    return world.state.scan(
+        table='request_crashes',
+        prefix='',
+        after_revision=0,
+    )
+
+
+@when(
+    'crashes under {count} different requests are reported during an outage '
+    'of the store'
+)
+def report_many(context, count):
+    async def scenario(world):
+        _set_down(world, down=True)
+        runner = world.runners['i-0']
+        runner.is_up = False
+        crashes = world.vms[0].parts.crashes
+        for number in range(int(count.replace(',', ''))):
+            await crashes.examine_break(
+                f'fingerprint-{number}',
+                runner.entry,
+                running_ms=10,
+            )
+
+    context.fleet.sends_others = False
+    run_scenario(context, scenario)
+
+
+@then('the VM keeps {suspects} suspects and {rows} rows to write')
+def bounded_memory(context, suspects, rows):
+    crashes = context.fleet.vms[0].parts.crashes
+    assert len(crashes._suspects._suspects) == int(suspects.replace(',', ''))
+    assert len(crashes._pending) == int(rows.replace(',', ''))
+    assert len(crashes._pending_since_ms) == len(crashes._pending)
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -24,6 +24,7 @@
     REQUEST_RUNNING = 'request_running'
     OVERLOADED = 'overloaded'
     QUARANTINED = 'quarantined'
+    CRASHES_RUNNERS = 'crashes_runners'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_FAILED = 'upstream_failed'
     UPSTREAM_BROKE_OFF = 'upstream_broke_off'
@@ -50,6 +51,7 @@
     RefusalCode.REQUEST_RUNNING: 409,
     RefusalCode.OVERLOADED: 429,
     RefusalCode.QUARANTINED: 409,
+    RefusalCode.CRASHES_RUNNERS: 503,
     RefusalCode.NO_UPSTREAM: 503,
     RefusalCode.UPSTREAM_FAILED: 503,
     RefusalCode.UPSTREAM_BROKE_OFF: 502,
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -9,3 +9,20 @@
     (b'authorization', b'Bearer key'),
     (b'x-token-usage', b'1000,500'),
 )
+_REQUEST_ID = b'x-request-id'
+
+
+def unbilled_headers(request_id, deadline_ms):
+    """Returns the headers of a caller's request without token counts."""
+    headers = {
+        **dict(CALLER_HEADERS),
+        _REQUEST_ID: request_id,
+        b'x-deadline-ms': b'%d' % deadline_ms,
+    }
+    headers.pop(b'x-token-usage')
+    return tuple(headers.items())
+
+
+def request_id_of(message):
+    """Returns the id of a request that was sent to a runner."""
+    return dict(message.headers)[_REQUEST_ID]
--- a/teaseldale/tables/_table_follower.py
+++ b/teaseldale/tables/_table_follower.py
@@ -63,6 +63,7 @@
         self._last_answer_ms = clock.monotonic_ms()
         self._failing_since_ms: int | None = None
         self._requested_ms = self._last_answer_ms
+        self._store_offset_ms: int | None = None  # store's clock to own one
         self._log = StateLog(channel='store')
 
     @property
@@ -77,6 +78,13 @@
             return 0
         return self._clock.monotonic_ms() - self._failing_since_ms
 
+    @property
+    def store_ms(self) -> int | None:
+        """Estimated time of the store's clock; None before its first answer."""
+        if self._store_offset_ms is None:
+            return None
+        return self._clock.monotonic_ms() + self._store_offset_ms
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
@@ -110,6 +118,7 @@
         self, changes: RowChanges, callback: RowsCallback
     ) -> None:
         self._last_answer_ms = self._clock.monotonic_ms()
+        self._store_offset_ms = changes.store_ms - self._last_answer_ms
         self._pause_ms = _FIRST_PAUSE_MS
         if self._failing_since_ms is not None:
             self._log.changed(
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -16,6 +16,11 @@
         ServiceCall,
         UpstreamError,
     )
+    from teaseldale.upstreams._crash_suspects import (
+        CrashSuspects,
+        ReportedCrash,
+        SuspectState,
+    )
     from teaseldale.upstreams._fingerprint import fingerprint_of
     from teaseldale.upstreams._http_connection import UpstreamPool
     from teaseldale.upstreams._http_engine import (
@@ -25,7 +30,6 @@
     from teaseldale.upstreams._http_service import HttpServiceClient
     from teaseldale.upstreams._quarantine import (
         CrashQuarantine,
-        SuspectState,
     )
     from teaseldale.upstreams._quarantine_interface import (
         BaseQuarantine,
@@ -62,6 +66,11 @@
             'ServiceCall',
             'UpstreamError',
         ),
+        'teaseldale.upstreams._crash_suspects': (
+            'CrashSuspects',
+            'ReportedCrash',
+            'SuspectState',
+        ),
         'teaseldale.upstreams._fingerprint': ('fingerprint_of',),
         'teaseldale.upstreams._http_connection': ('UpstreamPool',),
         'teaseldale.upstreams._http_engine': (
@@ -71,7 +80,7 @@
         'teaseldale.upstreams._http_service': ('HttpServiceClient',),
         'teaseldale.upstreams._quarantine': (
             'CrashQuarantine',
-            'SuspectState',
+            'CrashSuspects',
         ),
         'teaseldale.upstreams._quarantine_interface': (
             'BaseQuarantine',
@@ -104,6 +113,7 @@
     'CacheChange',
     'CacheChanges',
     'CrashQuarantine',
+    'CrashSuspects',
     'EngineCall',
     'EngineEvents',
     'EngineFinished',
@@ -116,6 +126,7 @@
     'RunnerConnections',
     'RunnerMessage',
     'NoQuarantine',
+    'ReportedCrash',
     'ServiceAnswer',
     'ServiceCall',
     'SuspectState',
--- a/teaseldale/upstreams/_notices.py
+++ b/teaseldale/upstreams/_notices.py
@@ -6,6 +6,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PeerUnreachableError
 from teaseldale.peers import BasePeerNetwork, VmIdentity
+from teaseldale.upstreams._crash_suspects import ReportedCrash
 
 _NOTICE_TIMEOUT_MS = 500
 _RELAY_TIMEOUT_MS = 1200
@@ -17,8 +18,7 @@
     """Notice that upstreams crashed while running a request."""
 
     fingerprint: str
-    upstreams: tuple[str, ...]  # all crashed ones known to the sender
-    age_ms: int  # since the last crash
+    crashes: tuple[ReportedCrash, ...]  # all that the sender knows
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/upstreams/_quarantine_interface.py
+++ b/teaseldale/upstreams/_quarantine_interface.py
@@ -42,10 +42,17 @@
         """Removes a suspect on all VMs after it completed."""
 
     @abc.abstractmethod
-    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+    async def report_break(
+        self,
+        fingerprint: str,
+        upstream: Upstream,
+        *,
+        running_ms: int,
+    ) -> None:
         """Marks a suspect if the upstream is down after a broken connection.
 
-        Returns when all reachable VMs have been notified or timed out.
+        ``running_ms`` is the time since the start of the attempt. Returns when
+        all reachable VMs have been notified or timed out.
         """
 
 
@@ -76,5 +83,11 @@
     async def clear(self, fingerprint: str) -> None:
         """Does nothing, as there are no suspects."""
 
-    async def report_break(self, fingerprint: str, upstream: Upstream) -> None:
+    async def report_break(
+        self,
+        fingerprint: str,
+        upstream: Upstream,
+        *,
+        running_ms: int,
+    ) -> None:
         """Does nothing, as there are no suspects."""
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -155,6 +155,28 @@
             raise
         return RunnerAnswer(owner=self, connection=connection)
 
+    async def is_refused(self, timeout_ms: float) -> bool:
+        """Returns whether the runner's host refuses a new connection.
+
+        A host refuses if no process listens. False if the connection is
+        accepted or if there is no answer in time.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_ms / _MS_PER_SECOND):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol,
+                    self._ip,
+                    self._port,
+                )
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            self.count_failure(error, FailureKind.SILENT)
+            return False
+        transport.abort()
+        return False
+
     def return_to_pool(self, connection: _Connection) -> None:
         """Returns a connection to the pool, or closes it."""
         if self._is_closed or not connection.protocol.can_be_reused:
--- a/teaseldale/upstreams/tests/answers.feature
+++ b/teaseldale/upstreams/tests/answers.feature
@@ -33,3 +33,15 @@
     Given a request "r-1" that was sent to a runner
     When the runner sends 200,000 bytes of a body
     Then reading from the runner is paused until the buffered body is consumed
+
+  # Guards against crash evidence that takes a busy or silent runner for one
+  # that has ended.
+  Scenario Outline: A new connection to a runner whose host <state> is <outcome>
+    Given a runner whose host <state>
+    Then a new connection to it is <outcome>
+
+    Examples:
+      | state                   | outcome     |
+      | accepts connections     | not refused |
+      | has no such process     | refused     |
+      | does not answer in time | not refused |
--- a/teaseldale/upstreams/tests/quarantine.feature
+++ b/teaseldale/upstreams/tests/quarantine.feature
@@ -43,3 +43,18 @@
     When 60 callers send requests and one runner crashes spontaneously
     Then every other caller gets its complete response
     And no VM stores a suspect
+
+  # Guards against blame for a fault that ends several upstreams at once, and
+  # against a request that is never held back because many callers send it.
+  Scenario Outline: Crashes of attempts at <spans> ms make a request <state>
+    When the attempts of a request that crashed are <spans> ms
+    Then the request is <state>
+
+    Examples:
+      | spans               | state       |
+      | 0-20                | a suspect   |
+      | 0-20, 5-20, 10-20   | a suspect   |
+      | 0-20, 10-30         | a suspect   |
+      | 0-20, 30-50         | quarantined |
+      | 30-50, 0-20         | quarantined |
+      | 0-20, 10-30, 25-45  | quarantined |
--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -3,11 +3,15 @@
 import asyncio
 import errno
 import functools
+import socket
 
 import httpcore
 from behave import given, then, when
 
+from teaseldale.clock import SystemClock
 from teaseldale.fakes import run_in_virtual_time
+from teaseldale.metrics import Metrics
+from teaseldale.upstreams import RunnerConnections
 from teaseldale.upstreams._response_protocol import ResponseProtocol
 from teaseldale.upstreams._wire_headers import header_of
 
@@ -206,3 +210,39 @@
         await asyncio.sleep(0)
 
     run_in_virtual_time(scenario)
+
+
+@given('a runner whose host {state}')
+def runner_host(context, state):
+    listener = socket.socket()
+    context.cleanup.callback(listener.close)
+    listener.bind(('127.0.0.1', 0))
+    context.runner_address = listener.getsockname()
+    context.probe_timeout_ms = 2000
+    if state == 'accepts connections':
+        listener.listen()
+    if state == 'does not answer in time':
+        # A full queue of pending connections drops further ones.
+        listener.listen(0)
+        for _ in range(4):
+            pending = socket.socket()
+            context.cleanup.callback(pending.close)
+            pending.setblocking(False)
+            pending.connect_ex(context.runner_address)
+        context.probe_timeout_ms = 100
+
+
+@then('a new connection to it is {outcome}')
+def connection_refused(context, outcome):
+    ip, port = context.runner_address
+
+    async def probe():
+        connections = RunnerConnections(
+            ip=ip,
+            port=port,
+            clock=SystemClock(),
+            metrics=Metrics(),
+        )
+        return await connections.is_refused(context.probe_timeout_ms)
+
+    assert asyncio.run(probe()) == (outcome == 'refused')
--- a/teaseldale/upstreams/tests/steps_quarantine.py
+++ b/teaseldale/upstreams/tests/steps_quarantine.py
@@ -4,8 +4,11 @@
 from behave import given, then, when
 
 from benchmarks.simulated_runners import words
+from teaseldale.fakes import VirtualClock, run_in_virtual_time
+from teaseldale.metrics import Metrics
 from teaseldale.outcomes import RefusalCode
 from teaseldale.routing.tests.steps_runner_faults import ask_all, run
+from teaseldale.upstreams import CrashSuspects, ReportedCrash
 
 _WORD = 'avalanche'
 _CALLER_PAUSE_MS = 300
@@ -138,11 +141,11 @@
 @then('every VM stores exactly one quarantined fingerprint')
 def quarantined_everywhere(context):
     for vm in context.fleet.vms:
-        states = vm.quarantine._suspects
+        quarantine = vm.quarantine
         quarantined_fingerprints = [
             fingerprint
-            for fingerprint, suspect in states.items()
-            if len(suspect.upstreams) >= 2
+            for fingerprint, suspect in quarantine._suspects._suspects.items()
+            if suspect.is_quarantined and len(suspect.upstreams) >= 2
         ]
         assert len(quarantined_fingerprints) == 1, (
             vm.identity.name,
@@ -153,7 +156,7 @@
 @then('no VM stores a suspect')
 def no_suspects(context):
     for vm in context.fleet.vms:
-        assert not vm.quarantine._suspects, vm.identity.name
+        assert vm.quarantine._suspects.is_empty, vm.identity.name
     released = sum(
         vm.metrics.counter_value('quarantine_releases', 'ran_through')
         for vm in context.fleet.vms
@@ -197,3 +200,32 @@
         ordered, ordered[1:], strict=False
     ):
         assert started_ms >= ended_ms, ordered
+
+
+@when('the attempts of a request that crashed are {spans} ms')
+def crashed_attempts(context, spans):
+    async def record():
+        clock = VirtualClock()
+        suspects = CrashSuspects(clock=clock, metrics=Metrics())
+        await clock.sleep_ms(1000)
+        for number, span in enumerate(spans.split(', ')):
+            started_ms, _, crashed_ms = span.partition('-')
+            crash = ReportedCrash(
+                upstream=f'runner-{number}',
+                running_ms=int(crashed_ms) - int(started_ms),
+                age_ms=1000 - int(crashed_ms),
+            )
+            suspects.record('fingerprint', crash)
+        context.is_quarantined = suspects.is_quarantined('fingerprint')
+
+    run_in_virtual_time(record)
+
+
+@then('the request is quarantined')
+def is_quarantined(context):
+    assert context.is_quarantined
+
+
+@then('the request is a suspect')
+def is_suspect(context):
+    assert not context.is_quarantined
