Log the request limits that runners name

Cause: not known yet; no line tells which limit a VM believes. Change: Server-Limit is decoded in the adapter; runner_limit_changed tells when an answer names, changes or drops it. Nothing acts on it.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -49,7 +49,12 @@
     PlatformWireFormat,
     read_settings_file,
 )
-from teaseldale.routing import BacklogChoice, PlacementExchange, RetryWindow
+from teaseldale.routing import (
+    BacklogChoice,
+    PlacementExchange,
+    RetryWindow,
+    RunnerLimits,
+)
 from teaseldale.settings import SettingsError
 
 
@@ -184,6 +189,7 @@
             window_ms=bounds.window_ms,
             vm_count=lambda: members.vm_count,
         ),
+        limits=RunnerLimits(),
         crashes=CrashReports(
             vm_name=settings.name,
             members=members,
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -96,6 +96,11 @@
         self._note_load(reply)
         if reply.is_misdirected:
             self._parts.choice.mark_unreachable(self.runner.runner_id)
+        else:
+            self._parts.limits.note_answer(
+                self.runner.incarnation_name,
+                reply.limit_per_s,
+            )
         if reply.is_not_run:
             answer.release()
             return NotRun(
--- a/teaseldale/forwarding/_crash_reports.py
+++ b/teaseldale/forwarding/_crash_reports.py
@@ -147,7 +147,7 @@
     ) -> None:
         if self._suspects.is_full:
             self._drop_suspect(self._suspects.oldest())
-        upstream = f'{runner.runner_id}@{runner.started_wall_ms}'
+        upstream = runner.incarnation_name
         crash = ReportedCrash(
             upstream=upstream,
             running_ms=running_ms,
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -15,7 +15,7 @@
 from teaseldale.logs import StateLog
 from teaseldale.members import FleetCells
 from teaseldale.metrics import Metrics
-from teaseldale.routing import BacklogChoice, RetryWindow
+from teaseldale.routing import BacklogChoice, RetryWindow, RunnerLimits
 
 
 @attrs.frozen(kw_only=True)
@@ -30,6 +30,7 @@
     cells: FleetCells
     retries: RetryWindow
     crashes: CrashReports
+    limits: RunnerLimits
     grants: AccountGrants
     moves: VersionMoves
     clock: BaseClock
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -25,6 +25,11 @@
         """Returns the key that identifies this incarnation."""
         return self.runner_id, self.started_wall_ms
 
+    @property
+    def incarnation_name(self) -> str:
+        """Returns the incarnation's key as one text."""
+        return f'{self.runner_id}@{self.started_wall_ms}'
+
 
 @attrs.frozen(kw_only=True)
 class VersionOrder:
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -70,6 +70,9 @@
     is_not_run: bool  # whether the runner states that it did not run it
     is_misdirected: bool = False  # whether it is not the intended runner
     load: RunnerLoad | None = None
+    # Requests per second that the runner accepts from all VMs together; None if
+    # it names no limit.
+    limit_per_s: float | None = None
 
 
 class BaseWireFormat(abc.ABC):
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -43,7 +43,7 @@
 )
 from teaseldale.metrics import Metrics
 from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
-from teaseldale.routing import BacklogChoice, RetryWindow
+from teaseldale.routing import BacklogChoice, RetryWindow, RunnerLimits
 from teaseldale.tables import InMemoryTable
 
 REPETITIONS = {
@@ -166,6 +166,7 @@
             window_ms=10_000,
             vm_count=lambda: len(members.entries()),
         ),
+        limits=RunnerLimits(),
         crashes=CrashReports(
             vm_name=options.vm_name,
             members=members,
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -1,5 +1,7 @@
 """Headers of requests and responses on the platform."""
 
+import math
+
 from teaseldale.forwarding import (
     BaseWireFormat,
     ClientRequest,
@@ -20,6 +22,7 @@
 _EXPECTED_RUNNER = b'x-expect-instance'
 _FETCH_FROM = b'kv-fetch'
 _NOT_EXECUTED = b'x-not-executed'
+_LIMIT = b'server-limit'  # of the sending runner, for all VMs together
 _AUTHORIZATION = b'authorization'
 _BEARER_PREFIX = b'bearer '
 _STATUS_MISDIRECTED = 421
@@ -149,6 +152,7 @@
             is_not_run=is_not_run or status == _STATUS_MISDIRECTED,
             is_misdirected=status == _STATUS_MISDIRECTED,
             load=_load_of(_header_text(headers, b'x-instance-load')),
+            limit_per_s=_limit_of(_header_text(headers, _LIMIT)),
         )
 
     def caller_headers(self, headers: WireHeaders) -> WireHeaders:
@@ -220,6 +224,15 @@
     )
 
 
+def _limit_of(text: str) -> float | None:
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    is_usable = math.isfinite(limit_per_s) and limit_per_s >= 0
+    return limit_per_s if is_usable else None
+
+
 def _hop_by_hop_names(headers: WireHeaders) -> frozenset[bytes]:
     """Returns the hop-by-hop headers named by the connection header."""
     connection_header = header_of(headers, b'connection') or b''
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -144,3 +144,17 @@
   Scenario: The retry-after header of a refusal has fractions of a second
     Given a refusal with a retry delay of 400 ms
     Then its headers contain "retry-after" "0.400" and the request's id
+
+  Scenario Outline: A limit of "<text>" requests per second is decoded as <limit>
+    Given an answer whose runner limits its requests to "<text>" per second
+    Then the decoded limit is <limit>
+
+    Examples:
+      | text | limit |
+      | 1.2  | 1.2   |
+      | 3    | 3     |
+      | 0    | 0     |
+      | none | none  |
+      | many | none  |
+      | nan  | none  |
+      | -1   | none  |
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -117,6 +117,7 @@
     'x-deadline-ms',
     'x-tenant',
     'x-instance-load',
+    'server-limit',
     'x-instance-id',
     'x-request-priority',
     'rows-tx',
@@ -536,3 +537,15 @@
 def check_finds(context, text):
     found = stray_names(f"_NAME = '{text}'")
     assert [name.lower() for name in found] == [text.lower()], found
+
+
+@given('an answer whose runner limits its requests to "{text}" per second')
+def answer_with_limit(context, text):
+    headers = () if text == 'none' else ((b'server-limit', text.encode()),)
+    context.reply = PlatformWireFormat().read_reply(200, headers)
+
+
+@then('the decoded limit is {limit}')
+def decoded_limit(context, limit):
+    expected = None if limit == 'none' else float(limit)
+    assert context.reply.limit_per_s == expected, context.reply
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -44,6 +44,7 @@
         RunnerBacklog,
         SharedPart,
     )
+    from teaseldale.routing._runner_limits import RunnerLimits
     from teaseldale.routing._runner_table import RunnerTable
     from teaseldale.routing._runner_watch import RunnerWatch
     from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
@@ -80,6 +81,7 @@
         ),
         'teaseldale.routing._retries': ('RetryBudget',),
         'teaseldale.routing._retry_window': ('RetryWindow',),
+        'teaseldale.routing._runner_limits': ('RunnerLimits',),
         'teaseldale.routing._router': (
             'BaseRouter',
             'LocalRouter',
@@ -118,6 +120,7 @@
     'RandomChoice',
     'RetryBudget',
     'RetryWindow',
+    'RunnerLimits',
     'RoundRobinChoice',
     'RoutingRequest',
     'Runner',
