--- a/teaseldale/forwarding/tests/crashing_fleet.py
+++ b/teaseldale/forwarding/tests/crashing_fleet.py
@@ -1,49 +1,26 @@
 """VMs before runners that crash, in virtual time and without a network."""
 
-import random
-
 import anyio
 import attrs
 
-from teaseldale.fakes import FakeTableService, VirtualClock
-from teaseldale.forwarding.tests.entry_world import (
-    EntryOptions,
-    fixed_members,
-    make_configuration,
-    make_entry,
-    make_runner,
+from teaseldale.forwarding.tests.entry_world import make_runner
+from teaseldale.forwarding.tests.fleet_world import (
+    Arrival,
+    ModelledFleet,
+    now_ms,
 )
-from teaseldale.forwarding.tests.scripted_caller import ScriptedCaller
 from teaseldale.forwarding.tests.scripted_runners import (
     ScriptedAnswer,
     failure,
 )
-from teaseldale.platform.tests.wire_names import (
-    request_id_of,
-    unbilled_headers,
-)
-from teaseldale.tables import InMemoryTable
+from teaseldale.platform.tests.wire_names import request_id_of
 from teaseldale.upstreams import FailureKind
 
 CRASHING_BODY = b'crashes its runner'
-CONTACT_MS = 3000  # from the end of a disruption until bounds hold again
 _DOWN_MS = 3000  # from a crash until the runner's next incarnation
 _WORK_MS = 80
 _CRASH_AFTER_MS = 20  # from the start of a request until its runner crashes
 _SLOT_COUNT = 64
-_DEADLINE_MS = 1000
-# Slow enough for the many followers of a large fleet.
-_STORE_LATENCY_MS = 15
-
-
-@attrs.frozen(kw_only=True)
-class Arrival:
-    """A request that began to run at a runner."""
-
-    runner_id: str
-    request_id: bytes
-    body: bytes
-    at_ms: int
 
 
 @attrs.frozen(kw_only=True)
@@ -63,14 +40,15 @@
         self.is_up = True
         self._scopes = set()
 
-    async def run(self, message):
+    async def run(self, message, vm_number):
         """Returns the answer of a request, unless the runner ends first."""
         self.fleet.arrivals.append(
             Arrival(
                 runner_id=self.entry.runner_id,
                 request_id=request_id_of(message),
                 body=message.body,
-                at_ms=_now_ms(),
+                at_ms=now_ms(),
+                vm_number=vm_number,
             )
         )
         with anyio.CancelScope() as scope:
@@ -89,7 +67,7 @@
         if not self.is_up:
             return
         self.is_up = False
-        self.fleet.crashes.append(Crash(at_ms=_now_ms(), is_caused=is_caused))
+        self.fleet.crashes.append(Crash(at_ms=now_ms(), is_caused=is_caused))
         for scope in self._scopes:
             scope.cancel()
         self.fleet.tasks.start_soon(self._come_back)
@@ -110,11 +88,15 @@
 class CrashingConnections:
     """Connections of one VM to the runners of a fleet."""
 
-    def __init__(self, *, fleet):
-        self.fleet = fleet
+    def __init__(self, *, fleet, vm_number):
+        self._fleet = fleet
+        self._vm_number = vm_number
 
     def pool_for(self, runner):
-        return CrashingPool(runner=self.fleet.runners[runner.runner_id])
+        return CrashingPool(
+            runner=self._fleet.runners[runner.runner_id],
+            vm_number=self._vm_number,
+        )
 
     def close_expired(self):
         """Does nothing, as no connections are pooled."""
@@ -123,14 +105,15 @@
 class CrashingPool:
     """Connections of one VM to one runner."""
 
-    def __init__(self, *, runner):
+    def __init__(self, *, runner, vm_number):
         self._runner = runner
+        self._vm_number = vm_number
 
     async def send(self, message, *, belongs, timeout_ms):
         await anyio.sleep(0.002)
         if not self._runner.is_up:
             raise failure(FailureKind.REFUSED)
-        return await self._runner.run(message)
+        return await self._runner.run(message, self._vm_number)
 
     async def is_refused(self, timeout_ms):
         """Returns whether a new connection to the runner is refused."""
@@ -138,91 +121,20 @@
         return not self._runner.is_up
 
 
-class CrashingVm:
-    """One VM of the fleet."""
-
-    def __init__(self, *, number, fleet):
-        self.fleet = fleet
-        self.table = FakeTableService(
-            state=fleet.state,
-            random_source=random.Random(number),
-            latency_ms=_STORE_LATENCY_MS,
-        )
-        self.entry, self.parts = make_entry(
-            EntryOptions(
-                connections=CrashingConnections(fleet=fleet),
-                clock=VirtualClock(),
-                configuration=fleet.configuration,
-                runners=tuple(
-                    runner.entry for runner in fleet.runners.values()
-                ),
-                members=fleet.members,
-                vm_name=f'vm-{number}',
-                table=self.table,
-                seed=number,
-            ),
-        )
-
-    async def ask(self, body, path='/a/b'):
-        """Sends one request and returns its caller."""
-        fleet = self.fleet
-        fleet.asked_count += 1
-        request_id = b'r-%d' % fleet.asked_count
-        caller = ScriptedCaller(
-            headers=unbilled_headers(request_id, _DEADLINE_MS),
-            body=body,
-            path=path,
-        )
-        caller.request_id = request_id
-        await self.entry._respond(caller.exchange())
-        fleet.callers.append(caller)
-        return caller
-
-
-class CrashingFleet:
-    """VMs that share a store, and their runners."""
+class CrashingFleet(ModelledFleet):
+    """VMs before runners that end under one body."""
 
     def __init__(self, *, vm_count, runner_count, kind):
-        self.random = random.Random(3)
-        self.vm_count = vm_count
-        self.state = InMemoryTable()
-        self.members = fixed_members(vm_count)
-        self.configuration = make_configuration(kind, 2)
+        super().__init__(vm_count=vm_count, kind=kind)
         self.runners = {
             f'i-{number}': CrashingRunner(number=number, fleet=self)
             for number in range(runner_count)
         }
-        self.vms = []
-        self.sends_others = True
-        self.tasks = None
-        self.asked_count = 0
-        self.arrivals = []
         self.crashes = []
-        self.callers = []
-
-    async def start(self, tasks):
-        """Starts all VMs."""
-        self.tasks = tasks
-        for number in range(self.vm_count):
-            await self.start_vm(number)
-        await anyio.sleep(1)
-
-    async def start_vm(self, number):
-        """Starts one VM."""
-        vm = CrashingVm(number=number, fleet=self)
-        await vm.parts.crashes.start(self.tasks)
-        self.vms.append(vm)
-
-    async def send_other_requests(self, per_s):
-        """Sends requests whose bodies differ, and one that is repeated."""
-        while True:
-            await anyio.sleep(1 / per_s)
-            vm = self.random.choice(self.vms)
-            self.tasks.start_soon(
-                vm.ask,
-                self.random.choice((b'', b'%d' % self.asked_count)),
-                '/a/other',
-            )
+
+    def connections_of(self, vm_number):
+        """Returns the runner connections of a VM."""
+        return CrashingConnections(fleet=self, vm_number=vm_number)
 
     def crash_some(self, share):
         """Ends a share of the runners at the same moment."""
@@ -230,7 +142,3 @@
         count = max(1, round(len(runners) * share))
         for name in self.random.sample(runners, count):
             self.runners[name].crash()
-
-
-def _now_ms():
-    return round(anyio.current_time() * 1000)
--- a/teaseldale/forwarding/tests/steps_crashing_requests.py
+++ b/teaseldale/forwarding/tests/steps_crashing_requests.py
@@ -5,10 +5,10 @@
 
 from teaseldale.fakes import run_in_virtual_time
 from teaseldale.forwarding.tests.crashing_fleet import (
-    CONTACT_MS,
     CRASHING_BODY,
     CrashingFleet,
 )
+from teaseldale.forwarding.tests.fleet_world import CONTACT_MS
 
 _REPEAT_MS = 400
 _REPEATED_COUNT = 40
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -26,3 +26,8 @@
 def request_id_of(message):
     """Returns the id of a request that was sent to a runner."""
     return dict(message.headers)[_REQUEST_ID]
+
+
+def limit_header(limit_per_s):
+    """Returns the header in which a runner names its limit."""
+    return (b'server-limit', b'%g' % limit_per_s)
