Keep the limits that runners name, by one schedule for all VMs

Cause: the limit was not read, and no VM knew what the others send; a limit for all VMs together can't be kept by VMs that decide alone. Ruled out: retries alone (the excess is in first attempts too). Weighed and left: equal parts (0.015 a second for each of 80 VMs), parts by demand, a transaction for each request. Change: one VM of the runner's cell holds the limit and schedules the starts at the runner; the others ask it by datagram when no other runner has room. All attempts select their runner in one place, RunnerSelection, taken out of RequestRun. What no runner may start within its latency objective is refused at once with 429 and the time of the next start. Why it works: all starts at a limited runner pass one schedule, one interval apart, so their sum does not depend on the number of VMs. VMs without an answer from the holder send nothing there.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -16,6 +16,7 @@
 )
 from teaseldale.clock import PROCESS_START_MS, SystemClock
 from teaseldale.forwarding import (
+    CellLimitHolders,
     ConfigurationHolder,
     CrashReports,
     FleetState,
@@ -94,6 +95,7 @@
     kernel.register(parts.grants)
     kernel.register(parts.moves)
     kernel.register(parts.crashes)
+    kernel.register(parts.limits)
     kernel.register(
         VmDatagrams(
             address=settings.peer_address,
@@ -105,6 +107,7 @@
             cells=parts.cells,
             members=members,
             grants=parts.grants,
+            limits=parts.limits,
             clock=clock,
             metrics=metrics,
         ),
@@ -174,6 +177,7 @@
     clock = store.clock
     metrics = store.metrics
     directory = RunnerDirectory()
+    cells = FleetCells(members=members, vm_name=settings.name)
     connections = RunnerConnectionPools(clock=clock, metrics=metrics)
     return ForwardingDependencies(
         wire=PlatformWireFormat(),
@@ -181,7 +185,7 @@
         directory=directory,
         connections=connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
-        cells=FleetCells(members=members, vm_name=settings.name),
+        cells=cells,
         retries=RetryWindow(
             clock=clock,
             share=bounds.share,
@@ -189,7 +193,16 @@
             window_ms=bounds.window_ms,
             vm_count=lambda: members.vm_count,
         ),
-        limits=RunnerLimits(),
+        limits=RunnerLimits(
+            vm_name=settings.name,
+            holders=CellLimitHolders(
+                members=members,
+                cells=cells,
+                directory=directory,
+            ),
+            clock=clock,
+            metrics=metrics,
+        ),
         crashes=CrashReports(
             vm_name=settings.name,
             members=members,
@@ -232,6 +245,7 @@
             directory=parts.directory,
             connections=parts.connections,
             choice=parts.choice,
+            limits=parts.limits,
             grants=parts.grants,
             moves=parts.moves,
         ),
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -21,6 +21,7 @@
     FleetWatch,
     UnreadableRowError,
 )
+from teaseldale.forwarding._limit_holders import CellLimitHolders
 from teaseldale.forwarding._metrics_page import MetricsPage
 from teaseldale.forwarding._node import Address, NodeSettings, RetryLimits
 from teaseldale.forwarding._request_log import RequestLog
@@ -51,6 +52,7 @@
     'BaseOrderStatus',
     'BaseWireFormat',
     'ClientRequest',
+    'CellLimitHolders',
     'ConfigurationHolder',
     'CrashReports',
     'RunnerConnectionPools',
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -123,7 +123,11 @@
         if source_id is None:
             return None
         source = self._parts.directory.find(source_id)
-        return None if source is None else source.address
+        if source is None or self._parts.limits.is_limited(
+            source.incarnation_name,
+        ):
+            return None
+        return source.address
 
     def note_first_output(self) -> None:
         """Records that the runner has read the prompt; idempotent."""
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -22,7 +22,7 @@
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.routing import BacklogChoice
+from teaseldale.routing import BacklogChoice, RunnerLimits
 from teaseldale.tables import BaseRowFeed, Row, TableFollower
 
 
@@ -71,6 +71,7 @@
     directory: RunnerDirectory
     connections: RunnerConnectionPools
     choice: BacklogChoice
+    limits: RunnerLimits
     grants: AccountGrants
     moves: VersionMoves
 
@@ -229,4 +230,7 @@
         self._state.choice.keep_only(
             frozenset(runner.runner_id for runner in runners),
         )
+        self._state.limits.keep_only(
+            frozenset(runner.incarnation_name for runner in runners),
+        )
         self._metrics.set_gauge('runners_known', len(runners))
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -106,6 +106,17 @@
     )
 
 
+def runners_limited(service: str, retry_after_ms: float) -> Refusal:
+    """Returns the refusal while all runners limit their requests."""
+    return Refusal(
+        code=RefusalCode.OVERLOADED,
+        message=f'The runners of {service!r} limit their requests.',
+        not_run=True,
+        step=Step.CHOOSE_UPSTREAM,
+        retry_after_ms=max(1, int(retry_after_ms)),
+    )
+
+
 def answer_broke_off(reason: str, peer: str) -> Refusal:
     """Returns the refusal after a broken answer; the request may have run."""
     return Refusal(
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -17,11 +17,12 @@
 from teaseldale.forwarding._refusals import (
     answer_broke_off,
     no_runner,
+    runners_limited,
 )
-from teaseldale.forwarding._runners import ForwardingRunner
+from teaseldale.forwarding._runner_selection import RunnerSelection
 from teaseldale.forwarding._wire import Dispatch
 from teaseldale.outcomes import Refusal
-from teaseldale.routing import PlannedWork, RunnerBacklog
+from teaseldale.routing import PlannedWork
 from teaseldale.upstreams import (
     FailureKind,
     RunnerAnswer,
@@ -37,6 +38,9 @@
 # Answers up to this size are buffered until they are complete, so that a broken
 # one can be replaced by a retry. Larger ones are streamed as they arrive.
 _MAX_BUFFERED_BYTES = 262_144
+# Factor up to which retry delays are extended, so that callers who were refused
+# at the same time return one after another.
+_MAX_SPREAD = 1.5
 
 
 @attrs.frozen(kw_only=True)
@@ -83,14 +87,16 @@
         self._work = _work_of(admitted)
         self._events = EventSplitter(last_id=admitted.request.last_event_id)
         self._failed_reply: _CompleteReply | None = None  # last 5xx answer
-        # Runners of an unproven version if the first attempt goes to it.
-        self._unproven_runners: tuple[ForwardingRunner, ...] = ()
+        self._selection = RunnerSelection(
+            parts=parts,
+            admitted=admitted,
+            work=self._work,
+        )
         self._crash_guard = CrashGuard(
             crashes=parts.crashes,
             admitted=admitted,
             body=body,
         )
-        self._tried_runner_ids: set[str] = set()
         self._is_retry = False  # whether a misdirected attempt was made
         self._last_event_ms = 0  # monotonic, of the latest stream event
         self.record = RunRecord()
@@ -108,9 +114,9 @@
         """Attempts runners until the caller has its final answer."""
         service = self._admitted.service
         self._parts.retries.note_request(service)
-        self._unproven_runners = self._parts.moves.select_unproven(service)
+        self._selection.begin()
         while True:
-            attempt = self._next_attempt()
+            attempt = await self._next_attempt()
             if attempt is None:
                 await self._answer_failure()
                 return
@@ -121,12 +127,11 @@
             finally:
                 attempt.end()
 
-    def _next_attempt(self) -> Attempt | None:
+    async def _next_attempt(self) -> Attempt | None:
         if not self._may_attempt() or self._crash_guard.is_quarantined:
             return None
-        candidates = self._candidates()
-        backlog = self._parts.choice.choose(self._work, candidates)
-        if backlog is None:
+        runner = await self._selection.select()
+        if runner is None:
             return None
         is_retry = self._is_retry or self.record.arrival_count > 0
         if is_retry and not self._parts.retries.take_retry(
@@ -135,15 +140,14 @@
             self._parts.metrics.increment('retries_refused', 'budget')
             self.record.reasons.append('no retry left in the window')
             return None
-        runner = self._parts.directory.find(backlog.runner)
-        if runner is None:
-            return None
-        self._tried_runner_ids.add(runner.runner_id)
         self.record.runners.append(runner.runner_id)
         return Attempt(
             parts=self._parts,
             runner=runner,
-            backlog=backlog,
+            backlog=self._parts.choice.backlog(
+                runner.runner_id,
+                runner.slot_count,
+            ),
             work=self._work,
             route=self._route.name,
         )
@@ -153,18 +157,6 @@
             return False
         return self.record.arrival_count < max(self._route.runner_limit, 1)
 
-    def _candidates(self) -> tuple[RunnerBacklog, ...]:
-        usable = self._unproven_runners
-        if self._tried_runner_ids or not usable:
-            usable = self._parts.directory.usable(self._admitted.service)
-        backlogs = tuple(
-            self._parts.choice.backlog(runner.runner_id, runner.slot_count)
-            for runner in usable
-            if runner.runner_id not in self._tried_runner_ids
-        )
-        cell = self._parts.cells.runners(runner.runner_id for runner in usable)
-        return self._parts.choice.prefer_cell(cell, backlogs)
-
     async def _run_attempt(self, attempt: Attempt) -> bool:
         """Returns whether the caller has its final answer."""
         self.record.arrival_count += 1
@@ -305,7 +297,13 @@
         if self._crash_guard.is_quarantined:
             self.record.fingerprint = self._crash_guard.fingerprint
             return self._crash_guard.refusal()
-        return no_runner(self._admitted.service)
+        limited_for_ms = self._selection.limited_for_ms
+        if limited_for_ms is None:
+            return no_runner(self._admitted.service)
+        return runners_limited(
+            self._admitted.service,
+            self._parts.random_source.uniform(1, _MAX_SPREAD) * limited_for_ms,
+        )
 
     def _note_failure(self, attempt: Attempt, reason: str) -> None:
         runner_id = attempt.runner.runner_id
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -6,6 +6,8 @@
 
 from teaseldale.forwarding._node import Address
 
+_INCARNATION_SEPARATOR = '@'
+
 
 @attrs.frozen(kw_only=True)
 class ForwardingRunner:
@@ -28,7 +30,7 @@
     @property
     def incarnation_name(self) -> str:
         """Returns the incarnation's key as one text."""
-        return f'{self.runner_id}@{self.started_wall_ms}'
+        return f'{self.runner_id}{_INCARNATION_SEPARATOR}{self.started_wall_ms}'
 
 
 @attrs.frozen(kw_only=True)
@@ -77,6 +79,13 @@
         """Returns the runner with this id, or None if there is none."""
         return self._runners.get(runner_id)
 
+    def find_incarnation(self, name: str) -> ForwardingRunner | None:
+        """Returns the runner whose registered incarnation has this name."""
+        runner = self._runners.get(name.rpartition(_INCARNATION_SEPARATOR)[0])
+        if runner is None or runner.incarnation_name != name:
+            return None
+        return runner
+
     def replace_all(self, runners: Iterable[ForwardingRunner]) -> None:
         """Replaces the directory with a full read of the runner table."""
         self._runners = {runner.runner_id: runner for runner in runners}
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable, Mapping
 
 import msgspec
 from anyio.abc import TaskGroup
@@ -17,7 +18,7 @@
 from teaseldale.logs import StateLog
 from teaseldale.members import FleetCells, MemberList
 from teaseldale.metrics import Metrics
-from teaseldale.routing import PlacementExchange
+from teaseldale.routing import PlacementExchange, RunnerLimits
 
 # Coalescing interval of changed counts. Reading a prompt takes tens to hundreds
 # of ms, so that older counts would often miss the latest request.
@@ -25,7 +26,7 @@
 # The interval grows with the cell: each VM sends up to 300 datagrams a second,
 # which leaves the slowest links of current deployments to requests.
 _COALESCE_MS_PER_PEER = 3
-# First byte of a placement datagram; other kinds belong to ``grants.handlers``.
+# First byte of a placement datagram; other kinds have handlers of their own.
 _PLACEMENT_KIND = b'p'
 # A VM of the cell that is silent for this long is removed from the list. Link
 # outages and process pauses on current deployments are shorter.
@@ -34,7 +35,7 @@
 
 
 class VmDatagrams(BaseService):
-    """Exchanges placement notices in the cell and grant messages."""
+    """Exchanges placement notices, grant messages and runner limits."""
 
     def __init__(
         self,
@@ -44,6 +45,7 @@
         cells: FleetCells,
         members: MemberList,
         grants: AccountGrants,
+        limits: RunnerLimits,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
@@ -53,6 +55,7 @@
         self._members = members
         self._exchange = exchange
         self._grants = grants
+        self._limits = limits
         self._clock = clock
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -69,13 +72,14 @@
         transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(
                 exchange=self._exchange,
-                grants=self._grants,
+                handlers={**self._grants.handlers, **self._limits.handlers},
                 metrics=self._metrics,
             ),
             local_addr=(self._address.ip, self._address.port),
         )
         self._transport = transport
         self._grants.set_datagram_sender(self._send_datagram)
+        self._limits.set_datagram_sender(self._send_datagram)
         tasks.start_soon(self._send)
         tasks.start_soon(self._remove_silent_vms)
 
@@ -122,11 +126,11 @@
         self,
         *,
         exchange: PlacementExchange,
-        grants: AccountGrants,
+        handlers: Mapping[bytes, Callable[[bytes], None]],
         metrics: Metrics,
     ) -> None:
         self._exchange = exchange
-        self._grants = grants
+        self._handlers = handlers
         self._metrics = metrics
 
     def datagram_received(self, data: bytes, addr: object) -> None:
@@ -141,7 +145,7 @@
         if kind == _PLACEMENT_KIND:
             self._exchange.apply_notice(content)
             return
-        handler = self._grants.handlers.get(kind)
+        handler = self._handlers.get(kind)
         if handler is None:
             self._metrics.increment('datagrams_unreadable')
         else:
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -13,6 +13,7 @@
 from teaseldale.fakes import FakeTableService
 from teaseldale.forwarding import (
     Address,
+    CellLimitHolders,
     ConfigurationHolder,
     CrashReports,
     EngineLimits,
@@ -56,9 +57,26 @@
 _ADDRESS = Address(ip='127.0.0.1', port=1)
 
 
+class ListedMembers(FixedMembers):
+    """A member list from which a test can remove VMs."""
+
+    def __init__(self, *, entries):
+        super().__init__(entries=entries)
+        self._removals = 0
+
+    @property
+    def revision(self):
+        return 1 + self._removals
+
+    def remove(self, names):
+        self._removals += 1
+        for name in names:
+            self._entries.pop(name)
+
+
 def fixed_members(count):
     """Returns a member list of ``vm-0`` and so on."""
-    return FixedMembers(
+    return ListedMembers(
         entries={
             f'vm-{number}': VmEntry(
                 address=f'127.0.0.1:{number + 1}',
@@ -152,13 +170,14 @@
     vm_holder = HolderKey(vm_name=options.vm_name, incarnation='1')
     random_source = random.Random(options.seed)
     store = StoreAccess(table=table, feed=table, clock=clock, metrics=metrics)
+    cells = FleetCells(members=members, vm_name=options.vm_name)
     parts = ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=holder,
         directory=directory,
         connections=options.connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
-        cells=FleetCells(members=members, vm_name=options.vm_name),
+        cells=cells,
         retries=RetryWindow(
             clock=clock,
             share=0.2,
@@ -166,7 +185,16 @@
             window_ms=10_000,
             vm_count=lambda: len(members.entries()),
         ),
-        limits=RunnerLimits(),
+        limits=RunnerLimits(
+            vm_name=options.vm_name,
+            holders=CellLimitHolders(
+                members=members,
+                cells=cells,
+                directory=directory,
+            ),
+            clock=clock,
+            metrics=metrics,
+        ),
         crashes=CrashReports(
             vm_name=options.vm_name,
             members=members,
--- a/teaseldale/forwarding/tests/limited_fleet.py
+++ b/teaseldale/forwarding/tests/limited_fleet.py
@@ -22,6 +22,7 @@
 
 _WORK_MS = 80
 _SLOT_COUNT = 16
+_DATAGRAM_MS = 3
 _NOT_RUN_SHARE = 0.05  # of requests that a runner rejects
 
 
@@ -119,6 +120,25 @@
         }
         self.limited_ms = None
         self.unlimited_ms = None
+        self.loss_share = 0  # of the datagrams between VMs
+
+    async def start_vm(self, number):
+        """Starts one VM and connects it to the others by datagrams."""
+        vm = await super().start_vm(number)
+        await vm.parts.limits.start(self.tasks)
+        vm.parts.limits.set_datagram_sender(self._send_datagram)
+        return vm
+
+    def _send_datagram(self, address, datagram):
+        if self.random.random() >= self.loss_share:
+            self.tasks.start_soon(self._deliver, address, datagram)
+
+    async def _deliver(self, address, datagram):
+        await anyio.sleep(_DATAGRAM_MS / 1000)
+        for vm in self.vms:
+            entry = self.members.entries().get(f'vm-{vm.number}')
+            if entry is not None and entry.address == address:
+                vm.parts.limits.handlers[datagram[:1]](datagram[1:])
 
     def connections_of(self, vm_number):
         """Returns the runner connections of a VM."""
@@ -135,3 +155,14 @@
         self.unlimited_ms = now_ms()
         for runner in self.runners.values():
             runner.limit_per_s = None
+
+    def remove_holders(self):
+        """Removes the VMs that hold limits from the fleet."""
+        holders = self.vms[0].parts.limits._holders
+        names = {
+            holders.holder_of(runner.entry.incarnation_name)
+            for runner in self.runners.values()
+            if runner.limit_per_s is not None
+        }
+        self.vms = [vm for vm in self.vms if f'vm-{vm.number}' not in names]
+        self.members.remove(names)
--- a/teaseldale/forwarding/tests/steps_runner_limits.py
+++ b/teaseldale/forwarding/tests/steps_runner_limits.py
@@ -81,7 +81,7 @@
             for runner in tuple(world.runners.values())[:count]:
                 runner.is_silent = True
         else:
-            world.remove_holders(count)
+            world.remove_holders()
         await anyio.sleep(_LIMITED_S)
 
     play(context, scenario)
--- a/teaseldale/members/_cells.py
+++ b/teaseldale/members/_cells.py
@@ -28,6 +28,7 @@
         self._revision = 0
         self._index = 0
         self._count = 1
+        self._order: tuple[str, ...] = ()  # all VMs, by their hash
         self._peers: dict[str, VmEntry] = {}
         self._runners: dict[frozenset[str], frozenset[str]] = {}
 
@@ -64,6 +65,22 @@
             self._runners[registered] = subset
         return subset
 
+    def vms_of(self, runner: str, names: Iterable[str]) -> tuple[str, ...]:
+        """Returns the VMs whose cell uses a runner of a service.
+
+        ``names`` are all runners of the service.
+        """
+        self._refresh_if_changed()
+        registered = frozenset(names)
+        if (
+            runner not in registered
+            or len(registered) < self._count * _MIN_RUNNERS_PER_CELL
+        ):
+            return self._order
+        ranked = rank_by_hash(_RUNNER_HASH_KEY, registered)
+        index = ranked.index(runner) * self._count // len(ranked)
+        return tuple(_partition(list(self._order), index, self._count))
+
     def _refresh_if_changed(self) -> None:
         if self._revision == self._members.revision:
             return
@@ -72,6 +89,7 @@
         entries = self._members.entries()
         self._count = max(1, math.ceil(len(entries) / _VMS_PER_CELL))
         order = rank_by_hash(_VM_HASH_KEY, entries)
+        self._order = tuple(order)
         if self._vm_name in entries:
             position = order.index(self._vm_name)
             self._index = position * self._count // len(order)
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -44,7 +44,11 @@
         RunnerBacklog,
         SharedPart,
     )
-    from teaseldale.routing._runner_limits import RunnerLimits
+    from teaseldale.routing._runner_limits import (
+        BaseLimitHolders,
+        Permit,
+        RunnerLimits,
+    )
     from teaseldale.routing._runner_table import RunnerTable
     from teaseldale.routing._runner_watch import RunnerWatch
     from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
@@ -81,7 +85,11 @@
         ),
         'teaseldale.routing._retries': ('RetryBudget',),
         'teaseldale.routing._retry_window': ('RetryWindow',),
-        'teaseldale.routing._runner_limits': ('RunnerLimits',),
+        'teaseldale.routing._runner_limits': (
+            'BaseLimitHolders',
+            'Permit',
+            'RunnerLimits',
+        ),
         'teaseldale.routing._router': (
             'BaseRouter',
             'LocalRouter',
@@ -103,6 +111,7 @@
     'LEASE_VALIDITY_MS',
     'AffinityChoice',
     'BacklogChoice',
+    'BaseLimitHolders',
     'BaseRouter',
     'BaseUpstreamChoice',
     'CacheAction',
@@ -111,6 +120,7 @@
     'LeastInFlightChoice',
     'LeastReportedChoice',
     'LocalRouter',
+    'Permit',
     'PlacedWork',
     'Placement',
     'PlacementExchange',
--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -160,11 +160,7 @@
         cell_candidates = tuple(
             backlog for backlog in candidates if backlog.runner in cell
         )
-        has_room = any(
-            now_ms >= backlog.unreachable_until_ms
-            and backlog.load_count(now_ms) < backlog.slot_count
-            for backlog in cell_candidates
-        )
+        has_room = any(backlog.has_room(now_ms) for backlog in cell_candidates)
         return cell_candidates if has_room else candidates
 
     def place(self, work: PlannedWork, backlog: RunnerBacklog) -> PlacedWork:
--- a/teaseldale/routing/_runner_backlog.py
+++ b/teaseldale/routing/_runner_backlog.py
@@ -73,6 +73,13 @@
         while len(self.parts) > _MAX_PARTS:
             self.parts.popitem(last=False)
 
+    def has_room(self, now_ms: int) -> bool:
+        """Returns whether the runner is reachable and has a free slot."""
+        return (
+            now_ms >= self.unreachable_until_ms
+            and self.load_count(now_ms) < self.slot_count
+        )
+
     def load_count(self, now_ms: int) -> int:
         """Estimates the number of requests of all VMs at the runner."""
         known = self.running_count + self.remote_count
