Log how a runner's answer ended and what was left of its last event

Change: answer_framing (length, chunks, connection) and partial_event_bytes in request_ended. The headers' framing is decided in one place. No decision changes.

--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -52,6 +52,8 @@
             runners=record.runners,
             reasons=record.reasons,
             fingerprint=record.fingerprint,
+            answer_framing=record.answer_framing,
+            partial_event_bytes=record.partial_event_bytes,
             may_have_run=record.may_have_run,
             reserved_tokens=record.reserved_tokens,
             used_tokens=record.used_tokens,
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -62,6 +62,9 @@
     longest_gap_ms: int = 0  # between events of a stream
     reserved_tokens: int = 0  # reserved from the account
     used_tokens: int = 0  # billed to the account
+    answer_framing: str = ''  # of the last answer that a runner began
+    # Bytes after the last complete event when the runner's stream ended.
+    partial_event_bytes: int = 0
     # Identifies the request in all of its attempts; empty until an answer broke
     # off.
     fingerprint: str = ''
@@ -204,6 +207,7 @@
 
     async def _handle_reply(self, attempt: Attempt, sent: Replied) -> bool:
         self.record.may_have_run = True
+        self.record.answer_framing = sent.answer.framing
         is_stream = self._route.repetition is RetryPolicy.STREAM
         try:
             if is_stream and sent.reply.status == _STATUS_OK:
@@ -232,8 +236,10 @@
             attempt.note_events(self._events.event_count - seen_count)
             await self._answer.start(answer.status, answer.headers)
             await self._answer.write(events)
+        remainder = self._events.take_remainder()
+        self.record.partial_event_bytes = len(remainder)
         await self._answer.start(answer.status, answer.headers)
-        await self._answer.finish(self._events.take_remainder())
+        await self._answer.finish(remainder)
         return True
 
     def _note_event_time(self) -> None:
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -4,7 +4,7 @@
 
 from teaseldale.outcomes import Step
 from teaseldale.platform.tests.wire_names import NOT_RUN, STAMP
-from teaseldale.upstreams import FailureKind, UpstreamError
+from teaseldale.upstreams import BodyFraming, FailureKind, UpstreamError
 
 
 def events(first, last):
@@ -36,10 +36,18 @@
     """A scripted runner answer: its head and its body parts."""
 
     def __init__(
-        self, *, status, parts, headers=(), breaks=False, stays_silent=False
+        self,
+        *,
+        status,
+        parts,
+        headers=(),
+        breaks=False,
+        stays_silent=False,
+        framing=BodyFraming.CHUNKS,
     ):
         self.status = status
         self.headers = (STAMP, *headers)
+        self.framing = framing
         self._parts = list(parts)
         self._breaks = breaks
         self._stays_silent = stays_silent
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -5,6 +5,7 @@
 from teaseldale._lazy_exports import LazyExports
 
 if TYPE_CHECKING:
+    from teaseldale.upstreams._body_framing import BodyFraming
     from teaseldale.upstreams._clients import (
         BaseEngineClient,
         BaseServiceClient,
@@ -55,6 +56,7 @@
 __getattr__ = LazyExports(  # noqa: WPS413
     __name__,
     {
+        'teaseldale.upstreams._body_framing': ('BodyFraming',),
         'teaseldale.upstreams._clients': (
             'BaseEngineClient',
             'BaseServiceClient',
@@ -110,6 +112,7 @@
     'BaseQuarantine',
     'BaseRunnerReports',
     'BaseServiceClient',
+    'BodyFraming',
     'CacheChange',
     'CacheChanges',
     'CrashQuarantine',
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -8,6 +8,7 @@
 import httpcore
 import httptools
 
+from teaseldale.upstreams._body_framing import BodyFraming, framing_of
 from teaseldale.upstreams._wire_headers import WireHeaders
 
 _BUFFER_LIMIT_BYTES = 65_536
@@ -36,6 +37,7 @@
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.has_head = False
+        self.framing = BodyFraming.CONNECTION  # known once the head is
         self.is_complete = False
         self.is_lost = False
         self.has_unsolicited_bytes = False  # not of an awaited response
@@ -87,7 +89,9 @@
         response is truncated then, so completion is delayed by
         ``_RESET_WAIT_SECONDS``. Returns whether to keep the transport open.
         """
-        if self.is_complete or not self.has_head or _is_framed(self.headers):
+        if self.is_complete or not self.has_head:
+            return False
+        if self.framing is not BodyFraming.CONNECTION:
             return False
         self._loop.call_later(_RESET_WAIT_SECONDS, self._complete_at_eof)
         return True
@@ -126,6 +130,7 @@
             return
         if self._belongs(status, tuple(self.headers)):
             self.status = status
+            self.framing = framing_of(tuple(self.headers))
             self.has_head = True
         else:
             self.has_unsolicited_bytes = True
@@ -242,8 +247,3 @@
             self._timer = self._loop.call_at(self._deadline, self._expire)
             return
         self._waiter.set_exception(httpcore.ReadTimeout())
-
-
-def _is_framed(headers: list[tuple[bytes, bytes]]) -> bool:
-    names = {name for name, _ in headers}
-    return not names.isdisjoint((b'content-length', b'transfer-encoding'))
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -81,6 +81,7 @@
         protocol = connection.protocol
         self.status = protocol.status
         self.headers: WireHeaders = tuple(protocol.headers)
+        self.framing = protocol.framing
 
     async def read(self, timeout_ms: float | None = None) -> bytes:
         """Returns the buffered body data; empty at the end of the body.
