Limit the size and time of collected responses

Cause: answers of plain services, reports, cache events, rows and the member list were collected whole, whatever their size, and a read timeout is restarted by each byte. Change: one function collects responses (fetching/): 512 KiB for an answer of a plain service, in its call's time; 256 KiB and 2 s for a report; 16 MiB for an answer of the platform. Beyond that the connection is closed, and the error names step and peer. runner_reports_failed counts reports that failed, by reason; they had been dropped without a trace. Left: the platform's answers have no limit on their whole time, as a whole table may take seconds over a narrow link.

--- a/teaseldale/command/_program.py
+++ b/teaseldale/command/_program.py
@@ -133,7 +133,7 @@
         registry=WitnessedRegistry(parts=holder_parts),
         quarantine=CrashQuarantine(
             network=shared.peers,
-            reports=HttpRunnerReports(),
+            reports=HttpRunnerReports(metrics=shared.metrics),
             clock=shared.clock,
             metrics=shared.metrics,
         ),
@@ -141,7 +141,7 @@
         watch=RunnerWatch(
             table=router.table,
             index=index,
-            reports=HttpRunnerReports(),
+            reports=HttpRunnerReports(metrics=shared.metrics),
             membership=shared.membership,
             clock=shared.clock,
             metrics=shared.metrics,
--- /dev/null
+++ b/teaseldale/fetching/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests whose responses are collected."""
--- a/teaseldale/tables/_http_client.py
+++ b/teaseldale/tables/_http_client.py
@@ -6,12 +6,14 @@
 import httpcore
 import msgspec
 
+from teaseldale.fetching import FetchedResponse, FetchLimits, fetch
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import PlatformError, Step
 
 _MS_PER_SECOND = 1000
 _STATUS_OK = 200
 _CONNECTION_LIMIT = 16
+_BODY_LIMITS = FetchLimits(body_bytes=16_777_216)
 
 
 @attrs.frozen(kw_only=True)
@@ -149,16 +151,18 @@
         path: str,
         content: bytes,
         timeout_ms: int,
-    ) -> httpcore.Response:
+    ) -> FetchedResponse:
         counted_pool = self._current
         counted_pool.running_count += 1
         try:
-            return await counted_pool.pool.request(
-                method,
-                self._base_url + path,
+            return await fetch(
+                counted_pool.pool,
+                method=method,
+                url=self._base_url + path,
+                limits=_BODY_LIMITS,
                 headers={'content-type': 'application/json'},
                 content=content,
-                extensions=self._extensions(timeout_ms),
+                timeouts=self._timeouts(timeout_ms),
             )
         except httpcore.TimeoutException:
             self._replace_pool(counted_pool)
@@ -166,15 +170,13 @@
         finally:
             await self._release(counted_pool)
 
-    def _extensions(self, timeout_ms: int) -> dict[str, dict[str, float]]:
+    def _timeouts(self, timeout_ms: int) -> dict[str, float]:
         timeout_seconds = timeout_ms / _MS_PER_SECOND
         return {
-            'timeout': {
-                'connect': self._connect_timeout_ms / _MS_PER_SECOND,
-                'read': timeout_seconds,
-                'write': timeout_seconds,
-                'pool': timeout_seconds,
-            },
+            'connect': self._connect_timeout_ms / _MS_PER_SECOND,
+            'read': timeout_seconds,
+            'write': timeout_seconds,
+            'pool': timeout_seconds,
         }
 
     def _replace_pool(self, counted_pool: _CountedPool) -> None:
--- a/teaseldale/upstreams/_http_service.py
+++ b/teaseldale/upstreams/_http_service.py
@@ -2,6 +2,7 @@
 
 import httpcore
 
+from teaseldale.fetching import FetchedResponse, FetchLimits, fetch
 from teaseldale.notes import Upstream
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._clients import (
@@ -16,6 +17,7 @@
 _MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 1000
 _MAX_CONNECTIONS = 512
+_BODY_LIMIT_BYTES = 524_288
 _NOT_SENT_ERRORS = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -59,12 +61,17 @@
         """Sends the call and reads the complete response."""
         pool = self._fresh_pool if call.fresh_connection else self._pool
         try:
-            response = await pool.request(
-                call.method,
-                upstream.url + call.path,
+            response = await fetch(
+                pool,
+                method=call.method,
+                url=upstream.url + call.path,
+                limits=FetchLimits(
+                    body_bytes=_BODY_LIMIT_BYTES,
+                    total_ms=call.timeout_ms,
+                ),
                 headers=_headers(call),
                 content=call.body,
-                extensions={'timeout': _timeouts(call.timeout_ms)},
+                timeouts=_timeouts(call.timeout_ms),
             )
         except _NOT_SENT_ERRORS as error:
             raise _failure_error(upstream, error, may_have_run=False) from error
@@ -92,7 +99,7 @@
     return forwarded
 
 
-def _content_type(response: httpcore.Response) -> str:
+def _content_type(response: FetchedResponse) -> str:
     for name, content in response.headers:
         if name.lower() == b'content-type':
             return content.decode('latin-1')
--- a/teaseldale/upstreams/_reports.py
+++ b/teaseldale/upstreams/_reports.py
@@ -7,6 +7,8 @@
 import httpcore
 import msgspec
 
+from teaseldale.fetching import FetchedResponse, FetchLimits, fetch
+from teaseldale.metrics import Metrics
 from teaseldale.notes import Upstream
 from teaseldale.upstreams._http_connection import UpstreamPool
 
@@ -15,6 +17,11 @@
 _MAX_CONNECTIONS = 256
 _STATUS_OK = 200
 _STATUS_UNAVAILABLE = 503
+_LIMITS = FetchLimits(body_bytes=262_144, total_ms=2 * _TIMEOUT_MS)
+_TIMEOUTS = dict.fromkeys(
+    ('connect', 'read', 'write', 'pool'),
+    _TIMEOUT_MS / _MS_PER_SECOND,
+)
 _ReportT = TypeVar('_ReportT')
 
 
@@ -68,8 +75,9 @@
 class HttpRunnerReports(BaseRunnerReports):
     """Reads reports over HTTP."""
 
-    def __init__(self) -> None:
-        """Creates a client; connections are opened on demand."""
+    def __init__(self, *, metrics: Metrics) -> None:
+        """Creates a client; counts reports that cannot be read."""
+        self._metrics = metrics
         self._pool = UpstreamPool(max_connections=_MAX_CONNECTIONS)
         self._fresh_pool = UpstreamPool(
             max_connections=_MAX_CONNECTIONS,
@@ -81,10 +89,7 @@
 
         Plain services have no such page and respond with 404.
         """
-        response = await _fetch(
-            self._fresh_pool,
-            f'{upstream.url}/load',
-        )
+        response = await self._fetch(self._fresh_pool, f'{upstream.url}/load')
         return response is not None and response.status != _STATUS_UNAVAILABLE
 
     async def load(self, upstream: Upstream) -> LoadReport | None:
@@ -103,32 +108,34 @@
         return _decode_report(body, CacheChanges)
 
     async def _get(self, url: str) -> bytes | None:
-        response = await _fetch(self._pool, url)
+        response = await self._fetch(self._pool, url)
         if response is None or response.status != _STATUS_OK:
             return None
         return response.content
 
-
-async def _fetch(
-    pool: httpcore.AsyncConnectionPool,
-    url: str,
-) -> httpcore.Response | None:
-    timeouts = dict.fromkeys(
-        ('connect', 'read', 'write', 'pool'),
-        _TIMEOUT_MS / _MS_PER_SECOND,
-    )
-    try:
-        return await pool.request(
-            'GET',
-            url,
-            extensions={'timeout': timeouts},
-        )
-    except (
-        httpcore.TimeoutException,
-        httpcore.NetworkError,
-        httpcore.ProtocolError,
-    ):
-        return None
+    async def _fetch(
+        self,
+        pool: httpcore.AsyncConnectionPool,
+        url: str,
+    ) -> FetchedResponse | None:
+        try:
+            return await fetch(
+                pool,
+                method='GET',
+                url=url,
+                limits=_LIMITS,
+                timeouts=_TIMEOUTS,
+            )
+        except (
+            httpcore.TimeoutException,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+        ) as error:
+            self._metrics.increment(
+                'runner_reports_failed',
+                type(error).__name__,
+            )
+            return None
 
 
 def _decode_report(body: bytes | None, kind: type[_ReportT]) -> _ReportT | None:
--- a/teaseldale/upstreams/tests/listening_runner.py
+++ b/teaseldale/upstreams/tests/listening_runner.py
@@ -13,8 +13,19 @@
 class ListeningRunner:
     """Accepts connections until it ends; sends an answer on each."""
 
-    def __init__(self, *, answer, ends=False, reset_after_ms=None):
-        """Closes the listener before the answer's end if ``ends`` is set."""
+    def __init__(
+        self,
+        *,
+        answer,
+        ends=False,
+        reset_after_ms=None,
+        pause_ms=0,
+    ):
+        """Closes the listener before the answer's end if ``ends`` is set.
+
+        The parts of the answer are sent ``pause_ms`` apart.
+        """
+        self._pause_ms = pause_ms
         self.sent_bytes = 0
         self._answer = answer
         self._ends = ends
@@ -55,6 +66,7 @@
             for part in self._answer:
                 await loop.sock_sendall(connection, part)
                 self.sent_bytes += len(part)
+                await asyncio.sleep(self._pause_ms / 1000)
             if self._ends:
                 loop.remove_reader(self._listener)
                 self._listener.close()
