Limit the size of an event that has not ended

Cause: both readers of event streams buffered an event until its end, whatever its size, and the forwarding path searched the whole buffer again for each part, so the time grew with the square of the size. The search starts where the last one ended.

--- a/teaseldale/forwarding/_events.py
+++ b/teaseldale/forwarding/_events.py
@@ -4,7 +4,10 @@
 
 import attrs
 
+from teaseldale.upstreams import check_partial_event
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+_SEPARATOR_BYTES = 4  # longest separator of two events
 # A line of an event; blank lines and comments belong to none.
 _EVENT_LINE = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 _EVENT_ID = re.compile(rb'^id: ?(\d+)\s*$', re.MULTILINE)
@@ -27,15 +30,18 @@
         """Returns the bytes of all events that ``received`` completes.
 
         Raises ``StreamOrderError`` if a resumed stream skips or repeats
-        events.
+        events, and ``OversizedEventError`` if an event does not end in time.
         """
+        # The buffer holds no whole separator, but it may end with a part.
+        searched_bytes = max(0, len(self._buffer) - _SEPARATOR_BYTES + 1)
         self._buffer += received
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
+        for match in _EVENT_END.finditer(self._buffer, searched_bytes):
             self._record_event_id(bytes(self._buffer[end : match.end()]))
             end = match.end()
         complete = bytes(self._buffer[:end])
         self._buffer = self._buffer[end:]
+        check_partial_event(len(self._buffer))
         return complete
 
     def resume(self) -> None:
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -26,6 +26,7 @@
 from teaseldale.upstreams import (
     BodyFraming,
     FailureKind,
+    OversizedEventError,
     RunnerAnswer,
     UpstreamError,
     WireHeaders,
@@ -215,7 +216,7 @@
                 return await self._relay(attempt, sent.answer)
             attempt.note_head()
             return await self._relay_whole(sent)
-        except (UpstreamError, StreamOrderError) as error:
+        except (UpstreamError, StreamOrderError, OversizedEventError) as error:
             attempt.note_broken_answer()
             self.record.fingerprint = self._crash_guard.fingerprint
             if _is_connection_lost(error):
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -60,6 +60,7 @@
       | inside an event, unframed | stream    | 2    | unframed within 3, events 3-5 | a closed connection after 1-2 | 1     | 1      |
       | inside an event, in chunks | resumable | 2   | chunked within 3, events 3-5  | 200 with events 1-5           | 2     | 1      |
       | before its first event   | resumable | 2     | unframed nothing, events 1-5  | 200 with events 1-5           | 2     | 1      |
+      | in an event without end  | resumable | 2     | endless 3, events 3-5         | 200 with events 1-5           | 2     | 1      |
       | as another type of body  | stream    | 1     | json 200                      | 200 with the runner's body    | 1     | 0      |
       | after an event, unframed | stream    | 1     | unframed 1-5                  | 200 with events 1-5           | 1     | 0      |
 
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -11,6 +11,7 @@
     'encoded': (b'content-encoding', b'gzip'),
     'json': (b'content-type', b'application/json'),
 }
+_ENDLESS_EVENT = [b'data: ' * 4096] * 40  # 960 KB without a separator
 
 
 def events(first, last):
@@ -131,7 +132,7 @@
             parts=[b'the body'],
             headers=(_HEADERS[kind],),
         )
-    if kind in {'unframed', 'chunked'}:
+    if kind in {'unframed', 'chunked', 'endless'}:
         return _ending_stream(kind, detail)
     if kind == 'events':
         first, last = span(detail)
@@ -159,11 +160,18 @@
     framing = BodyFraming.CHUNKS
     if kind == 'unframed':
         framing = BodyFraming.CONNECTION
-    if detail == 'nothing':
+    if kind == 'endless':
+        parts = [events(1, int(detail) - 1), *_ENDLESS_EVENT]
+    elif detail == 'nothing':
         parts = []
     elif detail.startswith('within'):
         first, last = span(detail.removeprefix('within '))
         parts = [events(1, first - 1) + events(first, last)[:-6]]
     else:
         parts = [events(*span(detail))]
-    return ScriptedAnswer(status=200, parts=parts, framing=framing)
+    return ScriptedAnswer(
+        status=200,
+        parts=parts,
+        framing=framing,
+        stays_silent=kind == 'endless',
+    )
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -22,6 +22,10 @@
         ReportedCrash,
         SuspectState,
     )
+    from teaseldale.upstreams._event_size import (
+        OversizedEventError,
+        check_partial_event,
+    )
     from teaseldale.upstreams._fingerprint import fingerprint_of
     from teaseldale.upstreams._http_connection import UpstreamPool
     from teaseldale.upstreams._http_engine import (
@@ -73,6 +77,10 @@
             'ReportedCrash',
             'SuspectState',
         ),
+        'teaseldale.upstreams._event_size': (
+            'OversizedEventError',
+            'check_partial_event',
+        ),
         'teaseldale.upstreams._fingerprint': ('fingerprint_of',),
         'teaseldale.upstreams._http_connection': ('UpstreamPool',),
         'teaseldale.upstreams._http_engine': (
@@ -129,6 +137,7 @@
     'RunnerConnections',
     'RunnerMessage',
     'NoQuarantine',
+    'OversizedEventError',
     'ReportedCrash',
     'ServiceAnswer',
     'ServiceCall',
@@ -137,6 +146,7 @@
     'UpstreamPool',
     'UpstreamRejectedError',
     'WireHeaders',
+    'check_partial_event',
     'fingerprint_of',
     'header_of',
 )
--- a/teaseldale/upstreams/_http_engine.py
+++ b/teaseldale/upstreams/_http_engine.py
@@ -19,6 +19,10 @@
     FailureKind,
     UpstreamError,
 )
+from teaseldale.upstreams._event_size import (
+    OversizedEventError,
+    check_partial_event,
+)
 from teaseldale.upstreams._http_connection import UpstreamPool
 
 _MS_PER_SECOND = 1000
@@ -155,6 +159,7 @@
             yield _to_engine_event(
                 upstream, call, _decode_event(upstream, payload)
             )
+        _check_event_size(upstream, len(buffer))
     raise UpstreamError(
         step=Step.STREAM,
         peer=upstream.name,
@@ -163,6 +168,18 @@
     )
 
 
+def _check_event_size(upstream: Upstream, size_bytes: int) -> None:
+    try:
+        check_partial_event(size_bytes)
+    except OversizedEventError as error:
+        raise UpstreamError(
+            step=Step.STREAM,
+            peer=upstream.name,
+            reason=str(error),
+            may_have_run=True,
+        ) from error
+
+
 def _decode_event(upstream: Upstream, payload: bytes) -> _Event:
     try:
         return _decoder.decode(payload)
--- a/teaseldale/upstreams/tests/steps_unbounded_responses.py
+++ b/teaseldale/upstreams/tests/steps_unbounded_responses.py
@@ -13,6 +13,8 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.upstreams import (
+    EngineCall,
+    HttpEngineClient,
     RunnerConnections,
     RunnerMessage,
     UpstreamError,
@@ -25,6 +27,7 @@
     WHOLE_ANSWER,
     RecordingTransport,
     belongs,
+    upstream_at,
 )
 
 _PIECE_BYTES = 4096
@@ -226,3 +229,40 @@
 @then('all responses together needed less than {limit:d} MB')
 def needed_less(context, limit):
     assert context.needed_bytes < limit * _BYTES_PER_MB, context.needed_bytes
+
+
+@given('a listening runner that sends an event without end')
+def endless_event(context):
+    context.sent = itertools.chain(
+        (HEAD + b'connection: close\r\n\r\ndata: ',),
+        itertools.repeat(
+            b'x' * _PIECE_BYTES, _SENT_LIMIT_BYTES * 4 // _PIECE_BYTES
+        ),
+    )
+
+
+@when('the engine client reads its stream')
+def read_engine_stream(context):
+    async def read():
+        context.runner = ListeningRunner(answer=context.sent)
+        call = EngineCall(request_id='r-1', body=b'{}')
+        async with context.runner.serving():
+            context.upstream = upstream_at(context.runner)
+            client = HttpEngineClient()
+            async with client.stream(context.upstream, call) as stream:
+                async for event in stream:
+                    raise AssertionError(event)
+
+    context.error = None
+    try:
+        asyncio.run(read())
+    except UpstreamError as error:
+        context.error = error
+
+
+@then('the error names the runner and the size of the event')
+def error_names_event(context):
+    assert context.error.step is Step.STREAM
+    assert context.error.peer == context.upstream.name
+    assert 'event' in context.error.reason, context.error.reason
+    assert 'exceeds' in context.error.reason, context.error.reason
--- a/teaseldale/upstreams/tests/unbounded_responses.feature
+++ b/teaseldale/upstreams/tests/unbounded_responses.feature
@@ -51,3 +51,10 @@
       | a header value      |
       | headers of one byte |
       | a trailer           |
+
+  # Guards against memory that grows with an event that never ends.
+  Scenario: An event without end fails the stream of an engine
+    Given a listening runner that sends an event without end
+    When the engine client reads its stream
+    Then the error names the runner and the size of the event
+    And the runner could send less than 8 MB
