Fail like a lost connection when an answer of the platform is truncated

Cause: the clients of the table service and of the member list decoded a body without a check, so an answer that ended early, without a length, raised an exception of the decoder, which no caller of these clients expects. The platform's store had the check. Change: one decode method of the HTTP client for all three; a body that cannot be read is a PlatformError with step and peer, and counted. A commit whose answer is truncated has an unknown outcome, as after a lost connection.

--- a/teaseldale/platform/_store.py
+++ b/teaseldale/platform/_store.py
@@ -61,6 +61,9 @@
     store_ms: float = msgspec.field(name='NowMs', default=0)
 
 
+_rows_decoder = msgspec.json.Decoder(_RowsAnswer)
+
+
 class PlatformStore(BaseTableService, BaseRowFeed):
     """Commits, reads and follows rows of the platform's store.
 
@@ -232,10 +235,7 @@
         return self._decode(reply, Step.TABLE_READ)
 
     def _decode(self, reply: HttpReply, step: Step) -> _RowsAnswer:
-        try:
-            return msgspec.json.decode(reply.content, type=_RowsAnswer)
-        except msgspec.DecodeError as error:
-            raise self._calls.failed(step, 'unreadable answer') from error
+        return self._calls.decode(step, reply.content, _rows_decoder)
 
 
 def _row_of(record: _RowRecord) -> Row:
--- a/teaseldale/tables/_http_client.py
+++ b/teaseldale/tables/_http_client.py
@@ -1,6 +1,7 @@
 """Pooled HTTP client shared by the clients of the platform's services."""
 
 import abc
+from typing import TypeVar
 
 import attrs
 import httpcore
@@ -13,6 +14,7 @@
 _MS_PER_SECOND = 1000
 _STATUS_OK = 200
 _CONNECTION_LIMIT = 16
+_DecodedT = TypeVar('_DecodedT')
 _BODY_LIMITS = FetchLimits(body_bytes=16_777_216)
 
 
@@ -58,6 +60,21 @@
     async def close(self) -> None:
         """Closes all connections."""
 
+    def decode(
+        self,
+        step: Step,
+        content: bytes,
+        decoder: msgspec.json.Decoder[_DecodedT],
+    ) -> _DecodedT:
+        """Returns a decoded JSON answer.
+
+        Raises ``PlatformError`` if the answer is truncated or malformed.
+        """
+        try:
+            return decoder.decode(content)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise self.failed(step, 'unreadable answer') from error
+
 
 class PlatformHttpClient(BaseHttpExchange):
     """Sends JSON to one platform service over pooled connections.
--- a/teaseldale/tables/_http_membership.py
+++ b/teaseldale/tables/_http_membership.py
@@ -7,6 +7,8 @@
 from teaseldale.tables._http_client import PlatformHttpClient
 from teaseldale.tables._membership import BaseMembershipList, VmMember
 
+_members_decoder = msgspec.json.Decoder(tuple[VmMember, ...])
+
 
 class HttpMembershipList(BaseMembershipList):
     """Updates and reads the membership list over HTTP."""
@@ -41,4 +43,4 @@
             method='GET',
             path='/members',
         )
-        return msgspec.json.decode(body, type=tuple[VmMember, ...])
+        return self._client.decode(Step.MEMBERSHIP, body, _members_decoder)
--- a/teaseldale/tables/_http_table.py
+++ b/teaseldale/tables/_http_table.py
@@ -25,6 +25,13 @@
     conflicts: tuple[Row, ...]  # current rows whose checks failed
 
 
+_commit_decoder = msgspec.json.Decoder(CommitAnswer)
+_row_decoder: msgspec.json.Decoder[Row | None] = msgspec.json.Decoder(
+    Row | None,
+)
+_rows_decoder = msgspec.json.Decoder(tuple[Row, ...])
+
+
 class HttpTableService(BaseTableService):
     """Commits transactions and reads rows over HTTP."""
 
@@ -50,7 +57,11 @@
             path='/table/transactions',
             body=transaction,
         )
-        answer = msgspec.json.decode(body, type=CommitAnswer)
+        answer = self._client.decode(
+            Step.TABLE_COMMIT,
+            body,
+            _commit_decoder,
+        )
         if answer.revision is None:
             return Conflicted(rows=answer.conflicts)
         return Committed(revision=answer.revision)
@@ -63,7 +74,7 @@
             method='GET',
             path=f'/table/row?{query}',
         )
-        return msgspec.json.decode(body, type=Row | None)
+        return self._client.decode(Step.TABLE_READ, body, _row_decoder)
 
     async def scan(
         self,
@@ -85,4 +96,4 @@
             method='GET',
             path=f'/table/rows?{query}',
         )
-        return msgspec.json.decode(body, type=tuple[Row, ...])
+        return self._client.decode(Step.TABLE_READ, body, _rows_decoder)
