--- a/teaseldale/forwarding/_events.py
+++ b/teaseldale/forwarding/_events.py
@@ -30,7 +30,7 @@
         """Returns the bytes of all events that ``received`` completes.
 
         Raises ``StreamOrderError`` if a resumed stream skips or repeats
-        events, and ``OversizedEventError`` if an event does not end in time.
+        events, and ``OversizedEventError`` if an event exceeds its limit.
         """
         # The buffer holds no whole separator, but it may end with a part.
         searched_bytes = max(0, len(self._buffer) - _SEPARATOR_BYTES + 1)
--- a/teaseldale/upstreams/tests/steps_unbounded_responses.py
+++ b/teaseldale/upstreams/tests/steps_unbounded_responses.py
@@ -266,3 +266,30 @@
     assert context.error.peer == context.upstream.name
     assert 'event' in context.error.reason, context.error.reason
     assert 'exceeds' in context.error.reason, context.error.reason
+
+
+@when(
+    'it is answered within a timeout of 10 s, and the next one is not within '
+    '1 s',
+)
+def next_unanswered(context):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        transport = start_response()
+        protocol = transport.protocol
+        loop.call_later(0.1, protocol.data_received, WHOLE_ANSWER)
+        await protocol.wait_for_head(10)
+        assert await protocol.read(10) == b'body'
+        protocol.expect(belongs)
+        started = loop.time()
+        try:
+            await protocol.wait_for_head(1)
+        except httpcore.ReadTimeout:
+            context.waited_ms = round((loop.time() - started) * 1000)
+
+    run_in_virtual_time(scenario)
+
+
+@then('waiting for the next head ends after 1,000 ms')
+def waited_for_next(context):
+    assert context.waited_ms == 1000, context.waited_ms
--- a/teaseldale/upstreams/tests/unbounded_responses.feature
+++ b/teaseldale/upstreams/tests/unbounded_responses.feature
@@ -58,3 +58,11 @@
     When the engine client reads its stream
     Then the error names the runner and the size of the event
     And the runner could send less than 8 MB
+
+  # Guards against a timer of an earlier request that delays the timeout of a
+  # later one on the same connection.
+  @known_red
+  Scenario: A kept connection uses the timeout of its current request
+    Given a request "r-1" that was sent to a runner
+    When it is answered within a timeout of 10 s, and the next one is not within 1 s
+    Then waiting for the next head ends after 1,000 ms
