--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -232,7 +232,8 @@
             return False
         content_type = header_of(answer.headers, b'content-type')
         return answer.status == _STATUS_OK and (
-            content_type is None or content_type.startswith(_EVENT_STREAM)
+            content_type is None
+            or content_type.lower().startswith(_EVENT_STREAM)
         )
 
     async def _relay(self, attempt: Attempt, answer: RunnerAnswer) -> bool:
