--- a/teaseldale/upstreams/_response_sizes.py
+++ b/teaseldale/upstreams/_response_sizes.py
@@ -24,7 +24,7 @@
 
     def __init__(self, *, part: ResponsePart, limit: str) -> None:
         """Records the part and its limit with the unit."""
-        super().__init__(f'{part} of a response exceed {limit}')
+        super().__init__(f'response exceeds {limit} ({part})')
         self.part = part
 
 
