--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -33,6 +33,7 @@
         UpstreamRejectedError,
     )
     from teaseldale.upstreams._http_service import HttpServiceClient
+    from teaseldale.upstreams._listener_probe import ProbeOutcome
     from teaseldale.upstreams._quarantine import (
         CrashQuarantine,
     )
@@ -88,6 +89,7 @@
             'UpstreamRejectedError',
         ),
         'teaseldale.upstreams._http_service': ('HttpServiceClient',),
+        'teaseldale.upstreams._listener_probe': ('ProbeOutcome',),
         'teaseldale.upstreams._quarantine': (
             'CrashQuarantine',
             'CrashSuspects',
@@ -138,6 +140,7 @@
     'RunnerMessage',
     'NoQuarantine',
     'OversizedEventError',
+    'ProbeOutcome',
     'ReportedCrash',
     'ServiceAnswer',
     'ServiceCall',
