--- a/teaseldale/forwarding/tests/crashing_fleet.py
+++ b/teaseldale/forwarding/tests/crashing_fleet.py
@@ -40,6 +40,7 @@
 class Crash:
     """The end of a runner's incarnation."""
 
+    runner_id: str
     at_ms: int
     is_caused: bool  # whether a request caused it
 
@@ -89,7 +90,13 @@
         if not self.is_up:
             return
         self.is_up = False
-        self.fleet.crashes.append(Crash(at_ms=now_ms(), is_caused=is_caused))
+        self.fleet.crashes.append(
+            Crash(
+                runner_id=self.entry.runner_id,
+                at_ms=now_ms(),
+                is_caused=is_caused,
+            )
+        )
         for scope in self._scopes:
             scope.cancel()
         self.fleet.tasks.start_soon(self._come_back)
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -31,3 +31,16 @@
 def limit_header(limit_per_s):
     """Returns the header in which a runner names its limit."""
     return (b'server-limit', b'%g' % limit_per_s)
+
+
+def prompt_parts_header(part_ids):
+    """Returns the header that lists the parts of a prompt."""
+    return (
+        b'x-prompt-prefix',
+        ','.join(f'{part_id}:100' for part_id in part_ids).encode(),
+    )
+
+
+def last_event_id_of(message):
+    """Returns the event after which a request resumes a stream, or 0."""
+    return int(dict(message.headers).get(b'last-event-id', 0))
