Hold back parts of prompts that crash the runners that answer them

Cause: crashes were counted by whole requests only, and no two of these are alike. Class: a guard whose key is narrower than the fault.

Change, in the one mechanism for requests (CrashSuspects, rows of request_crashes): - A suspect is a request or a part. A request whose answer has gone on for 500 ms is none; the last part never is, nor are parts at a version that an order is moving to. - A crash has one cause: the suspect with the most crashes, at a tie the narrowest, explains its crashes. Requests need two besides, parts three, five if another part was in the same crashes. Crashes within 60 ms count as one under a part. - An answer that began 250 ms after a crash clears its parts of it. A part that this VM saw answered within 10 s is given one more second for that. - A crash counts under parts once all VMs have had 150 ms to report it. - runner_ended_under_request names the parts.

Old builds: the table and its rows stay; a row of a part has a key that no request has, and one further field, which old builds skip; rows without it are requests'.

--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -67,6 +67,7 @@
         self.runner = runner
         self._placed: PlacedWork = parts.choice.place(work, backlog)
         self._has_read = False
+        self._answer_began_ms: int | None = None  # monotonic
         self._has_ended = False
 
     async def send(
@@ -114,6 +115,13 @@
         """Returns the time since the attempt started."""
         return self._parts.clock.monotonic_ms() - self._sent_ms
 
+    @property
+    def answering_ms(self) -> int | None:
+        """Returns the time since the first output, or None without any."""
+        if self._answer_began_ms is None:
+            return None
+        return self._parts.clock.monotonic_ms() - self._answer_began_ms
+
     @property
     def has_output(self) -> bool:
         """Returns whether the runner has sent an event of its stream."""
@@ -140,12 +148,14 @@
 
     def note_head(self) -> None:
         """Records the head of an answer that is not an event stream."""
+        self._note_answer()
         if self._evidence is not None:
             self._evidence.note_output(0)
 
     def note_events(self, event_count: int) -> None:
         """Records events of a stream."""
         self.note_first_output()
+        self._note_answer()
         if self._evidence is not None:
             self._evidence.note_output(event_count)
 
@@ -167,6 +177,10 @@
         """Records that the answer ended before it was complete."""
         self._note_outcome(has_failed=True)
 
+    def _note_answer(self) -> None:
+        if self._answer_began_ms is None:
+            self._answer_began_ms = self._parts.clock.monotonic_ms()
+
     def _note_outcome(self, *, has_failed: bool) -> None:
         self._parts.choice.note_outcome(
             self.runner.runner_id,
--- a/teaseldale/forwarding/_break_examinations.py
+++ b/teaseldale/forwarding/_break_examinations.py
@@ -16,7 +16,7 @@
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
 from teaseldale.metrics import Metrics
-from teaseldale.upstreams import ProbeOutcome
+from teaseldale.upstreams import ProbeOutcome, Suspect
 
 _MS_PER_SECOND = 1000
 # A host that runs answers within one round trip.
@@ -35,7 +35,7 @@
 class BrokenRequest:
     """A request whose connection to its runner broke."""
 
-    fingerprint: str
+    suspects: tuple[Suspect, ...]  # the request and parts of its prompt
     running_ms: int  # from the start of the attempt to the break
     broken_ms: int  # monotonic
 
--- a/teaseldale/forwarding/_crash_reports.py
+++ b/teaseldale/forwarding/_crash_reports.py
@@ -1,52 +1,46 @@
-"""Service that shares crashes of runners under requests with the other VMs.
+"""Service that shares crashes of runners under suspects with the other VMs.
 
 Each crash is one row in the store, which all VMs follow. Rows survive the VMs
 that wrote them; a VM that cannot write keeps its crashes and writes them later.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 
-import anyio
-import attrs
 import msgspec
 from anyio.abc import TaskGroup
 
 from teaseldale.budgets import StoreAccess
+from teaseldale.forwarding._answered_parts import AnsweredParts
 from teaseldale.forwarding._break_examinations import (
     BreakExaminations,
     BrokenRequest,
 )
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
+from teaseldale.forwarding._crash_row_writer import CrashRowWriter
+from teaseldale.forwarding._crash_rows import (
+    CRASH_TABLE,
+    decode_crash,
+    row_key_of,
+    suspect_of,
+    upstream_of,
+)
 from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.members import BaseFleetMembers, rendezvous
-from teaseldale.outcomes import PlatformError
-from teaseldale.tables import Row, RowWrite, TableFollower, make_transaction
-from teaseldale.upstreams import CrashSuspects, ReportedCrash
+from teaseldale.tables import Row, TableFollower
+from teaseldale.upstreams import CrashSuspects, ReportedCrash, Suspect
 
-_TABLE = 'request_crashes'
-_SEPARATOR = '/'
-_COALESCE_MS = 20  # a crash breaks many requests at the same moment
-_RETRY_PAUSE_MS = 250
 _FEED_WAIT_MS = 2000
 _EXPIRY_CHECK_MS = 10_000
-# Entries of one transaction that the store accepts.
-_MAX_WRITES = 100
-# Changes kept while the store takes none; the oldest are dropped.
-_MAX_PENDING = 5000
-
-
-@attrs.frozen(kw_only=True)
-class CrashRow:
-    """A crash of a runner while it ran a request."""
-
-    crashed_store_ms: int  # by the store's clock
-    running_ms: int  # from the start of the attempt to the crash
+# Times of crashes at other VMs are known to within a call to the store.
+_CLEARING_MARGIN_MS = 250
+# An answer to a sound part that many prompts share is seen within this time.
+_DOUBT_MS = 1000
 
 
 class CrashReports(BaseService):
-    """Requests that crash runners, as known to all VMs."""
+    """Requests and parts that crash runners, as known to all VMs."""
 
     def __init__(
         self,
@@ -61,10 +55,10 @@
         self._vm_name = vm_name
         self._members = members
         self._directory = directory
-        self._table = store.table
         self._clock = store.clock
         self._metrics = store.metrics
         self._suspects = CrashSuspects(clock=self._clock, metrics=self._metrics)
+        self._answered = AnsweredParts(clock=self._clock)
         self._examinations = BreakExaminations(
             directory=directory,
             connections=connections,
@@ -73,20 +67,21 @@
             on_crash=self._report,
         )
         self._stored_keys: set[str] = set()
-        # Rows to be written, by key; None removes the row.
-        self._pending: dict[str, ReportedCrash | None] = {}
-        self._pending_since_ms: dict[str, int] = {}
-        self._has_pending = anyio.Event()
         self._log = StateLog(channel='crashes')
         self._follower = TableFollower(
             feed=store.feed,
-            table=_TABLE,
+            table=CRASH_TABLE,
             clock=self._clock,
             metrics=self._metrics,
             on_snapshot=self._apply_all,
             on_changes=self._apply_rows,
             wait_ms=_FEED_WAIT_MS,
         )
+        self._writer = CrashRowWriter(
+            store=store,
+            follower=self._follower,
+            log=self._log,
+        )
 
     @property
     def name(self) -> str:
@@ -95,27 +90,34 @@
 
     @property
     def has_suspects(self) -> bool:
-        """Returns whether a runner has crashed under any request."""
+        """Returns whether any crash of a runner is known."""
         return not self._suspects.is_empty
 
     async def start(self, tasks: TaskGroup) -> None:
         """Starts following and writing the rows."""
         self._examinations.start(tasks)
         tasks.start_soon(self._follower.run)
-        tasks.start_soon(self._write_pending)
+        tasks.start_soon(self._writer.run)
         tasks.start_soon(self._remove_expired)
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Returns whether the request may not be sent to a runner."""
-        return self._suspects.is_quarantined(fingerprint)
+    def is_quarantined(self, key: str) -> bool:
+        """Returns whether a suspect may not be sent to a runner.
 
-    def expires_in_ms(self, fingerprint: str) -> int:
-        """Returns the time until the request may be sent again."""
-        return self._suspects.expires_in_ms(fingerprint)
+        A part that runners have answered lately is given the time of another
+        answer, which clears it if it is sound.
+        """
+        held_ms = self._suspects.quarantined_ms(key)
+        if held_ms is None:
+            return False
+        return held_ms >= _DOUBT_MS or not self._answered.is_recent(key)
+
+    def expires_in_ms(self, key: str) -> int:
+        """Returns the time until a suspect may be sent again."""
+        return self._suspects.expires_in_ms(key)
 
     async def examine_break(
         self,
-        fingerprint: str,
+        suspects: tuple[Suspect, ...],
         runner: ForwardingRunner,
         *,
         running_ms: int,
@@ -131,7 +133,7 @@
         await self._examinations.examine(
             runner,
             BrokenRequest(
-                fingerprint=fingerprint,
+                suspects=suspects,
                 running_ms=running_ms,
                 broken_ms=self._clock.monotonic_ms(),
             ),
@@ -144,98 +146,52 @@
             return
         self._metrics.increment('quarantine_releases', 'ran_through')
         for upstream in upstreams:
-            self._queue(_row_key(fingerprint, upstream), None)
+            self._writer.queue(row_key_of(fingerprint, upstream), None)
+
+    def clear_parts(self, suspects: Iterable[Suspect], began_ms: int) -> None:
+        """Clears parts of a prompt that a runner has begun to answer.
+
+        ``began_ms`` is the monotonic time at which the answer began. Crashes
+        before it count no longer.
+        """
+        for suspect in suspects:
+            self._answered.note(suspect.key, began_ms)
+            upstreams = self._suspects.forget_before(
+                suspect.key,
+                began_ms - _CLEARING_MARGIN_MS,
+            )
+            for upstream in upstreams:
+                self._metrics.increment('quarantine_releases', 'part_answered')
+                self._writer.queue(row_key_of(suspect.key, upstream), None)
 
     def _report(self, runner: ForwardingRunner, request: BrokenRequest) -> None:
-        fingerprint = request.fingerprint
-        if self._suspects.is_full:
-            self._drop_suspect(self._suspects.oldest())
         upstream = runner.incarnation_name
-        crash = ReportedCrash(
-            upstream=upstream,
-            running_ms=request.running_ms,
-            age_ms=self._clock.monotonic_ms() - request.broken_ms,
-        )
-        self._suspects.record(fingerprint, crash)
+        age_ms = self._clock.monotonic_ms() - request.broken_ms
+        for suspect in request.suspects:
+            self._record(
+                suspect.key,
+                ReportedCrash(
+                    upstream=upstream,
+                    running_ms=request.running_ms,
+                    age_ms=age_ms,
+                    part_position=suspect.part_position,
+                ),
+            )
+        keys = tuple(reported.key for reported in request.suspects)
         self._log.changed(
             'runner_ended_under_request',
-            fingerprint=fingerprint,
+            fingerprint=keys[0],
+            parts=keys[1:],
             runner=upstream,
             running_ms=request.running_ms,
-            quarantined=self._suspects.is_quarantined(fingerprint),
-        )
-        self._queue(_row_key(fingerprint, upstream), crash)
-
-    def _queue(self, key: str, crash: ReportedCrash | None) -> None:
-        self._pending.pop(key, None)
-        if len(self._pending) >= _MAX_PENDING:
-            dropped = next(iter(self._pending))
-            self._pending.pop(dropped)
-            self._pending_since_ms.pop(dropped)
-            self._metrics.increment('crash_reports_dropped')
-        self._pending[key] = crash
-        age_ms = 0 if crash is None else crash.age_ms
-        self._pending_since_ms[key] = self._clock.monotonic_ms() - age_ms
-        self._has_pending.set()
-
-    async def _write_pending(self) -> None:
-        while True:
-            await self._has_pending.wait()
-            await self._clock.sleep_ms(_COALESCE_MS)
-            store_ms = self._follower.store_ms
-            if store_ms is None or not await self._write(store_ms):
-                await self._clock.sleep_ms(_RETRY_PAUSE_MS)
-
-    async def _write(self, store_ms: int) -> bool:
-        """Writes the oldest changes; returns whether the store took them."""
-        batch = dict(tuple(self._pending.items())[:_MAX_WRITES])
-        writes = tuple(
-            RowWrite(
-                table=_TABLE,
-                key=key,
-                value=self._encode(key, crash, store_ms),
-            )
-            for key, crash in batch.items()
+            quarantined=tuple(filter(self._suspects.is_quarantined, keys)),
         )
-        try:
-            await self._table.commit(make_transaction(checks=(), writes=writes))
-        except PlatformError as error:
-            self._metrics.increment('crash_reports_not_written', error.reason)
-            self._log.changed(
-                'crashes_not_written',
-                count=len(self._pending),
-                reason=error.reason,
-            )
-            return False
-        self._discard_written(batch)
-        return True
 
-    def _encode(
-        self,
-        key: str,
-        crash: ReportedCrash | None,
-        store_ms: int,
-    ) -> bytes | None:
-        if crash is None:
-            return None
-        age_ms = self._clock.monotonic_ms() - self._pending_since_ms[key]
-        row = CrashRow(
-            crashed_store_ms=store_ms - age_ms,
-            running_ms=crash.running_ms,
-        )
-        return msgspec.msgpack.encode(row)
-
-    def _discard_written(
-        self,
-        batch: Mapping[str, ReportedCrash | None],
-    ) -> None:
-        for key, crash in batch.items():
-            # A key that changed during the commit is written again.
-            if key in self._pending and self._pending[key] is crash:
-                self._pending.pop(key)
-                self._pending_since_ms.pop(key)
-        if not self._pending:
-            self._has_pending = anyio.Event()
+    def _record(self, key: str, crash: ReportedCrash) -> None:
+        if self._suspects.is_full:
+            self._drop_suspect(self._suspects.oldest())
+        self._suspects.record(key, crash)
+        self._writer.queue(row_key_of(key, crash.upstream), crash)
 
     def _apply_all(self, rows: tuple[Row, ...]) -> None:
         """Applies a full read, which lacks the rows removed before it."""
@@ -251,31 +207,23 @@
                 self._apply_row(row.key, row.value)
 
     def _apply_row(self, key: str, encoded: bytes) -> None:
-        fingerprint, _, upstream = key.partition(_SEPARATOR)
         try:
-            stored = msgspec.msgpack.decode(encoded, type=CrashRow)
+            crash = decode_crash(key, encoded, self._follower.store_ms)
         except msgspec.DecodeError as error:
-            self._metrics.increment('rows_unreadable', _TABLE)
+            self._metrics.increment('rows_unreadable', CRASH_TABLE)
             self._log.changed(
                 'row_unreadable',
-                table=_TABLE,
+                table=CRASH_TABLE,
                 key=key,
                 reason=str(error),
             )
             return
         self._stored_keys.add(key)
-        store_ms = self._follower.store_ms or stored.crashed_store_ms
-        crash = ReportedCrash(
-            upstream=upstream,
-            running_ms=stored.running_ms,
-            age_ms=max(0, store_ms - stored.crashed_store_ms),
-        )
-        self._suspects.record(fingerprint, crash)
+        self._suspects.record(suspect_of(key), crash)
 
     def _forget_row(self, key: str) -> None:
         self._stored_keys.discard(key)
-        fingerprint, _, upstream = key.partition(_SEPARATOR)
-        self._suspects.forget_crash(fingerprint, upstream)
+        self._suspects.forget_crash(suspect_of(key), upstream_of(key))
 
     async def _remove_expired(self) -> None:
         """Removes expired suspects; one VM for each also removes its rows."""
@@ -290,8 +238,4 @@
 
     def _drop_suspect(self, fingerprint: str) -> None:
         for upstream in self._suspects.forget(fingerprint):
-            self._queue(_row_key(fingerprint, upstream), None)
-
-
-def _row_key(fingerprint: str, upstream: str) -> str:
-    return f'{fingerprint}{_SEPARATOR}{upstream}'
+            self._writer.queue(row_key_of(fingerprint, upstream), None)
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -100,6 +100,7 @@
         )
         self._crash_guard = CrashGuard(
             crashes=parts.crashes,
+            clock=parts.clock,
             admitted=admitted,
             body=body,
         )
@@ -180,10 +181,17 @@
             self.record.may_have_run = True
             self.record.fingerprint = self._crash_guard.fingerprint
             if sent.is_connection_lost:
-                await self._crash_guard.examine_break(attempt)
+                await self._examine_break(attempt)
         self._note_failure(attempt, sent.reason)
         return False
 
+    async def _examine_break(self, attempt: Attempt) -> None:
+        is_unproven = self._parts.moves.is_unproven(attempt.runner)
+        await self._crash_guard.examine_break(
+            attempt,
+            is_version_proven=not is_unproven,
+        )
+
     def _uncount_arrival(self, sent: NotRun) -> None:
         """Uncounts a runner that was not reached or is not the intended one.
 
@@ -217,7 +225,7 @@
             attempt.note_broken_answer()
             self.record.fingerprint = self._crash_guard.fingerprint
             if _is_connection_lost(error):
-                await self._crash_guard.examine_break(attempt)
+                await self._examine_break(attempt)
             self._note_failure(attempt, str(error))
             self._events.resume()
             return False
@@ -225,6 +233,7 @@
             sent.answer.release()
         if is_answered and sent.answer.status < _FIRST_FAILURE_STATUS:
             self._crash_guard.clear()
+            self._crash_guard.clear_parts(attempt, is_complete=True)
         return is_answered
 
     async def _relay_reply(self, attempt: Attempt, sent: Replied) -> bool:
@@ -251,6 +260,7 @@
                 continue
             self._note_event_time()
             attempt.note_events(self._events.event_count - seen_count)
+            self._crash_guard.clear_parts(attempt, is_complete=False)
             await self._answer.start(answer.status, answer.headers)
             await self._answer.write(events)
         self._check_stream_end(attempt, answer)
--- a/teaseldale/forwarding/_version_moves.py
+++ b/teaseldale/forwarding/_version_moves.py
@@ -196,6 +196,15 @@
             is_new=runner.version == running.order.version,
         )
 
+    def is_unproven(self, runner: ForwardingRunner) -> bool:
+        """Returns whether an order is running for the runner's version."""
+        running = self._running.get(runner.service)
+        return (
+            running is not None
+            and not running.phase.is_final
+            and runner.version == running.order.version
+        )
+
     async def _run(self) -> None:
         while True:
             await self._has_order.wait()
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -17,6 +17,7 @@
         ServiceCall,
         UpstreamError,
     )
+    from teaseldale.upstreams._crash_history import Suspect
     from teaseldale.upstreams._crash_suspects import (
         CrashSuspects,
         ReportedCrash,
@@ -76,6 +77,7 @@
             'ServiceCall',
             'UpstreamError',
         ),
+        'teaseldale.upstreams._crash_history': ('Suspect',),
         'teaseldale.upstreams._crash_suspects': (
             'CrashSuspects',
             'ReportedCrash',
@@ -150,6 +152,7 @@
     'ReportedCrash',
     'ServiceAnswer',
     'ServiceCall',
+    'Suspect',
     'SuspectState',
     'UpstreamError',
     'UpstreamPool',
--- a/teaseldale/upstreams/_crash_suspects.py
+++ b/teaseldale/upstreams/_crash_suspects.py
@@ -1,79 +1,48 @@
-"""Requests under which upstreams crashed, by fingerprint.
+"""Requests and parts of prompts under which upstreams crashed.
 
 A crash ends all requests of its upstream, and most of them did not cause it. A
-request is quarantined after two crashes, and cleared once it completes. Crashes
-whose attempts overlapped in time count as one, as a fault that ends several
-upstreams at once also ends identical requests at them.
+request is quarantined after two crashes, a part of prompts after three, unless
+another suspect explains them. A request is cleared once it completes, a part
+by an answer that began after the crash.
 """
 
-from collections.abc import Iterable
-
 import attrs
 
 from teaseldale.clock import BaseClock
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
+from teaseldale.upstreams._crash_history import (
+    SETTLING_MS,
+    CrashHistory,
+    find_culprits,
+)
 
-_CRASHES_TO_QUARANTINE = 2
 _EXPIRY_MS = 600_000
 _SUSPECT_LIMIT = 10_000
 
 
 @attrs.frozen(kw_only=True)
 class ReportedCrash:
-    """A crash of an upstream while it ran a request."""
+    """A crash of an upstream under a request or a part of prompts."""
 
     upstream: str  # distinguishes incarnations that share a name
     running_ms: int  # from the start of the attempt to the crash
     age_ms: int  # since the crash
+    part_position: int | None = None  # in the prompt; None for a request
 
 
 @attrs.frozen(kw_only=True)
 class SuspectState:
-    """State of a fingerprint as reported to operators."""
+    """State of a suspect as reported to operators."""
 
-    fingerprint: str
+    fingerprint: str  # of the request, or the key of a part
     upstreams: tuple[str, ...]
     quarantined: bool
     expires_in_ms: int
 
 
-@attrs.frozen(kw_only=True)
-class _Attempt:
-    started_ms: int  # monotonic
-    crashed_ms: int  # monotonic
-
-
-@attrs.define(kw_only=True)
-class _Suspect:
-    attempts: dict[str, _Attempt] = attrs.field(factory=dict)  # by upstream
-
-    @property
-    def upstreams(self) -> tuple[str, ...]:
-        return tuple(sorted(self.attempts))
-
-    @property
-    def last_crash_ms(self) -> int:
-        return max(attempt.crashed_ms for attempt in self.attempts.values())
-
-    @property
-    def is_quarantined(self) -> bool:
-        return self._separate_count >= _CRASHES_TO_QUARANTINE
-
-    @property
-    def _separate_count(self) -> int:
-        """Returns the largest number of attempts of which no two overlap."""
-        count = 0
-        last_end_ms: int | None = None
-        for attempt in sorted(self.attempts.values(), key=_end_of):
-            if last_end_ms is None or attempt.started_ms >= last_end_ms:
-                count += 1
-                last_end_ms = attempt.crashed_ms
-        return count
-
-
 class CrashSuspects:
-    """Crashes by fingerprint, from this VM and from others."""
+    """Crashes by suspect, from this VM and from others."""
 
     def __init__(
         self,
@@ -86,7 +55,12 @@
         self._clock = clock
         self._metrics = metrics
         self._expiry_ms = expiry_ms
-        self._suspects: dict[str, _Suspect] = {}
+        self._suspects: dict[str, CrashHistory] = {}
+        self._repeated: set[str] = set()  # suspects with several crashes
+        # Quarantined suspects, with the monotonic time since when.
+        self._culprits: dict[str, int] = {}
+        # Monotonic time at which all known crashes count; None once they do.
+        self._settled_ms: int | None = None
         self._log = StateLog(channel='quarantine')
 
     @property
@@ -105,22 +79,18 @@
         if suspect is None:
             if crash.age_ms >= self._expiry_ms:
                 return
-            suspect = self._add(fingerprint)
+            suspect = self._add(fingerprint, crash.part_position)
         if crash.upstream in suspect.attempts:
             return
-        was_quarantined = suspect.is_quarantined
         crashed_ms = self._clock.monotonic_ms() - crash.age_ms
-        suspect.attempts[crash.upstream] = _Attempt(
+        suspect.add(
+            crash.upstream,
             started_ms=crashed_ms - crash.running_ms,
             crashed_ms=crashed_ms,
         )
-        if suspect.is_quarantined and not was_quarantined:
-            self._metrics.increment('quarantined')
-            self._log.changed(
-                'quarantined',
-                fingerprint=fingerprint,
-                upstreams=suspect.upstreams,
-            )
+        if len(suspect.attempts) > 1:
+            self._repeated.add(fingerprint)
+            self._attribute()
 
     def crashes_of(self, fingerprint: str) -> tuple[ReportedCrash, ...]:
         """Returns the known crashes under a request."""
@@ -133,6 +103,7 @@
                 upstream=upstream,
                 running_ms=attempt.crashed_ms - attempt.started_ms,
                 age_ms=now_ms - attempt.crashed_ms,
+                part_position=suspect.part_position,
             )
             for upstream, attempt in suspect.attempts.items()
         )
@@ -142,9 +113,19 @@
         return self._find_unexpired(fingerprint) is not None
 
     def is_quarantined(self, fingerprint: str) -> bool:
-        """Returns whether the request may not run again."""
-        suspect = self._find_unexpired(fingerprint)
-        return suspect is not None and suspect.is_quarantined
+        """Returns whether the suspect may not run again."""
+        return self.quarantined_ms(fingerprint) is not None
+
+    def quarantined_ms(self, fingerprint: str) -> int | None:
+        """Returns for how long a suspect is quarantined, or None."""
+        now_ms = self._clock.monotonic_ms()
+        if self._settled_ms is not None and now_ms > self._settled_ms:
+            self._attribute()
+            self._settled_ms = None
+        since_ms = self._culprits.get(fingerprint)
+        if since_ms is None or self._find_unexpired(fingerprint) is None:
+            return None
+        return now_ms - since_ms
 
     def expires_in_ms(self, fingerprint: str) -> int:
         """Returns the time until a suspect is forgotten; 0 for others."""
@@ -154,16 +135,30 @@
     def forget(self, fingerprint: str) -> tuple[str, ...]:
         """Removes a suspect and returns the upstreams that crashed."""
         suspect = self._suspects.pop(fingerprint, None)
-        return () if suspect is None else suspect.upstreams
+        if suspect is None:
+            return ()
+        self._note_removal(fingerprint)
+        return suspect.upstreams
 
     def forget_crash(self, fingerprint: str, upstream: str) -> None:
         """Removes one crash, and the suspect if it was the last one."""
         suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.attempts.pop(upstream, None)
+            self._note_removal(fingerprint)
+
+    def forget_before(self, fingerprint: str, time_ms: int) -> tuple[str, ...]:
+        """Removes the crashes before a monotonic time.
+
+        Returns the upstreams of the removed crashes.
+        """
+        suspect = self._suspects.get(fingerprint)
         if suspect is None:
-            return
-        suspect.attempts.pop(upstream, None)
-        if not suspect.attempts:
-            self._suspects.pop(fingerprint)
+            return ()
+        upstreams = suspect.pop_before(time_ms)
+        if upstreams:
+            self._note_removal(fingerprint)
+        return upstreams
 
     def expired(self) -> tuple[str, ...]:
         """Returns the fingerprints of suspects that are due to be removed."""
@@ -183,38 +178,58 @@
             SuspectState(
                 fingerprint=fingerprint,
                 upstreams=suspect.upstreams,
-                quarantined=suspect.is_quarantined,
+                quarantined=fingerprint in self._culprits,
                 expires_in_ms=self._remaining_ms(suspect),
             )
-            for fingerprint, suspect in self._unexpired()
-        )
-
-    def _unexpired(self) -> Iterable[tuple[str, _Suspect]]:
-        return (
-            (fingerprint, suspect)
             for fingerprint, suspect in self._suspects.items()
             if self._remaining_ms(suspect) > 0
         )
 
-    def _add(self, fingerprint: str) -> _Suspect:
-        self._suspects.pop(fingerprint, None)
+    def _add(self, fingerprint: str, part_position: int | None) -> CrashHistory:
+        self.forget(fingerprint)
         if self.is_full:
-            self._suspects.pop(self.oldest())
-        suspect = _Suspect()
+            self.forget(self.oldest())
+        suspect = CrashHistory(part_position=part_position)
         self._suspects[fingerprint] = suspect
         self._metrics.increment('quarantine_suspects')
         return suspect
 
-    def _find_unexpired(self, fingerprint: str) -> _Suspect | None:
+    def _note_removal(self, fingerprint: str) -> None:
+        """Updates what follows from a suspect that has lost crashes."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and not suspect.attempts:
+            self._suspects.pop(fingerprint)
+        if suspect is None or len(suspect.attempts) < 2:
+            self._repeated.discard(fingerprint)
+        if fingerprint in self._culprits:
+            self._attribute()
+
+    def _attribute(self) -> None:
+        """Puts the known crashes down to their most likely causes."""
+        now_ms = self._clock.monotonic_ms()
+        self._settled_ms = now_ms + SETTLING_MS if self._repeated else None
+        culprits = find_culprits(
+            {key: self._suspects[key] for key in self._repeated},
+            known=frozenset(self._culprits),
+            now_ms=now_ms,
+        )
+        for key in culprits.difference(self._culprits):
+            self._metrics.increment('quarantined')
+            self._log.changed(
+                'quarantined',
+                fingerprint=key,
+                upstreams=self._suspects[key].upstreams,
+            )
+        self._culprits = {
+            name: self._culprits.get(name, now_ms) for name in culprits
+        }
+
+    def _find_unexpired(self, fingerprint: str) -> CrashHistory | None:
         suspect = self._suspects.get(fingerprint)
         if suspect is None or self._remaining_ms(suspect) <= 0:
             return None
         return suspect
 
-    def _remaining_ms(self, suspect: _Suspect) -> int:
+    def _remaining_ms(self, suspect: CrashHistory) -> int:
         age_ms = self._clock.monotonic_ms() - suspect.last_crash_ms
         return self._expiry_ms - age_ms
-
-
-def _end_of(attempt: _Attempt) -> int:
-    return attempt.crashed_ms
