Clear a suspect of the own interface only after a run to a good end

What callers see: on the own interface too, a service call that crashes its upstreams runs again once an upstream has failed it.

Cause: the same as on the forwarding path: any answer of the service, also a 500, cleared the suspect. Found by looking for the cause elsewhere.

Change: answers of 500 and above clear nothing. Engine calls have no such answers: they finish or fail.

Evidence: service_calls.feature, statuses 500 and 503 failed before (2 of 4 examples).

--- a/teaseldale/entry/_service_call.py
+++ b/teaseldale/entry/_service_call.py
@@ -25,6 +25,8 @@
     fingerprint_of,
 )
 
+_FIRST_FAILURE_STATUS = 500
+
 
 @attrs.frozen(kw_only=True)
 class ServiceJob:
@@ -74,7 +76,8 @@
             outcome = await self._run_at(job, reservation, placement, attempts)
             await self._placer.end_trial(attempts)
             if not isinstance(outcome, Refusal):
-                await self._placer.note_success(attempts)
+                if outcome.status < _FIRST_FAILURE_STATUS:
+                    await self._placer.note_success(attempts)
                 return _make_outcome(outcome, reservation.tokens)
             attempts.note_failure(outcome, placement.upstream.name)
             if not self._may_retry(job, attempts, outcome):
