Put crashes down to suspects when one is looked up, not at each crash

What callers see: nothing yet; found by reading the fix of parts.

Cause: every reported crash and every cleared culprit searched all repeated suspects for the cause. A crash reports tens of suspects at once, up to 10,000 are kept, and 100 rows arrive with one answer of the store. A suspect that lost crashes without being a culprit started no search, so that what it had explained stayed unexplained until the next crash.

Change: each change marks the culprits as outdated; the next lookup searches once, and once more when the crashes have settled.

Evidence: all scenarios of crashes pass as before (52 scenarios in four features). A test step that read the former field counts the crashes itself now, as strict.

--- a/teaseldale/upstreams/_crash_suspects.py
+++ b/teaseldale/upstreams/_crash_suspects.py
@@ -6,6 +6,8 @@
 by an answer that began after the crash.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 from teaseldale.clock import BaseClock
@@ -59,8 +61,9 @@
         self._repeated: set[str] = set()  # suspects with several crashes
         # Quarantined suspects, with the monotonic time since when.
         self._culprits: dict[str, int] = {}
-        # Monotonic time at which all known crashes count; None once they do.
-        self._settled_ms: int | None = None
+        # Monotonic time from which the culprits are outdated; None if they are
+        # not. Crashes come in bursts, so that culprits are found on demand.
+        self._outdated_ms: int | None = None
         self._log = StateLog(channel='quarantine')
 
     @property
@@ -90,7 +93,7 @@
         )
         if len(suspect.attempts) > 1:
             self._repeated.add(fingerprint)
-            self._attribute()
+            self._outdated_ms = 0
 
     def crashes_of(self, fingerprint: str) -> tuple[ReportedCrash, ...]:
         """Returns the known crashes under a request."""
@@ -118,14 +121,10 @@
 
     def quarantined_ms(self, fingerprint: str) -> int | None:
         """Returns for how long a suspect is quarantined, or None."""
-        now_ms = self._clock.monotonic_ms()
-        if self._settled_ms is not None and now_ms > self._settled_ms:
-            self._attribute()
-            self._settled_ms = None
-        since_ms = self._culprits.get(fingerprint)
+        since_ms = self._find_culprits().get(fingerprint)
         if since_ms is None or self._find_unexpired(fingerprint) is None:
             return None
-        return now_ms - since_ms
+        return self._clock.monotonic_ms() - since_ms
 
     def expires_in_ms(self, fingerprint: str) -> int:
         """Returns the time until a suspect is forgotten; 0 for others."""
@@ -174,11 +173,12 @@
 
     def states(self) -> tuple[SuspectState, ...]:
         """Returns the states of all current suspects."""
+        culprits = self._find_culprits()
         return tuple(
             SuspectState(
                 fingerprint=fingerprint,
                 upstreams=suspect.upstreams,
-                quarantined=fingerprint in self._culprits,
+                quarantined=fingerprint in culprits,
                 expires_in_ms=self._remaining_ms(suspect),
             )
             for fingerprint, suspect in self._suspects.items()
@@ -199,15 +199,21 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and not suspect.attempts:
             self._suspects.pop(fingerprint)
+        if fingerprint in self._repeated:
+            self._outdated_ms = 0
         if suspect is None or len(suspect.attempts) < 2:
             self._repeated.discard(fingerprint)
-        if fingerprint in self._culprits:
-            self._attribute()
 
-    def _attribute(self) -> None:
-        """Puts the known crashes down to their most likely causes."""
+    def _find_culprits(self) -> Mapping[str, int]:
+        """Puts the known crashes down to their most likely causes.
+
+        Returns the quarantined suspects, with the monotonic time since when.
+        """
         now_ms = self._clock.monotonic_ms()
-        self._settled_ms = now_ms + SETTLING_MS if self._repeated else None
+        if self._outdated_ms is None or now_ms < self._outdated_ms:
+            return self._culprits
+        is_settling = self._outdated_ms == 0 and self._repeated
+        self._outdated_ms = now_ms + SETTLING_MS if is_settling else None
         culprits = find_culprits(
             {key: self._suspects[key] for key in self._repeated},
             known=frozenset(self._culprits),
@@ -223,6 +229,7 @@
         self._culprits = {
             name: self._culprits.get(name, now_ms) for name in culprits
         }
+        return self._culprits
 
     def _find_unexpired(self, fingerprint: str) -> CrashHistory | None:
         suspect = self._suspects.get(fingerprint)
--- a/teaseldale/upstreams/tests/steps_quarantine.py
+++ b/teaseldale/upstreams/tests/steps_quarantine.py
@@ -145,7 +145,7 @@
         quarantined_fingerprints = [
             fingerprint
             for fingerprint, suspect in quarantine._suspects._suspects.items()
-            if fingerprint in quarantine._suspects._culprits
+            if suspect.count((), until_ms=0) >= suspect.needed_crashes
             and len(suspect.upstreams) >= 2
         ]
         assert len(quarantined_fingerprints) == 1, (
