Do not count a crash under a suspect that has been answered since

What callers see: a request that many callers send is refused with crashes_runners for a moment, although it has completed since the crashes.

Cause: an examination may end seconds after the break. The report then came after the answer that would have cleared it. Class: evidence that is ordered by its arrival.

Answers are noted while a crash is known or examined.

--- a/teaseldale/forwarding/_break_examinations.py
+++ b/teaseldale/forwarding/_break_examinations.py
@@ -72,6 +72,11 @@
         self._has_open = anyio.Event()
         self._tasks: TaskGroup | None = None
 
+    @property
+    def is_running(self) -> bool:
+        """Returns whether any runner is under examination."""
+        return bool(self._by_incarnation)
+
     def start(self, tasks: TaskGroup) -> None:
         """Lets examinations run in ``tasks``."""
         self._tasks = tasks
--- a/teaseldale/forwarding/_crash_reports.py
+++ b/teaseldale/forwarding/_crash_reports.py
@@ -10,7 +10,6 @@
 from anyio.abc import TaskGroup
 
 from teaseldale.budgets import StoreAccess
-from teaseldale.forwarding._answered_parts import AnsweredParts
 from teaseldale.forwarding._break_examinations import (
     BreakExaminations,
     BrokenRequest,
@@ -24,6 +23,7 @@
     suspect_of,
     upstream_of,
 )
+from teaseldale.forwarding._recent_answers import RecentAnswers
 from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
@@ -58,7 +58,7 @@
         self._clock = store.clock
         self._metrics = store.metrics
         self._suspects = CrashSuspects(clock=self._clock, metrics=self._metrics)
-        self._answered = AnsweredParts(clock=self._clock)
+        self._answered = RecentAnswers(clock=self._clock)
         self._examinations = BreakExaminations(
             directory=directory,
             connections=connections,
@@ -90,8 +90,8 @@
 
     @property
     def has_suspects(self) -> bool:
-        """Returns whether any crash of a runner is known."""
-        return not self._suspects.is_empty
+        """Returns whether any crash of a runner is known or examined."""
+        return self._examinations.is_running or not self._suspects.is_empty
 
     async def start(self, tasks: TaskGroup) -> None:
         """Starts following and writing the rows."""
@@ -141,6 +141,7 @@
 
     def clear(self, fingerprint: str) -> None:
         """Clears a request that has run to a good end."""
+        self._answered.note(fingerprint, self._clock.monotonic_ms())
         upstreams = self._suspects.forget(fingerprint)
         if not upstreams:
             return
@@ -166,22 +167,26 @@
 
     def _report(self, runner: ForwardingRunner, request: BrokenRequest) -> None:
         upstream = runner.incarnation_name
-        age_ms = self._clock.monotonic_ms() - request.broken_ms
-        for suspect in request.suspects:
+        suspects = tuple(
+            suspect
+            for suspect in request.suspects
+            if not self._answered.has_since(suspect.key, request.broken_ms)
+        )
+        for suspect in suspects:
             self._record(
                 suspect.key,
                 ReportedCrash(
                     upstream=upstream,
                     running_ms=request.running_ms,
-                    age_ms=age_ms,
+                    age_ms=self._clock.monotonic_ms() - request.broken_ms,
                     part_position=suspect.part_position,
                 ),
             )
-        keys = tuple(reported.key for reported in request.suspects)
+        keys = tuple(reported.key for reported in suspects)
         self._log.changed(
             'runner_ended_under_request',
-            fingerprint=keys[0],
-            parts=keys[1:],
+            fingerprint=request.suspects[0].key,
+            suspects=keys,
             runner=upstream,
             running_ms=request.running_ms,
             quarantined=tuple(filter(self._suspects.is_quarantined, keys)),
