Retry once the runner of a broken connection has accepted a probe

What callers see: a request whose connection was reset is answered 100 ms later than needed.

Change: retries wait until a probe is answered, at most 100 ms as before.

--- a/teaseldale/forwarding/_break_examinations.py
+++ b/teaseldale/forwarding/_break_examinations.py
@@ -46,7 +46,8 @@
     end_ms: int  # monotonic; later evidence does not count
     requests: list[BrokenRequest] = attrs.field(factory=list)
     has_ended: bool | None = None  # None until decided
-    decided: anyio.Event = attrs.field(factory=anyio.Event)
+    # Set once it is decided or a probe is answered; retries wait for it.
+    answered: anyio.Event = attrs.field(factory=anyio.Event)
 
 
 class BreakExaminations:
@@ -87,9 +88,10 @@
         runner: ForwardingRunner,
         request: BrokenRequest,
     ) -> None:
-        """Waits for a decision, which may also come later.
+        """Waits until a probe is answered, for a short time.
 
-        The request counts even if its caller leaves in the meantime.
+        The decision may come later; the request counts even if its caller
+        leaves in the meantime.
         """
         if self._tasks is None or self._request_count >= _MAX_REQUESTS:
             self._metrics.increment('broken_requests', 'not_examined')
@@ -109,7 +111,7 @@
         self._request_count += 1
         examination.requests.append(request)
         with anyio.move_on_after(_PROBE_TIMEOUT_MS / _MS_PER_SECOND):
-            await examination.decided.wait()
+            await examination.answered.wait()
 
     async def _probe(self, examination: _Examination) -> None:
         """Probes the runner until a probe is answered.
@@ -124,6 +126,7 @@
                 _PROBE_TIMEOUT_MS,
             )
             if outcome is ProbeOutcome.ACCEPTED:
+                examination.answered.set()
                 return
             if outcome is ProbeOutcome.REFUSED:
                 self._decide(examination, has_ended=True)
@@ -155,7 +158,7 @@
         if examination.has_ended is not None:
             return
         examination.has_ended = has_ended
-        examination.decided.set()
+        examination.answered.set()
         for request in examination.requests:
             self._request_count -= 1
             self._conclude(examination, request)
--- a/teaseldale/forwarding/tests/missed_crashes.feature
+++ b/teaseldale/forwarding/tests/missed_crashes.feature
@@ -101,3 +101,9 @@
       | 0          |
       | 0.7        |
       | 1          |
+
+  # Guards against retries that wait for the whole examination of a living runner.
+  Scenario: A retry is sent once the runner of a reset connection accepts a probe
+    Given 1 VMs that forward "safe" requests to 3 runners
+    When the connection of a request is reset 40 ms after its start
+    Then its caller is answered within 150 ms of the reset
--- a/teaseldale/forwarding/tests/steps_missed_crashes.py
+++ b/teaseldale/forwarding/tests/steps_missed_crashes.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from teaseldale.forwarding.tests.crashing_fleet import CRASHING_BODY
+from teaseldale.forwarding.tests.fleet_world import now_ms
 from teaseldale.forwarding.tests.steps_crashing_requests import (
     _REPEAT_MS,
     _REPEATED_COUNT,
@@ -125,3 +126,25 @@
     assert not context.fleet.crashes
     assert context.fleet.reset_count > 50, context.fleet.reset_count
     assert not stored_crashes(context.fleet)
+
+
+@when('the connection of a request is reset {after_ms:d} ms after its start')
+def reset_one(context, after_ms):
+    async def scenario(world):
+        world.tasks.start_soon(world.vms[0].ask, b'')
+        await anyio.sleep(after_ms / 1000)
+        context.reset_ms = now_ms()
+        for runner in world.runners.values():
+            runner.reset()
+
+    context.fleet.sends_others = False
+    play(context, scenario)
+
+
+@then('its caller is answered within {limit_ms:d} ms of the reset')
+def answered_soon(context, limit_ms):
+    (caller,) = context.fleet.callers
+    assert context.fleet.reset_count == 1
+    assert caller.status == 200
+    waited_ms = caller.answered_ms - context.reset_ms
+    assert waited_ms <= limit_ms, waited_ms
