Wait for the stand-in engines of a fleet before it is used

Cause, by reading: Fleet.start waited for the store and the VMs only, and on a busy machine an engine may listen later.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -141,7 +141,8 @@
         for index, address in enumerate(self.engines):
             self.start_engine(index, address)
         self._spawn('service', 'standin', 'service', '--address', self.service)
-        wait_for_port(self.platform)
+        for address in (self.platform, self.service, *self.engines):
+            wait_for_port(address)
         for vm in self.vms:
             self.start_vm(vm)
         for vm in self.vms:
