--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -2,6 +2,7 @@
 
 STAMP = (b'x-server-stamp', b'stamp')
 NOT_RUN = (b'x-not-executed', b'1')
+LEAVING = (b'server-leaving', b'1')
 CALLER_HEADERS = (
     (b'host', b'h'),
     (b'x-request-id', b'r-1'),
