Send nothing to runners that have announced in answers that they leave

Callers saw requests end with runners that had said that they leave. Cause: no line read the announcement; a VM learned of a leaving runner from its entry only.

Announcements now have one type, which the adapter decodes from the head of each answer, and one place that applies them to the incarnation that made them: limits as before, and leaving in the directory, which all choices, retries, resumed streams, sources of fetched prompts and crash examinations already go by. Answers to other requests count, answers of another runner at the address (421) do not. The mark outlives a rewritten or lapsed entry and ends with the incarnation. A leaving runner is also no longer the source of a fetched prompt.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -27,6 +27,7 @@
     MoveStore,
     NodeSettings,
     RequestLog,
+    RunnerAnnouncements,
     RunnerConnectionPools,
     RunnerDirectory,
     VersionMoves,
@@ -179,6 +180,16 @@
     directory = RunnerDirectory()
     cells = FleetCells(members=members, vm_name=settings.name)
     connections = RunnerConnectionPools(clock=clock, metrics=metrics)
+    limits = RunnerLimits(
+        vm_name=settings.name,
+        holders=CellLimitHolders(
+            members=members,
+            cells=cells,
+            directory=directory,
+        ),
+        clock=clock,
+        metrics=metrics,
+    )
     return ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=ConfigurationHolder(),
@@ -193,14 +204,10 @@
             window_ms=bounds.window_ms,
             vm_count=lambda: members.vm_count,
         ),
-        limits=RunnerLimits(
-            vm_name=settings.name,
-            holders=CellLimitHolders(
-                members=members,
-                cells=cells,
-                directory=directory,
-            ),
-            clock=clock,
+        limits=limits,
+        announcements=RunnerAnnouncements(
+            directory=directory,
+            limits=limits,
             metrics=metrics,
         ),
         crashes=CrashReports(
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -30,6 +30,7 @@
     RetryLimits,
 )
 from teaseldale.forwarding._request_log import RequestLog
+from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import (
     ForwardingRunner,
     RunnerDirectory,
@@ -43,6 +44,7 @@
 from teaseldale.forwarding._vm_datagrams import VmDatagrams
 from teaseldale.forwarding._vm_load import VmLoadReporter
 from teaseldale.forwarding._wire import (
+    Announcement,
     BaseWireFormat,
     ClientRequest,
     Dispatch,
@@ -53,6 +55,7 @@
 
 __all__ = (
     'Address',
+    'Announcement',
     'BaseFleetFormat',
     'BaseOrderStatus',
     'BaseWireFormat',
@@ -81,6 +84,7 @@
     'RetryPolicy',
     'RequestLog',
     'RetryLimits',
+    'RunnerAnnouncements',
     'RunnerDirectory',
     'RunnerLoad',
     'RunnerReply',
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -18,6 +18,7 @@
     RunnerAnswer,
     RunnerMessage,
     UpstreamError,
+    WireHeaders,
 )
 
 _FIRST_FAILURE_STATUS = 500
@@ -86,7 +87,7 @@
                     headers=self._parts.wire.runner_headers(request, dispatch),
                     body=body,
                 ),
-                belongs=functools.partial(self._parts.wire.answers, request),
+                belongs=functools.partial(self._belongs, request),
                 timeout_ms=dispatch.left_ms,
             )
         except UpstreamError as error:
@@ -96,10 +97,7 @@
         if reply.is_misdirected:
             self._parts.choice.mark_unreachable(self.runner.runner_id)
         else:
-            self._parts.limits.note_answer(
-                self.runner.incarnation_name,
-                reply.limit_per_s,
-            )
+            self._note_announcement(reply)
         if reply.is_not_run:
             answer.release()
             return NotRun(
@@ -134,9 +132,9 @@
         if source_id is None:
             return None
         source = self._parts.directory.find(source_id)
-        if source is None or self._parts.limits.is_limited(
-            source.incarnation_name,
-        ):
+        if source is None or source.is_leaving:
+            return None
+        if self._parts.limits.is_limited(source.incarnation_name):
             return None
         return source.address
 
@@ -177,6 +175,29 @@
         """Records that the answer ended before it was complete."""
         self._note_outcome(has_failed=True)
 
+    def _belongs(
+        self,
+        request: ClientRequest,
+        status: int,
+        headers: WireHeaders,
+    ) -> bool:
+        """Returns whether an answer is the request's.
+
+        An answer to another request still says what its runner announces.
+        """
+        is_own = self._parts.wire.answers(request, status, headers)
+        if not is_own:
+            reply = self._parts.wire.read_reply(status, headers)
+            if not reply.is_misdirected:
+                self._note_announcement(reply)
+        return is_own
+
+    def _note_announcement(self, reply: RunnerReply) -> None:
+        self._parts.announcements.note_answer(
+            self.runner,
+            reply.announcement,
+        )
+
     def _note_answer(self) -> None:
         if self._answer_began_ms is None:
             self._answer_began_ms = self._parts.clock.monotonic_ms()
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -9,6 +9,7 @@
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._crash_reports import CrashReports
+from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import RunnerDirectory
 from teaseldale.forwarding._version_moves import VersionMoves
 from teaseldale.forwarding._wire import BaseWireFormat
@@ -31,6 +32,7 @@
     retries: RetryWindow
     crashes: CrashReports
     limits: RunnerLimits
+    announcements: RunnerAnnouncements
     grants: AccountGrants
     moves: VersionMoves
     clock: BaseClock
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -7,6 +7,8 @@
 from teaseldale.forwarding._node import Address
 
 _INCARNATION_SEPARATOR = '@'
+# Latest announcements kept; an entry may lapse and be written again.
+_MAX_LEAVING = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +54,9 @@
         self._by_service: dict[str, tuple[ForwardingRunner, ...]] = {}
         # Start of the latest incarnation, by service and address.
         self._latest_starts_ms: dict[tuple[str, Address], int] = {}
+        # Incarnations that have announced outside their entries that they
+        # leave, the latest last.
+        self._leaving: dict[str, None] = {}
         # Unproven versions by service.
         self._withheld_versions: dict[str, str] = {}
         # Proven versions by service.
@@ -103,7 +108,10 @@
 
     def replace_all(self, runners: Iterable[ForwardingRunner]) -> None:
         """Replaces the directory with a full read of the runner table."""
-        self._runners = {runner.runner_id: runner for runner in runners}
+        self._runners = {
+            runner.runner_id: self._with_announcement(runner)
+            for runner in runners
+        }
         self.is_known = True
         self._rebuild_index()
 
@@ -116,8 +124,36 @@
             if runner is None:
                 self._runners.pop(runner_id, None)
             else:
-                self._runners[runner_id] = runner
+                self._runners[runner_id] = self._with_announcement(runner)
+        self._rebuild_index()
+
+    def accepts_requests(self, runner: ForwardingRunner) -> bool:
+        """Returns whether an incarnation is registered and not leaving."""
+        known = self.find_incarnation(runner.incarnation_name)
+        return known is not None and not known.is_leaving
+
+    def mark_leaving(self, name: str) -> bool:
+        """Marks an incarnation as leaving, whatever its entry says.
+
+        Returns whether that is new.
+        """
+        if name in self._leaving:
+            return False
+        while len(self._leaving) >= _MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
+        self._leaving[name] = None
+        runner = self.find_incarnation(name)
+        if runner is None or runner.is_leaving:
+            return False
+        self._runners[runner.runner_id] = self._with_announcement(runner)
         self._rebuild_index()
+        return True
+
+    def announced_leaving(self) -> tuple[str, ...]:
+        """Returns the registered incarnations marked by ``mark_leaving``."""
+        return tuple(
+            name for name in self._leaving if self.find_incarnation(name)
+        )
 
     def withhold_version(self, service: str, version: str) -> None:
         """Excludes an unproven version from regular traffic.
@@ -141,6 +177,11 @@
         self._only_versions.pop(service, None)
         self._rebuild_index()
 
+    def _with_announcement(self, runner: ForwardingRunner) -> ForwardingRunner:
+        if runner.incarnation_name in self._leaving:
+            return attrs.evolve(runner, is_leaving=True)
+        return runner
+
     def _rebuild_index(self) -> None:
         grouped: dict[str, list[ForwardingRunner]] = {}
         latest_ms: dict[tuple[str, Address], int] = {}
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -62,6 +62,16 @@
     slot_count: int
 
 
+@attrs.frozen(kw_only=True)
+class Announcement:
+    """What a runner says of itself in the head of an answer."""
+
+    # Requests per second that it accepts from all VMs together; None if it
+    # names no limit.
+    limit_per_s: float | None = None
+    is_leaving: bool = False  # whether it gets no new requests
+
+
 @attrs.frozen(kw_only=True)
 class RunnerReply:
     """Decoded head of a runner's answer."""
@@ -70,9 +80,7 @@
     is_not_run: bool  # whether the runner states that it did not run it
     is_misdirected: bool = False  # whether it is not the intended runner
     load: RunnerLoad | None = None
-    # Requests per second that the runner accepts from all VMs together; None if
-    # it names no limit.
-    limit_per_s: float | None = None
+    announcement: Announcement = Announcement()
 
 
 class BaseWireFormat(abc.ABC):
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -31,6 +31,7 @@
     RequestLog,
     RetryLimits,
     RetryPolicy,
+    RunnerAnnouncements,
     RunnerDirectory,
     VersionMoves,
     WeightedService,
@@ -173,6 +174,16 @@
     random_source = random.Random(options.seed)
     store = StoreAccess(table=table, feed=table, clock=clock, metrics=metrics)
     cells = FleetCells(members=members, vm_name=options.vm_name)
+    limits = RunnerLimits(
+        vm_name=options.vm_name,
+        holders=CellLimitHolders(
+            members=members,
+            cells=cells,
+            directory=directory,
+        ),
+        clock=clock,
+        metrics=metrics,
+    )
     parts = ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=holder,
@@ -187,14 +198,10 @@
             window_ms=10_000,
             vm_count=lambda: len(members.entries()),
         ),
-        limits=RunnerLimits(
-            vm_name=options.vm_name,
-            holders=CellLimitHolders(
-                members=members,
-                cells=cells,
-                directory=directory,
-            ),
-            clock=clock,
+        limits=limits,
+        announcements=RunnerAnnouncements(
+            directory=directory,
+            limits=limits,
             metrics=metrics,
         ),
         crashes=CrashReports(
--- a/teaseldale/forwarding/tests/leaving_fleet.py
+++ b/teaseldale/forwarding/tests/leaving_fleet.py
@@ -38,6 +38,7 @@
     'server errors': LeavingAnswer(status=500),
     'answers that break off': LeavingAnswer(breaks=True),
     'answers to other requests': LeavingAnswer(is_crossed=True),
+    'misdirected answers': LeavingAnswer(status=421, is_rejection=True),
 }
 
 
--- a/teaseldale/forwarding/tests/leaving_runners.feature
+++ b/teaseldale/forwarding/tests/leaving_runners.feature
@@ -2,7 +2,6 @@
 
   # Guards against requests to a runner that has announced in an answer that it
   # leaves, while its entry in the store still says that it takes requests.
-  @known_red
   Scenario Outline: <vms> VMs send nothing to runners that announce their leaving in <answers>
     Given <vms> VMs that send <per_s> requests per second to <runners> runners, some of which leave
     When <count> of the runners announce their leaving in <answers>
@@ -20,7 +19,6 @@
 
   # Guards against an announcement that is forgotten when the runner's entry is
   # written again or lapses for a while, as after an outage of the store.
-  @known_red
   Scenario: A runner that leaves gets nothing after its entry has been written again
     Given 8 VMs that send 45 requests per second to 6 runners, some of which leave
     When 2 of the runners announce their leaving in complete answers and their entries are written again
@@ -29,9 +27,15 @@
 
   # Guards against a refusal without a retry time, or after a long wait, once
   # nothing can take the request.
-  @known_red
   Scenario: Requests are refused at once when all runners leave
     Given 8 VMs that send 45 requests per second to 6 runners, some of which leave
     When 6 of the runners announce their leaving in complete answers
     Then no VM sends them a request that came later than 100 ms after such an answer
     And requests that no runner takes are refused at once, to come back
+
+  # Guards against an announcement that counts for the runner that had the address
+  # before, or that is expected there.
+  Scenario: Another runner at an address announces its own leaving
+    Given 8 VMs that send 45 requests per second to 6 runners, some of which leave
+    When 2 of the runners announce their leaving in misdirected answers
+    Then no runner counts as leaving
--- a/teaseldale/forwarding/tests/steps_leaving_runners.py
+++ b/teaseldale/forwarding/tests/steps_leaving_runners.py
@@ -97,3 +97,9 @@
         assert float(caller.headers[b'retry-after']) > 0
         waited_ms = caller.answered_ms - caller.asked_ms
         assert waited_ms <= _AT_ONCE_MS, waited_ms
+
+
+@then('no runner counts as leaving')
+def none_leaving(context):
+    for vm in context.fleet.vms:
+        assert not vm.parts.announcements.leaving(), vm.number
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -3,6 +3,7 @@
 import math
 
 from teaseldale.forwarding import (
+    Announcement,
     BaseWireFormat,
     ClientRequest,
     Dispatch,
@@ -23,6 +24,8 @@
 _FETCH_FROM = b'kv-fetch'
 _NOT_EXECUTED = b'x-not-executed'
 _LIMIT = b'server-limit'  # of the sending runner, for all VMs together
+_LEAVING = b'server-leaving'  # of the sending runner
+_IS_SET = '1'
 _AUTHORIZATION = b'authorization'
 _BEARER_PREFIX = b'bearer '
 _STATUS_MISDIRECTED = 421
@@ -152,7 +155,10 @@
             is_not_run=is_not_run or status == _STATUS_MISDIRECTED,
             is_misdirected=status == _STATUS_MISDIRECTED,
             load=_load_of(_header_text(headers, b'x-instance-load')),
-            limit_per_s=_limit_of(_header_text(headers, _LIMIT)),
+            announcement=Announcement(
+                limit_per_s=_limit_of(_header_text(headers, _LIMIT)),
+                is_leaving=_header_text(headers, _LEAVING).strip() == _IS_SET,
+            ),
         )
 
     def caller_headers(self, headers: WireHeaders) -> WireHeaders:
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -158,3 +158,14 @@
       | many | none  |
       | nan  | none  |
       | -1   | none  |
+
+  Scenario Outline: An announcement of leaving that is "<text>" is decoded as <decoded>
+    Given an answer whose runner announces its leaving as "<text>"
+    Then the answer is decoded as one of a runner that is <decoded>
+
+    Examples:
+      | text | decoded     |
+      | 1    | leaving     |
+      | 0    | not leaving |
+      | none | not leaving |
+      | soon | not leaving |
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -119,6 +119,7 @@
     'x-tenant',
     'x-instance-load',
     'server-limit',
+    'server-leaving',
     'x-instance-id',
     'x-request-priority',
     'rows-tx',
@@ -549,4 +550,16 @@
 @then('the decoded limit is {limit}')
 def decoded_limit(context, limit):
     expected = None if limit == 'none' else float(limit)
-    assert context.reply.limit_per_s == expected, context.reply
+    assert context.reply.announcement.limit_per_s == expected, context.reply
+
+
+@given('an answer whose runner announces its leaving as "{text}"')
+def answer_with_leaving(context, text):
+    headers = () if text == 'none' else ((b'server-leaving', text.encode()),)
+    context.reply = PlatformWireFormat().read_reply(200, headers)
+
+
+@then('the answer is decoded as one of a runner that is {decoded}')
+def decoded_leaving(context, decoded):
+    expected = decoded == 'leaving'
+    assert context.reply.announcement.is_leaving is expected, context.reply
