Pass on which runners have announced that they leave

A VM found out by a request of its own that a runner leaves, once for each VM. Placement notices now list the incarnations (the 20 latest, about 25 bytes each) that the sender knows to have announced it. Each notice replaces the one before, so a lost datagram is made up for within a second.

Mixed builds: the field is the last of an array-like message. An older VM ignores it, and a notice without it is decoded as an empty list. Entries in the store bind all VMs as before.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -103,6 +103,7 @@
             exchange=PlacementExchange(
                 vm_name=settings.name,
                 choice=parts.choice,
+                leaving_runners=parts.announcements,
                 clock=clock,
             ),
             cells=parts.cells,
--- a/teaseldale/forwarding/_runner_announcements.py
+++ b/teaseldale/forwarding/_runner_announcements.py
@@ -6,13 +6,13 @@
 from teaseldale.forwarding._wire import Announcement
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.routing import RunnerLimits
+from teaseldale.routing import BaseLeavingRunners, RunnerLimits
 
 _FROM_ANSWER = 'answer'
 _FROM_VM = 'vm'
 
 
-class RunnerAnnouncements:
+class RunnerAnnouncements(BaseLeavingRunners):
     """Applies announcements, each to the incarnation that made it."""
 
     def __init__(
--- a/teaseldale/forwarding/tests/leaving_fleet.py
+++ b/teaseldale/forwarding/tests/leaving_fleet.py
@@ -15,10 +15,13 @@
     NOT_RUN,
     request_id_of,
 )
+from teaseldale.routing import PlacementExchange
 
 _WORK_MS = 80
 _SLOT_COUNT = 16
 _LINK_MS = 2
+_DATAGRAM_MS = 3
+_COALESCE_MS = 30
 
 
 @attrs.frozen(kw_only=True)
@@ -63,6 +66,8 @@
             )
         )
         kind = self.leaving_answer
+        if vm_number not in self.fleet.announced_to:
+            kind = None
         await anyio.sleep(_WORK_MS / 1000)
         if kind is None:
             return ScriptedAnswer(status=200, parts=[b'the ', b'body'])
@@ -118,11 +123,43 @@
 
     def __init__(self, *, vm_count, runner_count, kind):
         super().__init__(vm_count=vm_count, kind=kind)
+        self.exchanges = {}
         self.runners = {
             f'i-{number}': LeavingRunner(number=number, fleet=self)
             for number in range(runner_count)
         }
 
+        self.loss_share = 0  # of the datagrams between VMs
+        # VMs whose answers hold the announcement.
+        self.announced_to = range(vm_count)
+
+    async def start_vm(self, number):
+        """Starts one VM, which exchanges notices with the others."""
+        vm = await super().start_vm(number)
+        exchange = PlacementExchange(
+            vm_name=f'vm-{number}',
+            choice=vm.parts.choice,
+            leaving_runners=vm.parts.announcements,
+            clock=vm.parts.clock,
+        )
+        self.exchanges[number] = exchange
+        self.tasks.start_soon(self._broadcast, number, exchange)
+        return vm
+
+    async def _broadcast(self, number, exchange):
+        while True:
+            await exchange.wait_for_change()
+            await anyio.sleep(_COALESCE_MS / 1000)
+            notice = exchange.next_notice()
+            if notice is not None:
+                await self._deliver(number, notice)
+
+    async def _deliver(self, sender, notice):
+        await anyio.sleep(_DATAGRAM_MS / 1000)
+        for number, exchange in self.exchanges.items():
+            if number != sender and self.random.random() >= self.loss_share:
+                exchange.apply_notice(notice)
+
     def connections_of(self, vm_number):
         """Returns the runner connections of a VM."""
         return LeavingConnections(fleet=self, vm_number=vm_number)
--- a/teaseldale/forwarding/tests/leaving_runners.feature
+++ b/teaseldale/forwarding/tests/leaving_runners.feature
@@ -39,3 +39,12 @@
     Given 8 VMs that send 45 requests per second to 6 runners, some of which leave
     When 2 of the runners announce their leaving in misdirected answers
     Then no runner counts as leaving
+
+  # Guards against VMs that find out one after the other, each by a request of
+  # its own, that a runner leaves.
+  Scenario: A VM without an answer of a leaving runner learns of it from another VM
+    Given 8 VMs that send 45 requests per second to 6 runners, some of which leave
+    And 30 in 100 datagrams between them are lost
+    When 2 of the runners announce their leaving to one VM only
+    Then no VM sends them a request that came later than 2000 ms after the first such answer
+    And at least 99 in 100 requests to the leaving fleet are served
--- a/teaseldale/forwarding/tests/steps_leaving_runners.py
+++ b/teaseldale/forwarding/tests/steps_leaving_runners.py
@@ -51,6 +51,33 @@
     play(context, scenario)
 
 
+@given('{share:d} in 100 datagrams between them are lost')
+def lost_datagrams(context, share):
+    context.fleet.loss_share = share / 100
+
+
+@when('{count:d} of the runners announce their leaving to one VM only')
+def some_leave_for_one(context, count):
+    context.fleet.announced_to = (0,)
+    some_leave(context, count, 'complete answers')
+
+
+@then(
+    'no VM sends them a request that came later than {slack_ms:d} ms after '
+    'the first such answer'
+)
+def nothing_sent_late_by_others(context, slack_ms):
+    world = context.fleet
+    leaving = [
+        runner for runner in world.runners.values() if runner.announced_ms
+    ]
+    assert leaving
+    for runner in leaving:
+        first_ms = min(runner.announced_ms.values())
+        runner.announced_ms = dict.fromkeys(range(len(world.vms)), first_ms)
+    nothing_sent_late(context, slack_ms)
+
+
 def late_arrivals(world, slack_ms):
     """Returns the arrivals of requests that came after an announcement."""
     asked_ms = {caller.request_id: caller.asked_ms for caller in world.callers}
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -16,7 +16,10 @@
         RoundRobinChoice,
     )
     from teaseldale.routing._fleet_router import FleetRouter
-    from teaseldale.routing._placement_notices import PlacementExchange
+    from teaseldale.routing._placement_notices import (
+        BaseLeavingRunners,
+        PlacementExchange,
+    )
     from teaseldale.routing._pool import (
         Runner,
         UpstreamPool,
@@ -67,7 +70,10 @@
             'RoundRobinChoice',
         ),
         'teaseldale.routing._fleet_router': ('FleetRouter',),
-        'teaseldale.routing._placement_notices': ('PlacementExchange',),
+        'teaseldale.routing._placement_notices': (
+            'BaseLeavingRunners',
+            'PlacementExchange',
+        ),
         'teaseldale.routing._pool': (
             'Runner',
             'UpstreamPool',
@@ -111,6 +117,7 @@
     'LEASE_VALIDITY_MS',
     'AffinityChoice',
     'BacklogChoice',
+    'BaseLeavingRunners',
     'BaseLimitHolders',
     'BaseRouter',
     'BaseUpstreamChoice',
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -5,6 +5,7 @@
 the next datagram compensates for a lost one.
 """
 
+import abc
 from collections.abc import Iterable
 
 import anyio
@@ -23,6 +24,7 @@
 # expiry time, so that one lost datagram does not expire them.
 _RESEND_INTERVAL_MS = 1000
 _MAX_NOTICE_PARTS = 40  # newest parts in each datagram; bounds its size
+_MAX_NOTICE_LEAVING = 20  # newest leaving runners in each datagram
 
 
 class RunnerCounts(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -51,6 +53,9 @@
     vm_name: str
     counts: tuple[RunnerCounts, ...]  # all runners with work of this VM
     new_parts: tuple[ReadPart, ...]  # since the sender's previous notice
+    # Incarnations that have announced in answers that they leave. VMs of
+    # earlier versions send none, and ignore those of others.
+    leaving: tuple[str, ...] = ()
 
 
 @attrs.define(kw_only=True)
@@ -59,6 +64,18 @@
     heard_ms: int
 
 
+class BaseLeavingRunners(abc.ABC):
+    """Runners that have announced in answers that they leave."""
+
+    @abc.abstractmethod
+    def leaving(self) -> tuple[str, ...]:
+        """Returns the incarnations, the latest last."""
+
+    @abc.abstractmethod
+    def note_leaving(self, names: Iterable[str]) -> None:
+        """Applies what another VM has read in answers of runners."""
+
+
 class PlacementExchange:
     """Encodes this VM's notices and applies those of other VMs."""
 
@@ -67,15 +84,18 @@
         *,
         vm_name: str,
         choice: BacklogChoice,
+        leaving_runners: BaseLeavingRunners,
         clock: BaseClock,
     ) -> None:
         """Reads local counts from ``choice`` and writes remote ones to it."""
         self._vm_name = vm_name
         self._choice = choice
+        self._leaving_runners = leaving_runners
         self._clock = clock
         self._remote_counts: dict[str, _RemoteCounts] = {}
         self._last_received_ms: dict[str, int] = {}  # by VM; kept on expiry
         self._last_counts: tuple[RunnerCounts, ...] = ()
+        self._last_leaving: tuple[str, ...] = ()
         self._last_sent_ms = clock.monotonic_ms()
         self._change_event = anyio.Event()
         choice.add_change_listener(lambda: self._change_event.set())
@@ -98,11 +118,18 @@
             if backlog.running_count
         )
         parts = self._choice.take_new_parts(_MAX_NOTICE_PARTS)
+        leaving = self._leaving_runners.leaving()[-_MAX_NOTICE_LEAVING:]
         now_ms = self._clock.monotonic_ms()
         is_due = now_ms - self._last_sent_ms >= _RESEND_INTERVAL_MS
-        if counts == self._last_counts and not parts and not is_due:
+        has_changed = bool(
+            counts != self._last_counts
+            or parts
+            or leaving != self._last_leaving
+        )
+        if not (has_changed or is_due):
             return None
         self._last_counts = counts
+        self._last_leaving = leaving
         self._last_sent_ms = now_ms
         return msgspec.msgpack.encode(
             PlacementNotice(
@@ -112,6 +139,7 @@
                     ReadPart(runner=runner, part_id=part_id)
                     for runner, part_id in parts
                 ),
+                leaving=leaving,
             ),
         )
 
@@ -131,6 +159,7 @@
         )
         for part in notice.new_parts:
             self._choice.note_remote_part(part.runner, part.part_id)
+        self._leaving_runners.note_leaving(notice.leaving)
         self._recount()
 
     def silent_for(
--- a/teaseldale/routing/tests/steps_backlog.py
+++ b/teaseldale/routing/tests/steps_backlog.py
@@ -9,6 +9,7 @@
 
 from teaseldale.routing import (
     BacklogChoice,
+    BaseLeavingRunners,
     PlacementExchange,
     PlannedWork,
     SharedPart,
@@ -60,6 +61,17 @@
     )
 
 
+class _LeavingRunners(BaseLeavingRunners):
+    def __init__(self):
+        self.names = ()
+
+    def leaving(self):
+        return self.names
+
+    def note_leaving(self, names):
+        self.names = tuple(names)
+
+
 @given('{count:d} runners with {slots:d} slots')
 def some_runners(context, count, slots):
     context.clock = _ManualClock()
@@ -74,11 +86,13 @@
     context.exchange = PlacementExchange(
         vm_name='vm-1',
         choice=context.view.choice,
+        leaving_runners=_LeavingRunners(),
         clock=context.clock,
     )
     context.other_exchange = PlacementExchange(
         vm_name='vm-2',
         choice=context.other.choice,
+        leaving_runners=_LeavingRunners(),
         clock=context.clock,
     )
 
