--- a/teaseldale/fakes/__init__.py
+++ b/teaseldale/fakes/__init__.py
@@ -3,7 +3,11 @@
 from teaseldale.fakes._pause import PauseGate
 from teaseldale.fakes._peers import FakePeerFabric, FakePeerNetwork
 from teaseldale.fakes._table import FakeTableService
-from teaseldale.fakes._virtual_time import VirtualClock, run_in_virtual_time
+from teaseldale.fakes._virtual_time import (
+    VirtualClock,
+    keep_loop_busy,
+    run_in_virtual_time,
+)
 
 __all__ = (
     'FakePeerFabric',
@@ -11,5 +15,6 @@
     'FakeTableService',
     'PauseGate',
     'VirtualClock',
+    'keep_loop_busy',
     'run_in_virtual_time',
 )
--- a/teaseldale/fakes/_virtual_time.py
+++ b/teaseldale/fakes/_virtual_time.py
@@ -39,6 +39,9 @@
     def time(self) -> float:
         return self._time_selector.now_seconds
 
+    def advance(self, duration_seconds: float) -> None:
+        self._time_selector.now_seconds += duration_seconds
+
 
 class VirtualClock(BaseClock):
     """Virtual clock of one VM; no sleep ends while the VM is paused."""
@@ -67,6 +70,17 @@
         await self._gate.wait_while_paused()
 
 
+def keep_loop_busy(duration_ms: float) -> None:
+    """Advances virtual time as a callback does that does not return.
+
+    Timers that expire meanwhile run afterwards.
+    """
+    loop = asyncio.get_running_loop()
+    if not isinstance(loop, _VirtualTimeLoop):
+        raise TypeError('the running loop has no virtual time')
+    loop.advance(duration_ms / _MS_PER_SECOND)
+
+
 def run_in_virtual_time(
     function: Callable[[], Awaitable[_ResultT]],
 ) -> _ResultT:
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -45,3 +45,8 @@
 def last_event_id_of(message):
     """Returns the event after which a request resumes a stream, or 0."""
     return int(dict(message.headers).get(b'last-event-id', 0))
+
+
+def deadline_ms_of(message):
+    """Returns the time that a runner gets for a request."""
+    return int(dict(message.headers)[b'x-deadline-ms'])
