Do not send requests whose time is over

Cause: the deadline was only a timer, which a busy loop runs late, and a request without time left was sent with 1 ms.

The message is now made once the connection is open, right before it is written: with the time that is left then, or not at all. A request whose time is over ends with deadline_exceeded, not run if no runner has got it. The counter is requests_withheld, reason time_over.

The examples of the two scenarios failed before and pass now.

--- a/teaseldale/forwarding/_admission.py
+++ b/teaseldale/forwarding/_admission.py
@@ -3,6 +3,7 @@
 import attrs
 
 from teaseldale.budgets import AccountReservation
+from teaseldale.clock import BaseClock
 from teaseldale.forwarding._configuration import (
     ForwardingConfiguration,
     ForwardingRoute,
@@ -39,6 +40,10 @@
             return self.route.priority
         return self.account.priority
 
+    def left_ms(self, clock: BaseClock) -> int:
+        """Returns the time until the deadline, at least 0."""
+        return max(0, int(self.deadline_at_ms - clock.monotonic_ms()))
+
 
 class RequestAdmission:
     """Checks requests against the configuration in force."""
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt to run a request on one runner."""
 
 import functools
+from collections.abc import Callable
 
 import attrs
 
@@ -49,6 +50,15 @@
     reply: RunnerReply
 
 
+class WithheldError(Exception):
+    """A request may no longer be sent to the runner selected for it."""
+
+    def __init__(self, reason: str) -> None:
+        """Stores the reason, which is also the label of a counter."""
+        super().__init__(reason)
+        self.reason = reason
+
+
 class Attempt:
     """Sends a request to a runner and accounts for it in the backlog."""
 
@@ -75,21 +85,24 @@
         self,
         request: ClientRequest,
         body: bytes,
-        dispatch: Dispatch,
+        *,
+        dispatch: Callable[[], Dispatch],
+        timeout_ms: float,
     ) -> NotRun | BrokeOff | Replied:
-        """Sends the request and waits for the answer's head."""
+        """Sends the request and waits for the answer's head.
+
+        ``dispatch`` is called right before the request is written.
+        """
         connections = self._parts.connections.pool_for(self.runner)
         try:
             answer = await connections.send(
-                RunnerMessage(
-                    method=request.method,
-                    target=request.target,
-                    headers=self._parts.wire.runner_headers(request, dispatch),
-                    body=body,
-                ),
+                functools.partial(self._prepare, request, body, dispatch),
                 belongs=functools.partial(self._belongs, request),
-                timeout_ms=dispatch.left_ms,
+                timeout_ms=timeout_ms,
             )
+        except WithheldError as error:
+            self._parts.metrics.increment('requests_withheld', error.reason)
+            return NotRun(reason=error.reason, has_arrived=False)
         except UpstreamError as error:
             return self._outcome_of_error(error)
         reply = self._parts.wire.read_reply(answer.status, answer.headers)
@@ -175,6 +188,28 @@
         """Records that the answer ended before it was complete."""
         self._note_outcome(has_failed=True)
 
+    def _prepare(
+        self,
+        request: ClientRequest,
+        body: bytes,
+        dispatch: Callable[[], Dispatch],
+    ) -> RunnerMessage:
+        """Returns the message to the runner.
+
+        Raises ``WithheldError`` if it may no longer be sent: the request may
+        have waited for a permit, a connection or the event loop since its
+        runner was selected.
+        """
+        dispatched = dispatch()
+        if dispatched.left_ms <= 0:
+            raise WithheldError('time_over')
+        return RunnerMessage(
+            method=request.method,
+            target=request.target,
+            headers=self._parts.wire.runner_headers(request, dispatched),
+            body=body,
+        )
+
     def _belongs(
         self,
         request: ClientRequest,
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -1,5 +1,7 @@
 """Runs one admitted request: attempts at runners until a final answer."""
 
+import functools
+
 import attrs
 
 from teaseldale.forwarding._admission import AdmittedRequest
@@ -18,6 +20,7 @@
     answer_broke_off,
     no_runner,
     runners_limited,
+    timed_out,
 )
 from teaseldale.forwarding._runner_selection import RunnerSelection
 from teaseldale.forwarding._wire import Dispatch
@@ -161,6 +164,8 @@
         )
 
     def _may_attempt(self) -> bool:
+        if not self._admitted.left_ms(self._parts.clock):
+            return False
         if self.record.may_have_run and not self._route.may_run_again:
             return False
         return self.record.arrival_count < max(self._route.runner_limit, 1)
@@ -171,7 +176,8 @@
         sent = await attempt.send(
             self._admitted.request,
             self._body,
-            self._dispatch(attempt),
+            dispatch=functools.partial(self._dispatch, attempt),
+            timeout_ms=self._admitted.left_ms(self._parts.clock),
         )
         if isinstance(sent, Replied):
             return await self._handle_reply(attempt, sent)
@@ -204,12 +210,9 @@
 
     def _dispatch(self, attempt: Attempt) -> Dispatch:
         account = self._admitted.account
-        left_ms = (
-            self._admitted.deadline_at_ms - self._parts.clock.monotonic_ms()
-        )
         return Dispatch(
             runner=attempt.runner,
-            left_ms=max(1, int(left_ms)),
+            left_ms=self._admitted.left_ms(self._parts.clock),
             account=None if account is None else account.name,
             priority=self._admitted.priority,
             last_event_id=self._events.last_id,
@@ -349,6 +352,8 @@
             )
 
     def _refusal(self) -> Refusal:
+        if not self._admitted.left_ms(self._parts.clock):
+            return timed_out(not_run=not self.record.may_have_run)
         reasons = '; '.join(self.record.reasons)
         if self.record.may_have_run:
             return answer_broke_off(reasons, ','.join(self.record.runners))
--- a/teaseldale/forwarding/tests/crashing_fleet.py
+++ b/teaseldale/forwarding/tests/crashing_fleet.py
@@ -156,7 +156,8 @@
         self._runner = fleet.runners[expected.runner_id]
         self._vm_number = vm_number
 
-    async def send(self, message, *, belongs, timeout_ms):
+    async def send(self, prepare, *, belongs, timeout_ms):
+        message = prepare()
         await anyio.sleep(0.002)
         if not self._runner.is_up:
             raise failure(FailureKind.REFUSED)
--- a/teaseldale/forwarding/tests/late_dispatch.feature
+++ b/teaseldale/forwarding/tests/late_dispatch.feature
@@ -2,7 +2,6 @@
 
   # Guards against requests that reach a runner after their deadline, because a
   # busy event loop delivers the deadline only after the request was written.
-  @known_red
   Scenario Outline: A request whose time is over is not sent when the loop is busy while <step>
     Given one VM whose loop is busy for 1500 ms while <step>
     When a caller sends a "<kind>" request with a deadline of 1000 ms
@@ -37,7 +36,6 @@
 
   # Guards against a runner that works on a request longer than its caller waits,
   # because time before the request was sent is left out.
-  @known_red
   Scenario: A runner gets the time that is left when its connection is open
     Given one VM that waits for 400 ms while a connection is opened
     When a caller sends a "safe" request with a deadline of 1000 ms
--- a/teaseldale/forwarding/tests/leaving_fleet.py
+++ b/teaseldale/forwarding/tests/leaving_fleet.py
@@ -113,7 +113,8 @@
         self._runner = runner
         self._vm_number = vm_number
 
-    async def send(self, message, *, belongs, timeout_ms):
+    async def send(self, prepare, *, belongs, timeout_ms):
+        message = prepare()
         await anyio.sleep(_LINK_MS / 1000)
         return await self._runner.run(message, self._vm_number, belongs)
 
--- a/teaseldale/forwarding/tests/limited_fleet.py
+++ b/teaseldale/forwarding/tests/limited_fleet.py
@@ -100,7 +100,8 @@
         self._runner = runner
         self._vm_number = vm_number
 
-    async def send(self, message, *, belongs, timeout_ms):
+    async def send(self, prepare, *, belongs, timeout_ms):
+        message = prepare()
         await anyio.sleep(0.002)
         try:
             with anyio.fail_after(timeout_ms / 1000):
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -92,10 +92,11 @@
     def close_expired(self):
         """Does nothing, as no connections are pooled."""
 
-    async def send(self, message, *, belongs, timeout_ms):
+    async def send(self, prepare, *, belongs, timeout_ms):
         step = self.script.pop(0)
         if step == 'unreached':
             raise failure(FailureKind.REFUSED)
+        message = prepare()
         self.seen.append(message)
         if step == 'broken':
             raise failure(FailureKind.BROKEN)
--- a/teaseldale/forwarding/tests/steps_late_dispatch.py
+++ b/teaseldale/forwarding/tests/steps_late_dispatch.py
@@ -72,8 +72,9 @@
     runner: object
     delays: Delays
 
-    async def send(self, message, *, belongs, timeout_ms):
+    async def send(self, prepare, *, belongs, timeout_ms):
         await self.delays.pass_step(_OPENING)
+        message = prepare()
         self.connections.written.append((self.runner, message))
         return ScriptedAnswer(
             status=200,
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import socket
+from collections.abc import Callable
 
 import attrs
 import httpcore
@@ -60,6 +61,10 @@
         return b'\r\n'.join((*lines, b'', self.body))
 
 
+# Returns the request to be written, or raises an error if it may no longer be.
+MessageSource = Callable[[], RunnerMessage]
+
+
 @attrs.define(kw_only=True)
 class _Connection:
     transport: asyncio.Transport
@@ -129,23 +134,26 @@
 
     async def send(
         self,
-        message: RunnerMessage,
+        prepare: MessageSource,
         *,
         belongs: ResponseMatcher,
         timeout_ms: float,
     ) -> RunnerAnswer:
         """Sends a request and returns when the response head has arrived.
 
+        ``prepare`` is called once a connection is open, right before the
+        request is written; nothing is sent if it raises an error.
+
         Raises ``UpstreamError``, with ``may_have_run`` false only if no byte
         of the request was sent. Cancellation closes the connection.
         """
-        encoded = message.encode()
+        started_ms = self._clock.monotonic_ms()
         connection = self._pop_idle() or await self._open(timeout_ms)
-        protocol = connection.protocol
-        protocol.expect(belongs)
-        connection.transport.write(encoded)
+        opening_ms = self._clock.monotonic_ms() - started_ms
+        left_ms = max(0, timeout_ms - opening_ms)
         try:
-            await protocol.wait_for_head(timeout_ms / _MS_PER_SECOND)
+            _write(connection, prepare(), belongs)
+            await connection.protocol.wait_for_head(left_ms / _MS_PER_SECOND)
         except httpcore.ReadTimeout as timeout:
             connection.transport.abort()
             raise self.count_failure(timeout, FailureKind.SILENT) from timeout
@@ -225,6 +233,16 @@
         return _Connection(transport=transport, protocol=protocol)
 
 
+def _write(
+    connection: _Connection,
+    message: RunnerMessage,
+    belongs: ResponseMatcher,
+) -> None:
+    encoded = message.encode()
+    connection.protocol.expect(belongs)
+    connection.transport.write(encoded)
+
+
 def _is_usable(connection: _Connection, now_ms: int) -> bool:
     protocol = connection.protocol
     return protocol.can_be_reused and now_ms < connection.idle_until_ms
--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -299,7 +299,11 @@
         metrics=Metrics(),
     )
     message = RunnerMessage(method='GET', target=b'/', headers=(), body=b'')
-    answer = await connections.send(message, belongs=belongs, timeout_ms=2000)
+    answer = await connections.send(
+        lambda: message,
+        belongs=belongs,
+        timeout_ms=2000,
+    )
     received = b''
     while part := await answer.read(2000):
         received += part
--- a/teaseldale/upstreams/tests/steps_unbounded_responses.py
+++ b/teaseldale/upstreams/tests/steps_unbounded_responses.py
@@ -171,7 +171,7 @@
                 metrics=context.metrics,
             )
             await connections.send(
-                RunnerMessage(
+                lambda: RunnerMessage(
                     method='GET',
                     target=b'/',
                     headers=(),
