Do not send requests to runners that have begun to leave since their selection

Cause: a runner was selected, the request waited for a permit, a connection of up to 700 ms or a retry, and was then written whatever had become known meanwhile.

The incarnation is looked up again right before the write. If it leaves, has ended or was replaced, the request counts as not run there and goes to another runner, without a retry taken from the budget. This covers first attempts, retries and resumed streams, which all pass there. The counter is requests_withheld, reason runner_leaving.

--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -203,6 +203,8 @@
         dispatched = dispatch()
         if dispatched.left_ms <= 0:
             raise WithheldError('time_over')
+        if not self._parts.announcements.may_send(self.runner):
+            raise WithheldError('runner_leaving')
         return RunnerMessage(
             method=request.method,
             target=request.target,
--- a/teaseldale/forwarding/tests/late_dispatch.feature
+++ b/teaseldale/forwarding/tests/late_dispatch.feature
@@ -17,7 +17,6 @@
 
   # Guards against requests that are sent to a runner selected before it began to
   # leave, because the request waited after its selection.
-  @known_red
   Scenario Outline: A runner that <change> while <wait> gets no request
     Given one VM that waits for 80 ms while <wait>
     When a caller sends a "<kind>" request and the selected runner <change> meanwhile
