Count the time of a request from its first bytes

Cause: the deadline of a request began when its task ran. Bytes that a busy loop had read before, and heads that arrived in pieces, cost their callers time that the VM did not count, so it sent requests whose callers had given up.

The protocol records when it reads the first bytes of a request. What a request lies unread in the socket before that is still not counted.

Failing before: a request whose task runs 700 ms after its receipt, with 1,000 ms, was handed to a runner with 1,000 ms; now with at most 300. The protocol's test checks the record itself.

--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -126,7 +126,8 @@
             self._parts.connections.close_expired()
 
     async def _respond(self, exchange: Exchange) -> None:
-        arrival_ms = self._parts.clock.monotonic_ms()
+        now_ms = self._parts.clock.monotonic_ms()
+        arrival_ms = now_ms - exchange.waited_ms
         answer = CallerAnswer(
             exchange=exchange,
             wire=self._parts.wire,
--- a/teaseldale/forwarding/tests/late_dispatch.feature
+++ b/teaseldale/forwarding/tests/late_dispatch.feature
@@ -39,3 +39,10 @@
     Given one VM that waits for 400 ms while a connection is opened
     When a caller sends a "safe" request with a deadline of 1000 ms
     Then the runner that receives it gets at most 600 ms
+
+  # Guards against deadlines that begin only when the task of a request runs, which
+  # a busy loop starts long after the request was received.
+  Scenario: The time between a request's receipt and its task counts
+    Given one VM that starts the task of a request 700 ms after its receipt
+    When a caller sends a "safe" request with a deadline of 1000 ms
+    Then the runner that receives it gets at most 300 ms
--- a/teaseldale/forwarding/tests/scripted_caller.py
+++ b/teaseldale/forwarding/tests/scripted_caller.py
@@ -3,7 +3,7 @@
 import anyio
 
 from teaseldale.web import Exchange
-from teaseldale.web._exchange import ABORT_KEY
+from teaseldale.web._exchange import ABORT_KEY, RECEIVED_KEY
 
 
 class ScriptedCaller:
@@ -38,6 +38,10 @@
             ABORT_KEY: self._abort,
         }
 
+    def note_received(self):
+        """Records that a server has read the first bytes of the request."""
+        self._scope[RECEIVED_KEY] = anyio.current_time()
+
     def exchange(self):
         return Exchange(
             scope=self._scope,
--- a/teaseldale/forwarding/tests/steps_late_dispatch.py
+++ b/teaseldale/forwarding/tests/steps_late_dispatch.py
@@ -38,6 +38,7 @@
     busy_ms: int = 0
     wait_step: str = ''
     wait_ms: int = 0
+    start_ms: int = 0  # from the receipt of a request to its task
 
     async def pass_step(self, step):
         if step == self.busy_step:
@@ -99,6 +100,13 @@
     context.delays = Delays(busy_step=step, busy_ms=busy_ms)
 
 
+@given(
+    'one VM that starts the task of a request {start_ms:d} ms after its receipt'
+)
+def late_task(context, start_ms):
+    context.delays = Delays(start_ms=start_ms)
+
+
 @given('one VM that waits for {wait_ms:d} ms while {step}')
 def waiting_vm(context, wait_ms, step):
     context.delays = Delays(wait_step=step, wait_ms=wait_ms)
@@ -134,6 +142,8 @@
                 wait_for_permits(context, parts, change_first)
             else:
                 context.connections.on_select = change_first
+            context.caller.note_received()
+            await anyio.sleep(context.delays.start_ms / 1000)
             await entry._respond(context.caller.exchange())
             tasks.cancel_scope.cancel()
 
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -1,5 +1,6 @@
 """One HTTP request and its response over the ASGI messages of uvicorn."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -20,6 +21,10 @@
 
 # Scope key of the function that closes the connection.
 ABORT_KEY = 'teaseldale.abort'
+# Scope key of the event loop's time, in seconds, at which the request's first
+# bytes were read.
+RECEIVED_KEY = 'teaseldale.received'
+_MS_PER_SECOND = 1000
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 
 
@@ -41,6 +46,13 @@
         self._send = send
         self.started = False  # whether the response status was sent
 
+    @property
+    def waited_ms(self) -> int:
+        """Time since the first bytes of the request were read."""
+        now_seconds = asyncio.get_running_loop().time()
+        received_seconds = self._scope.get(RECEIVED_KEY, now_seconds)
+        return int((now_seconds - received_seconds) * _MS_PER_SECOND)
+
     @property
     def method(self) -> str:
         """HTTP method in upper case."""
--- a/teaseldale/web/_protocol.py
+++ b/teaseldale/web/_protocol.py
@@ -8,7 +8,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from teaseldale.outcomes import Refusal, RefusalCode, Step
-from teaseldale.web._exchange import ABORT_KEY
+from teaseldale.web._exchange import ABORT_KEY, RECEIVED_KEY
 from teaseldale.web._head_limits import HeadLimits, HeadLimitsSource
 from teaseldale.web._refusal_answer import refusal_body
 
@@ -99,6 +99,7 @@
         super().on_message_begin()
         scope: Any = self.scope
         scope[ABORT_KEY] = self.transport.abort
+        scope[RECEIVED_KEY] = self.loop.time()
 
     def on_url(self, url: bytes) -> None:
         """Counts a part of the request target."""
--- a/teaseldale/web/tests/heads.feature
+++ b/teaseldale/web/tests/heads.feature
@@ -34,3 +34,9 @@
     And the size limit of heads changes to 500 bytes
     And the same connection sends a head of 600 bytes
     Then it is refused with 431 head_too_large
+
+  # Guards against requests whose time begins only when their task runs.
+  Scenario: The time of a request begins with its first bytes
+    Given limits of 1,000 bytes and 3 s for a head and 15 s for idleness
+    When a caller sends the first half of a head 200 ms before the second
+    Then its exchange has waited for at least 200 ms when its task runs
--- a/teaseldale/web/tests/steps_heads.py
+++ b/teaseldale/web/tests/steps_heads.py
@@ -8,6 +8,7 @@
 from uvicorn.server import ServerState
 
 from teaseldale.fakes import run_in_virtual_time
+from teaseldale.web._exchange import Exchange
 from teaseldale.web._head_limits import HeadLimits
 from teaseldale.web._protocol import GuardedProtocol
 
@@ -89,6 +90,11 @@
 
     async def _serve(self, scope, receive, send):
         self.served_count += 1
+        self.waited_ms = Exchange(
+            scope=scope,
+            receive=receive,
+            send=send,
+        ).waited_ms
         await anyio.sleep(self.answer_seconds)
         await send(
             {
@@ -199,6 +205,21 @@
     _run_in_virtual_time(context, _HEADS[case])
 
 
+@when('a caller sends the first half of a head 200 ms before the second')
+def send_in_halves(context):
+    _run_in_virtual_time(
+        context,
+        lambda connection: _send_slowly(connection, 0.2),
+    )
+
+
+@then(
+    'its exchange has waited for at least {waited_ms:d} ms when its task runs'
+)
+def has_waited(context, waited_ms):
+    assert context.connection.waited_ms >= waited_ms
+
+
 @when("a caller's connection is served once")
 def served_once(context):
     context.steps = [
