Log when requests were dispatched and how old the list of runners is

The record of a late request did not show whether the VM had decided late, sent late or gone by an old list of runners. request_ended now has dispatched_ms, and vm_load runners_age_ms. No decision changes.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -89,9 +89,16 @@
         kernel.register(
             MetricsPage(address=settings.metrics_address, metrics=metrics),
         )
-    kernel.register(VmLoadReporter(clock=clock, metrics=metrics))
+    watch = _build_watch(parts, store)
+    kernel.register(
+        VmLoadReporter(
+            runners_age_ms=lambda: watch.runners_age_ms,
+            clock=clock,
+            metrics=metrics,
+        ),
+    )
     kernel.register(SettingsReload())
-    kernel.register(_build_watch(parts, store))
+    kernel.register(watch)
     kernel.register(members)
     kernel.register(parts.grants)
     kernel.register(parts.moves)
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -113,6 +113,11 @@
         """Returns the service name."""
         return 'fleet_watch'
 
+    @property
+    def runners_age_ms(self) -> int:
+        """Returns the time since the store last confirmed the runners."""
+        return self._runners.age_ms
+
     async def start(self, tasks: TaskGroup) -> None:
         """Starts following both tables."""
         tasks.start_soon(self._operators.run)
--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -50,6 +50,7 @@
             refusal='' if refusal is None else refusal.code,
             cut=answer.cut_reason,
             runners=record.runners,
+            dispatched_ms=record.dispatched_ms,
             reasons=record.reasons,
             fingerprint=record.fingerprint,
             answer_framing=record.answer_framing,
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -63,6 +63,8 @@
     arrival_count: int = 0  # runners that received the request
     may_have_run: bool = False
     runners: list[str] = attrs.field(factory=list)
+    # From the request's arrival until it was written to each runner.
+    dispatched_ms: list[int] = attrs.field(factory=list)
     reasons: list[str] = attrs.field(factory=list)  # why attempts failed
     first_event_ms: int | None = None  # since the request's arrival
     longest_gap_ms: int = 0  # between events of a stream
@@ -210,6 +212,8 @@
 
     def _dispatch(self, attempt: Attempt) -> Dispatch:
         account = self._admitted.account
+        now_ms = self._parts.clock.monotonic_ms()
+        self.record.dispatched_ms.append(now_ms - self._admitted.arrival_ms)
         return Dispatch(
             runner=attempt.runner,
             left_ms=self._admitted.left_ms(self._parts.clock),
--- a/teaseldale/forwarding/_vm_load.py
+++ b/teaseldale/forwarding/_vm_load.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Callable
 
 import attrs
 from anyio.abc import TaskGroup
@@ -42,8 +43,18 @@
 class VmLoadReporter(BaseService):
     """Logs loop lag, CPU time and control traffic once per second."""
 
-    def __init__(self, *, clock: BaseClock, metrics: Metrics) -> None:
-        """Reports the counters in ``metrics``."""
+    def __init__(
+        self,
+        *,
+        runners_age_ms: Callable[[], int],
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
+        """Reports the counters in ``metrics`` and the age of the runners.
+
+        The age is the time since the store last confirmed the list of runners.
+        """
+        self._runners_age_ms = runners_age_ms
         self._clock = clock
         self._metrics = metrics
         self._log = StateLog(channel='load')
@@ -86,6 +97,7 @@
             'vm_load',
             window_ms=now_ms - window.started_ms,
             loop_lag_ms=window.longest_lag_ms,
+            runners_age_ms=self._runners_age_ms(),
             cpu_ms=int(_cpu_ms() - window.cpu_ms),
             **{
                 name: self._metrics.counter_value(name) - before
