Open connections to runners through an interface that tests can replace

Connections to runners and probes of their listeners go through BaseConnector and BaseTcpNetwork; FakeTcpNetwork keeps hosts, connections and cuts between them in memory, so that tests run the real pools, parsers and probes in virtual time.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -58,6 +58,7 @@
     RunnerLimits,
 )
 from teaseldale.settings import SettingsError
+from teaseldale.upstreams import DirectConnector
 
 
 def settings_path() -> str:
@@ -187,7 +188,11 @@
     metrics = store.metrics
     directory = RunnerDirectory()
     cells = FleetCells(members=members, vm_name=settings.name)
-    connections = RunnerConnectionPools(clock=clock, metrics=metrics)
+    connections = RunnerConnectionPools(
+        connector=DirectConnector(),
+        clock=clock,
+        metrics=metrics,
+    )
     limits = RunnerLimits(
         vm_name=settings.name,
         holders=CellLimitHolders(
--- a/teaseldale/fakes/__init__.py
+++ b/teaseldale/fakes/__init__.py
@@ -3,6 +3,11 @@
 from teaseldale.fakes._pause import PauseGate
 from teaseldale.fakes._peers import FakePeerFabric, FakePeerNetwork
 from teaseldale.fakes._table import FakeTableService
+from teaseldale.fakes._tcp_network import (
+    CutMode,
+    FakeTcpFabric,
+    FakeTcpNetwork,
+)
 from teaseldale.fakes._virtual_time import (
     VirtualClock,
     keep_loop_busy,
@@ -10,9 +15,12 @@
 )
 
 __all__ = (
+    'CutMode',
     'FakePeerFabric',
     'FakePeerNetwork',
     'FakeTableService',
+    'FakeTcpFabric',
+    'FakeTcpNetwork',
     'PauseGate',
     'VirtualClock',
     'keep_loop_busy',
--- a/teaseldale/forwarding/_connection_pools.py
+++ b/teaseldale/forwarding/_connection_pools.py
@@ -4,18 +4,26 @@
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.metrics import Metrics
 from teaseldale.upstreams import (
+    BaseConnector,
     FailureKind,
+    PeerAddress,
     ProbeOutcome,
     RunnerConnections,
-    probe_listener,
 )
 
 
 class RunnerConnectionPools:
     """Holds one connection pool per incarnation of a runner."""
 
-    def __init__(self, *, clock: BaseClock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        connector: BaseConnector,
+        clock: BaseClock,
+        metrics: Metrics,
+    ) -> None:
         """Starts without pools; they are created on first use."""
+        self._connector = connector
         self._clock = clock
         self._metrics = metrics
         self._connections: dict[tuple[str, int], RunnerConnections] = {}
@@ -25,8 +33,8 @@
         pool = self._connections.get(runner.incarnation)
         if pool is None:
             pool = RunnerConnections(
-                ip=runner.address.ip,
-                port=runner.address.port,
+                address=_peer_address(runner),
+                connector=self._connector,
                 clock=self._clock,
                 metrics=self._metrics,
             )
@@ -42,10 +50,8 @@
 
         A host refuses it if no process listens.
         """
-        address = runner.address
-        outcome = await probe_listener(
-            address.ip,
-            address.port,
+        outcome = await self._connector.probe(
+            _peer_address(runner),
             timeout_ms=timeout_ms,
         )
         if outcome is ProbeOutcome.UNANSWERED:
@@ -63,3 +69,7 @@
         """Closes connections whose idle time-out has expired."""
         for connections in self._connections.values():
             connections.close_expired()
+
+
+def _peer_address(runner: ForwardingRunner) -> PeerAddress:
+    return runner.address.ip, runner.address.port
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -17,6 +17,11 @@
         ServiceCall,
         UpstreamError,
     )
+    from teaseldale.upstreams._connector import (
+        BaseConnector,
+        DirectConnector,
+        RunnerChannel,
+    )
     from teaseldale.upstreams._crash_history import Suspect
     from teaseldale.upstreams._crash_suspects import (
         CrashSuspects,
@@ -52,11 +57,19 @@
         HttpRunnerReports,
         LoadReport,
     )
+    from teaseldale.upstreams._response_protocol import ResponseProtocol
     from teaseldale.upstreams._runner_connections import (
         RunnerAnswer,
         RunnerConnections,
         RunnerMessage,
     )
+    from teaseldale.upstreams._tcp_network import (
+        BaseTcpNetwork,
+        Listener,
+        PeerAddress,
+        ProtocolT,
+        SystemTcpNetwork,
+    )
     from teaseldale.upstreams._wire_headers import (
         WireHeaders,
         header_of,
@@ -77,6 +90,11 @@
             'ServiceCall',
             'UpstreamError',
         ),
+        'teaseldale.upstreams._connector': (
+            'BaseConnector',
+            'DirectConnector',
+            'RunnerChannel',
+        ),
         'teaseldale.upstreams._crash_history': ('Suspect',),
         'teaseldale.upstreams._crash_suspects': (
             'CrashSuspects',
@@ -113,11 +131,19 @@
             'HttpRunnerReports',
             'LoadReport',
         ),
+        'teaseldale.upstreams._response_protocol': ('ResponseProtocol',),
         'teaseldale.upstreams._runner_connections': (
             'RunnerAnswer',
             'RunnerConnections',
             'RunnerMessage',
         ),
+        'teaseldale.upstreams._tcp_network': (
+            'BaseTcpNetwork',
+            'Listener',
+            'PeerAddress',
+            'ProtocolT',
+            'SystemTcpNetwork',
+        ),
         'teaseldale.upstreams._wire_headers': (
             'WireHeaders',
             'header_of',
@@ -126,15 +152,18 @@
 )
 
 __all__ = (
+    'BaseConnector',
     'BaseEngineClient',
     'BaseQuarantine',
     'BaseRunnerReports',
     'BaseServiceClient',
+    'BaseTcpNetwork',
     'BodyFraming',
     'CacheChange',
     'CacheChanges',
     'CrashQuarantine',
     'CrashSuspects',
+    'DirectConnector',
     'EngineCall',
     'EngineEvents',
     'EngineFinished',
@@ -142,18 +171,24 @@
     'HttpEngineClient',
     'HttpRunnerReports',
     'HttpServiceClient',
+    'Listener',
     'LoadReport',
     'RunnerAnswer',
     'RunnerConnections',
     'RunnerMessage',
     'NoQuarantine',
     'OversizedEventError',
+    'PeerAddress',
     'ProbeOutcome',
+    'ProtocolT',
     'ReportedCrash',
+    'ResponseProtocol',
+    'RunnerChannel',
     'ServiceAnswer',
     'ServiceCall',
     'Suspect',
     'SuspectState',
+    'SystemTcpNetwork',
     'UpstreamError',
     'UpstreamPool',
     'UpstreamRejectedError',
--- a/teaseldale/upstreams/_connection_end.py
+++ b/teaseldale/upstreams/_connection_end.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from teaseldale.upstreams._listener_probe import ListenerProbe, ProbeOutcome
+from teaseldale.upstreams._tcp_network import PeerAddress
 
 # Time for a reset to arrive after an end-of-file.
 _RESET_WAIT_SECONDS = 0.01
@@ -13,9 +14,6 @@
 _PROBE_TIMEOUT_MS = 700
 _PROBE_TRIES = 2
 
-# IP address and port.
-PeerAddress = tuple[str, int]
-
 
 class ConnectionEnd:
     """Evidence that a peer closed its connection in good order.
--- /dev/null
+++ b/teaseldale/upstreams/_connector.py
@@ -0,0 +1,83 @@
+"""Opens connections to runners."""
+
+import abc
+import asyncio
+import functools
+
+import attrs
+
+from teaseldale.upstreams._listener_probe import ProbeOutcome, probe_listener
+from teaseldale.upstreams._response_protocol import ResponseProtocol
+from teaseldale.upstreams._tcp_network import (
+    BaseTcpNetwork,
+    PeerAddress,
+    SystemTcpNetwork,
+)
+
+# A lost SYN is retransmitted after one second; a new attempt is faster.
+_CONNECT_TIMEOUT_MS = 700
+
+
+@attrs.frozen(kw_only=True)
+class RunnerChannel:
+    """An open connection to a runner."""
+
+    transport: asyncio.Transport
+    protocol: ResponseProtocol
+
+
+class BaseConnector(abc.ABC):
+    """Opens connections to runners, and probes whether they listen."""
+
+    @abc.abstractmethod
+    async def connect(
+        self,
+        address: PeerAddress,
+        *,
+        timeout_ms: float,
+    ) -> RunnerChannel:
+        """Opens a connection; raises ``OSError`` if there is none in time."""
+
+    @abc.abstractmethod
+    async def probe(
+        self,
+        address: PeerAddress,
+        *,
+        timeout_ms: float,
+    ) -> ProbeOutcome:
+        """Returns what became of a new connection, without sending anything."""
+
+
+class DirectConnector(BaseConnector):
+    """Opens connections from this VM to the runner itself."""
+
+    def __init__(self, *, network: BaseTcpNetwork | None = None) -> None:
+        """Uses the operating system's TCP unless ``network`` is given."""
+        self._network = network or SystemTcpNetwork()
+        self._probe = functools.partial(probe_listener, network=self._network)
+
+    async def connect(
+        self,
+        address: PeerAddress,
+        *,
+        timeout_ms: float,
+    ) -> RunnerChannel:
+        """Opens a connection; raises ``OSError`` if there is none in time."""
+        transport, protocol = await self._network.dial(
+            self._make_protocol,
+            address,
+            timeout_ms=min(timeout_ms, _CONNECT_TIMEOUT_MS),
+        )
+        return RunnerChannel(transport=transport, protocol=protocol)
+
+    async def probe(
+        self,
+        address: PeerAddress,
+        *,
+        timeout_ms: float,
+    ) -> ProbeOutcome:
+        """Returns what became of a new connection, without sending anything."""
+        return await self._probe(*address, timeout_ms=timeout_ms)
+
+    def _make_protocol(self) -> ResponseProtocol:
+        return ResponseProtocol(probe=self._probe)
--- a/teaseldale/upstreams/_listener_probe.py
+++ b/teaseldale/upstreams/_listener_probe.py
@@ -4,7 +4,9 @@
 import enum
 from typing import Protocol
 
-_MS_PER_SECOND = 1000
+from teaseldale.upstreams._tcp_network import BaseTcpNetwork, SystemTcpNetwork
+
+_SYSTEM_NETWORK = SystemTcpNetwork()
 
 
 @enum.unique
@@ -34,16 +36,15 @@
     port: int,
     *,
     timeout_ms: float,
+    network: BaseTcpNetwork = _SYSTEM_NETWORK,
 ) -> ProbeOutcome:
     """Opens a connection and closes it at once, without sending anything."""
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_ms / _MS_PER_SECOND):
-            transport, _ = await loop.create_connection(
-                asyncio.Protocol,
-                ip,
-                port,
-            )
+        transport, _ = await network.dial(
+            asyncio.Protocol,
+            (ip, port),
+            timeout_ms=timeout_ms,
+        )
     except ConnectionRefusedError:
         return ProbeOutcome.REFUSED
     except OSError:
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -8,9 +8,10 @@
 import httptools
 
 from teaseldale.upstreams._body_framing import BodyFraming, framing_of
-from teaseldale.upstreams._connection_end import ConnectionEnd, PeerAddress
+from teaseldale.upstreams._connection_end import ConnectionEnd
 from teaseldale.upstreams._listener_probe import ListenerProbe, probe_listener
 from teaseldale.upstreams._response_sizes import ResponseSizes
+from teaseldale.upstreams._tcp_network import PeerAddress
 from teaseldale.upstreams._wire_headers import WireHeaders
 
 _BUFFER_LIMIT_BYTES = 65_536
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Callable
 
 import attrs
@@ -12,22 +11,16 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._clients import FailureKind, UpstreamError
+from teaseldale.upstreams._connector import BaseConnector, RunnerChannel
 from teaseldale.upstreams._response_protocol import (
     ResponseMatcher,
     ResponseProtocol,
 )
 from teaseldale.upstreams._response_sizes import OversizedResponseError
+from teaseldale.upstreams._tcp_network import PeerAddress
 from teaseldale.upstreams._wire_headers import WireHeaders, header_of
 
 _MS_PER_SECOND = 1000
-# A lost SYN is retransmitted after one second; a new attempt is faster.
-_CONNECT_TIMEOUT_MS = 700
-# The path counts as dead when data stays unacknowledged for this long. The
-# limit exceeds the time of two retransmissions of a lost packet.
-_UNACKNOWLEDGED_LIMIT_MS = 1500
-_PROBE_IDLE_SECONDS = 1  # idle time before the kernel sends probes
-_PROBE_INTERVAL_SECONDS = 1
-_PROBE_COUNT = 2
 # Runners without a Keep-Alive timeout header close idle connections after less
 # than a second.
 _DEFAULT_IDLE_MS = 300
@@ -67,10 +60,17 @@
 
 @attrs.define(kw_only=True)
 class _Connection:
-    transport: asyncio.Transport
-    protocol: ResponseProtocol
+    channel: RunnerChannel
     idle_until_ms: int = 0  # monotonic; not reused afterwards
 
+    @property
+    def transport(self) -> asyncio.Transport:
+        return self.channel.transport
+
+    @property
+    def protocol(self) -> ResponseProtocol:
+        return self.channel.protocol
+
 
 class RunnerAnswer:
     """Response whose head has arrived."""
@@ -119,14 +119,14 @@
     def __init__(
         self,
         *,
-        ip: str,
-        port: int,
+        address: PeerAddress,
+        connector: BaseConnector,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
-        """Creates a pool; opens connections to ``ip``:``port`` on demand."""
-        self._ip = ip
-        self._port = port
+        """Creates a pool; opens connections to ``address`` on demand."""
+        self.address = address
+        self._connector = connector
         self._clock = clock
         self._metrics = metrics
         self._idle: list[_Connection] = []
@@ -201,7 +201,7 @@
             self._metrics.increment('oversized_responses', error.part)
         return UpstreamError(
             step=Step.DISPATCH,
-            peer=f'{self._ip}:{self._port}',
+            peer='{0}:{1}'.format(*self.address),
             reason=str(error) or type(error).__name__,
             may_have_run=kind is not FailureKind.REFUSED,
             kind=kind,
@@ -217,20 +217,15 @@
         return None
 
     async def _open(self, timeout_ms: float) -> _Connection:
-        limit_ms = min(_CONNECT_TIMEOUT_MS, timeout_ms)
-        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(limit_ms / _MS_PER_SECOND):
-                transport, protocol = await loop.create_connection(
-                    ResponseProtocol,
-                    self._ip,
-                    self._port,
-                )
+            channel = await self._connector.connect(
+                self.address,
+                timeout_ms=timeout_ms,
+            )
         except OSError as error:
             raise self.count_failure(error, FailureKind.REFUSED) from error
         self._metrics.increment('runner_connections_opened')
-        _enable_keepalive(transport)
-        return _Connection(transport=transport, protocol=protocol)
+        return _Connection(channel=channel)
 
 
 def _write(
@@ -254,16 +249,3 @@
     if match is None:
         return _DEFAULT_IDLE_MS
     return int(int(match.group(1)) * _MS_PER_SECOND * _USABLE_IDLE_SHARE)
-
-
-def _enable_keepalive(transport: asyncio.Transport) -> None:
-    connection_socket = transport.get_extra_info('socket')
-    for option, amount in (
-        (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS),
-        (socket.TCP_KEEPIDLE, _PROBE_IDLE_SECONDS),
-        (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
-        (socket.TCP_KEEPCNT, _PROBE_COUNT),
-    ):
-        connection_socket.setsockopt(socket.IPPROTO_TCP, option, amount)
-    connection_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -13,6 +13,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.notes import Upstream
 from teaseldale.upstreams import (
+    DirectConnector,
     HttpServiceClient,
     RunnerConnections,
     RunnerMessage,
@@ -293,8 +294,8 @@
 
 async def read_on_forwarding_path(runner):
     connections = RunnerConnections(
-        ip=runner.ip,
-        port=runner.port,
+        address=(runner.ip, runner.port),
+        connector=DirectConnector(),
         clock=SystemClock(),
         metrics=Metrics(),
     )
--- a/teaseldale/upstreams/tests/steps_unbounded_responses.py
+++ b/teaseldale/upstreams/tests/steps_unbounded_responses.py
@@ -13,6 +13,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.upstreams import (
+    DirectConnector,
     EngineCall,
     HttpEngineClient,
     RunnerConnections,
@@ -165,8 +166,8 @@
         context.runner = ListeningRunner(answer=context.sent)
         async with context.runner.serving():
             connections = RunnerConnections(
-                ip=context.runner.ip,
-                port=context.runner.port,
+                address=(context.runner.ip, context.runner.port),
+                connector=DirectConnector(),
                 clock=SystemClock(),
                 metrics=context.metrics,
             )
