--- /dev/null
+++ b/teaseldale/forwarding/tests/cut_fleet.py
@@ -0,0 +1,209 @@
+"""VMs whose paths to runners are cut, in virtual time on TCP in memory."""
+
+import asyncio
+
+import anyio
+import httptools
+
+from teaseldale.fakes import FakeTcpFabric, FakeTcpNetwork, VirtualClock
+from teaseldale.forwarding import RunnerConnectionPools
+from teaseldale.forwarding.tests.entry_world import make_runner
+from teaseldale.forwarding.tests.fleet_world import (
+    Arrival,
+    ModelledFleet,
+    now_ms,
+)
+from teaseldale.metrics import Metrics
+from teaseldale.upstreams import DirectConnector
+
+_WORK_MS = 80
+_SLOT_COUNT = 64
+_ANSWER = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'x-request-id: %b\r\n'
+    b'x-server-stamp: stamp\r\n'
+    b'keep-alive: timeout=5\r\n'
+    b'content-length: 8\r\n\r\n'
+    b'the body'
+)
+
+
+class ServedConnection(asyncio.Protocol):
+    """A connection at a runner, which answers each request."""
+
+    def __init__(self, runner):
+        self._runner = runner
+        self._parser = httptools.HttpRequestParser(self)
+        self._request_id = b''
+        self._body = b''
+        self._transport = None
+
+    def connection_made(self, transport):
+        self._transport = transport
+        self._runner.connections.add(transport)
+
+    def connection_lost(self, error):
+        self._runner.connections.discard(self._transport)
+
+    def data_received(self, received):
+        self._parser.feed_data(received)
+
+    def eof_received(self):
+        return False
+
+    def on_header(self, name, content):
+        if name.lower() == b'x-request-id':
+            self._request_id = content
+
+    def on_body(self, part):
+        self._body += part
+
+    def on_message_complete(self):
+        self._runner.note_arrival(self._request_id, self._body)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_WORK_MS / 1000, self._answer, self._request_id)
+        self._parser = httptools.HttpRequestParser(self)
+        self._body = b''
+
+    def _answer(self, request_id):
+        if not self._transport.is_closing():
+            self._transport.write(_ANSWER % request_id)
+
+
+class ListeningRunner:
+    """A runner that accepts connections while it is up."""
+
+    def __init__(self, *, number, fleet):
+        self.fleet = fleet
+        self.entry = make_runner(number, slot_count=_SLOT_COUNT)
+        self.host = self.entry.runner_id
+        self.connections = set()
+        self._network = FakeTcpNetwork(fabric=fleet.fabric, host=self.host)
+        self._listener = None
+
+    async def start(self):
+        address = self.entry.address
+        self._listener = await self._network.listen(
+            lambda: ServedConnection(self),
+            (address.ip, address.port),
+        )
+
+    def note_arrival(self, request_id, body):
+        self.fleet.arrivals.append(
+            Arrival(
+                runner_id=self.host,
+                request_id=request_id,
+                body=body,
+                at_ms=now_ms(),
+                vm_number=-1,
+            )
+        )
+
+    def crash(self):
+        """Ends the process; its entry stays."""
+        self._listener.close()
+        for transport in tuple(self.connections):
+            transport.abort()
+
+
+class CutVm:
+    """The connections of one VM."""
+
+    def __init__(self, *, fleet, number):
+        self.metrics = Metrics()
+        self.pools = RunnerConnectionPools(
+            connector=DirectConnector(
+                network=FakeTcpNetwork(
+                    fabric=fleet.fabric,
+                    host=f'vm-{number}',
+                ),
+            ),
+            clock=VirtualClock(),
+            metrics=self.metrics,
+        )
+
+    def search_count(self, outcome):
+        """Returns the number of searches for a tunnel that ended so."""
+        return self.metrics.counter_value('tunnel_searches', outcome)
+
+    async def start(self, tasks, *, relays):
+        """Does nothing, as no VM opens tunnels."""
+
+
+class CutFleet(ModelledFleet):
+    """VMs of which some lose their paths to runners."""
+
+    def __init__(self, *, vm_count, runner_count, kind):
+        super().__init__(vm_count=vm_count, kind=kind)
+        self.fabric = FakeTcpFabric()
+        self.links = []
+        self.older_numbers = frozenset()  # VMs that open no tunnels
+        self.cut_ms = None
+        self.healed_ms = None
+        self.cut_numbers = frozenset()
+        self.runners = {
+            f'i-{number}': ListeningRunner(number=number, fleet=self)
+            for number in range(runner_count)
+        }
+
+    async def start(self, tasks):
+        """Starts the runners, then the VMs."""
+        for runner in self.runners.values():
+            await runner.start()
+        await super().start(tasks)
+
+    async def start_vm(self, number):
+        """Starts one VM and its connections."""
+        vm = await super().start_vm(number)
+        await self.links[number].start(
+            self.tasks,
+            relays=number not in self.older_numbers,
+        )
+        return vm
+
+    def connections_of(self, vm_number):
+        """Returns the runner connections of a VM."""
+        link = CutVm(fleet=self, number=vm_number)
+        self.links.append(link)
+        return link.pools
+
+    def cut(self, count, mode, runner_count=None):
+        """Cuts the last VMs off from some runners, or from all of them."""
+        self.cut_ms = now_ms()
+        self.cut_numbers = frozenset(
+            range(self.vm_count - count, self.vm_count),
+        )
+        hosts = tuple(self.runners)[:runner_count]
+        for number in self.cut_numbers:
+            self.fabric.cut(f'vm-{number}', hosts, mode)
+
+    def heal(self):
+        """Ends all cuts."""
+        self.healed_ms = now_ms()
+        self.fabric.heal()
+
+    async def ask_always(self, per_s):
+        """Sends requests to VMs at random, each with a body of its own."""
+        while True:
+            await anyio.sleep(1 / per_s)
+            vm = self.random.choice(self.vms)
+            self.tasks.start_soon(self._ask, vm)
+
+    async def _ask(self, vm):
+        caller = await vm.ask(b'%d' % self.asked_count)
+        caller.vm_number = vm.number
+
+    def served_share(self, *, is_cut, from_ms, until_ms=float('inf')):
+        """Returns the share of the requests that cut, or other, VMs served."""
+        asked = [
+            caller
+            for caller in self.callers
+            if (caller.vm_number in self.cut_numbers) == is_cut
+            and from_ms <= caller.asked_ms < until_ms
+        ]
+        assert asked
+        return sum(caller.status == 200 for caller in asked) / len(asked)
+
+    def tunnel_count(self):
+        """Returns the number of tunnels opened so far."""
+        return sum(link.search_count('opened') for link in self.links)
