Send requests through other VMs when a VM has no path to a runner

Callers of VMs that had lost their paths to runners were refused, or waited until their deadlines, while the other VMs served as usual. Cause: each VM had its own path only, and each request found out about a lost one by itself.

- A connection that is refused, or not made in 300 ms, is opened through another VM: a tunnel of one hop that carries bytes, ends and resets.
The VM that asks keeps admission, budget, deadline, retries and billing.
VMs are asked in random order, 60 ms apart, those that failed in the last 2 s after the others.
- Whether the VM or the runner is cut off is decided by others: the path is cut if another VM reaches the runner.
Until two probes in a row succeed again, requests take a tunnel at once.
When one path is lost, the other paths that have been silent for 300 ms are probed, so that callers need not find out.
- A relaying VM opens tunnels only to registered runners that do not leave, none while it drains or has lost that path itself, and waits for open ones when it drains.
A tunnel carries one request, so each of them is one.
- A runner that no VM reaches is not searched for again for 500 ms.

Mixed builds: an older VM does not listen for tunnels, so asking it is refused and the next one is asked; it never asks.

Ruled out: readiness (callers keep their open connections, and if most VMs of a zone are cut off nobody would be left); sending every request that fails to another VM whole (two VMs would admit and bill it).

Cost without a cut: one clock read and one store into a dictionary for each part of an answer.

--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -15,6 +15,7 @@
     VmIncarnation,
 )
 from teaseldale.clock import PROCESS_START_MS, SystemClock
+from teaseldale.command._runner_links import RunnerLinks, build_runner_links
 from teaseldale.forwarding import (
     CellLimitHolders,
     ConfigurationHolder,
@@ -28,8 +29,6 @@
     NodeSettings,
     RequestLog,
     RunnerAnnouncements,
-    RunnerConnectionPools,
-    RunnerDirectory,
     VersionMoves,
     VmDatagrams,
     VmLoadReporter,
@@ -58,7 +57,6 @@
     RunnerLimits,
 )
 from teaseldale.settings import SettingsError
-from teaseldale.upstreams import DirectConnector
 
 
 def settings_path() -> str:
@@ -84,7 +82,8 @@
     )
     access = StoreAccess(table=store, feed=store, clock=clock, metrics=metrics)
     members = _build_members(start, access)
-    parts = _build_dependencies(settings, start, access, members)
+    links = build_runner_links(settings, access, members)
+    parts = _build_dependencies(settings, start, access, members, links)
     kernel = Kernel(step_timeout_ms=settings.grace_ms)
     if settings.metrics_address is not None:
         kernel.register(
@@ -105,6 +104,7 @@
     kernel.register(parts.moves)
     kernel.register(parts.crashes)
     kernel.register(parts.limits)
+    kernel.register(links.watch)
     kernel.register(
         VmDatagrams(
             address=settings.peer_address,
@@ -127,8 +127,11 @@
             settings=settings,
             parts=parts,
             request_log=RequestLog(clock=clock, metrics=metrics),
+            count_tunnels=lambda: links.server.open_count,
         ),
     )
+    # Drained first, so that no tunnel is opened while the entry drains.
+    kernel.register(links.server)
     return kernel
 
 
@@ -181,18 +184,15 @@
     start: VmIncarnation,
     store: StoreAccess,
     members: MemberList,
+    links: RunnerLinks,
 ) -> ForwardingDependencies:
     random_source = random.Random()  # noqa: S311
     bounds = settings.retry_bounds
     clock = store.clock
     metrics = store.metrics
-    directory = RunnerDirectory()
+    directory = links.directory
     cells = FleetCells(members=members, vm_name=settings.name)
-    connections = RunnerConnectionPools(
-        connector=DirectConnector(),
-        clock=clock,
-        metrics=metrics,
-    )
+    connections = links.connections
     limits = RunnerLimits(
         vm_name=settings.name,
         holders=CellLimitHolders(
--- a/teaseldale/forwarding/_connection_pools.py
+++ b/teaseldale/forwarding/_connection_pools.py
@@ -3,6 +3,7 @@
 from teaseldale.clock import BaseClock
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.metrics import Metrics
+from teaseldale.tunnels import PathChange
 from teaseldale.upstreams import (
     BaseConnector,
     FailureKind,
@@ -58,12 +59,28 @@
             self._metrics.increment('runner_failures', FailureKind.SILENT)
         return outcome
 
+    def addresses(self) -> tuple[PeerAddress, ...]:
+        """Returns the addresses of all runners that this VM has used."""
+        return tuple(pool.address for pool in self._connections.values())
+
+    def apply_path_change(self, change: PathChange) -> None:
+        """Closes the idle connections of a path that has fallen silent.
+
+        Where new connections are refused, those that are open may still work.
+        """
+        if not (change.is_cut and change.is_silent):
+            return
+        for pool in self._connections.values():
+            if pool.address == change.address:
+                pool.close_idle()
+
     def keep_only(self, runners: tuple[ForwardingRunner, ...]) -> None:
         """Closes the pools of all incarnations not in ``runners``."""
         kept = {runner.incarnation for runner in runners}
         for incarnation in tuple(self._connections):
             if incarnation not in kept:
                 self._connections.pop(incarnation).close()
+        self._connector.keep_only(frozenset(map(_peer_address, runners)))
 
     def close_expired(self) -> None:
         """Closes connections whose idle time-out has expired."""
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -1,5 +1,7 @@
 """Service that serves callers and the load balancer's health checks."""
 
+from collections.abc import Callable
+
 import anyio
 from anyio.abc import TaskGroup
 
@@ -43,6 +45,10 @@
 _STATUS_UNAVAILABLE = 503
 
 
+def _no_tunnels() -> int:
+    return 0
+
+
 class ForwardingEntry(BaseService):
     """Accepts, admits and serves requests of all routes."""
 
@@ -52,8 +58,14 @@
         settings: NodeSettings,
         parts: ForwardingDependencies,
         request_log: RequestLog,
+        count_tunnels: Callable[[], int] = _no_tunnels,
     ) -> None:
-        """Listens on the addresses of ``settings`` after ``start``."""
+        """Listens on the addresses of ``settings`` after ``start``.
+
+        ``count_tunnels`` returns the number of requests that this VM relays for
+        other VMs; they may end within the grace period as well.
+        """
+        self._count_tunnels = count_tunnels
         self._settings = settings
         self._parts = parts
         self._admission = RequestAdmission(parts=parts)
@@ -108,7 +120,7 @@
         # requests are refused, as the end of the process could cut them.
         self._is_closed = True
         deadline_at_ms = started_ms + self._settings.grace_ms - _EXIT_RESERVE_MS
-        while self._running_count:
+        while self._running_count or self._count_tunnels():
             if self._parts.clock.monotonic_ms() >= deadline_at_ms:
                 break
             await self._parts.clock.sleep_ms(_DRAIN_POLL_MS)
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -132,6 +132,14 @@
         known = self.find_incarnation(runner.incarnation_name)
         return known is not None and not known.is_leaving
 
+    def accepts_connections_at(self, ip: str, port: int) -> bool:
+        """Returns whether a runner at this address is not leaving."""
+        address = Address(ip=ip, port=port)
+        return any(
+            runner.address == address and not runner.is_leaving
+            for runner in self._runners.values()
+        )
+
     def mark_leaving(self, name: str) -> bool:
         """Marks an incarnation as leaving, whatever its entry says.
 
--- a/teaseldale/forwarding/tests/cut_fleet.py
+++ b/teaseldale/forwarding/tests/cut_fleet.py
@@ -14,6 +14,14 @@
     now_ms,
 )
 from teaseldale.metrics import Metrics
+from teaseldale.tunnels import (
+    PathWatch,
+    RelayChoice,
+    RelayingConnector,
+    RunnerPaths,
+    TunnelClient,
+    TunnelServer,
+)
 from teaseldale.upstreams import DirectConnector
 
 _WORK_MS = 80
@@ -107,27 +115,61 @@
 
 
 class CutVm:
-    """The connections of one VM."""
+    """The connections of one VM, direct ones and tunnels."""
 
     def __init__(self, *, fleet, number):
+        self.host = f'vm-{number}'
         self.metrics = Metrics()
-        self.pools = RunnerConnectionPools(
-            connector=DirectConnector(
-                network=FakeTcpNetwork(
-                    fabric=fleet.fabric,
-                    host=f'vm-{number}',
+        clock = VirtualClock()
+        network = FakeTcpNetwork(fabric=fleet.fabric, host=self.host)
+        direct = DirectConnector(network=network)
+        self.paths = RunnerPaths(clock=clock, metrics=self.metrics)
+        relaying = RelayingConnector(
+            direct=direct,
+            tunnels=TunnelClient(
+                network=network,
+                choice=RelayChoice(
+                    members=fleet.members,
+                    vm_name=self.host,
+                    clock=clock,
+                    random_source=fleet.random,
                 ),
+                metrics=self.metrics,
             ),
-            clock=VirtualClock(),
+            paths=self.paths,
+            clock=clock,
+        )
+        self.pools = RunnerConnectionPools(
+            connector=relaying,
+            clock=clock,
             metrics=self.metrics,
         )
+        self.paths.add_change_listener(self.pools.apply_path_change)
+        self.server = TunnelServer(
+            address=('127.0.0.1', number + 1),
+            network=network,
+            accepts=lambda ip, port: fleet.vms[
+                number
+            ].parts.directory.accepts_connections_at(ip, port),
+            paths=self.paths,
+            metrics=self.metrics,
+        )
+        self.watch = PathWatch(
+            paths=self.paths,
+            direct=direct,
+            relaying=relaying,
+            addresses=self.pools.addresses,
+            clock=clock,
+        )
 
     def search_count(self, outcome):
         """Returns the number of searches for a tunnel that ended so."""
         return self.metrics.counter_value('tunnel_searches', outcome)
 
     async def start(self, tasks, *, relays):
-        """Does nothing, as no VM opens tunnels."""
+        if relays:
+            await self.server.start(tasks)
+        await self.watch.start(tasks)
 
 
 class CutFleet(ModelledFleet):
--- a/teaseldale/forwarding/tests/cut_paths.feature
+++ b/teaseldale/forwarding/tests/cut_paths.feature
@@ -2,7 +2,6 @@
 
   # Guards against callers who are served far worse because the VM that they are
   # connected to has lost its paths to runners while other VMs have not.
-  @known_red
   Scenario Outline: <cut> of <vms> VMs lose all paths to runners, with connections that are <mode>
     Given <vms> VMs with <per_s> "<kind>" requests per second for <runners> runners
     When <cut> of the VMs lose their paths to all runners, and connections are <mode>
@@ -36,7 +35,6 @@
       | 5     | reset  |
 
   # Guards against callers who find out, one after the other, that a path is lost.
-  @known_red
   Scenario Outline: Few callers notice that paths are lost, with connections that are <mode>
     Given 8 VMs with 45 "safe" requests per second for 6 runners
     When 5 of the VMs lose their paths to all runners, and connections are <mode>
@@ -55,7 +53,6 @@
     And at least 97 in 100 requests that come after the paths are whole are served
 
   # Guards against a fleet that is being upgraded, whose older VMs open no tunnels.
-  @known_red
   Scenario: VMs that open no tunnels are passed over
     Given 8 VMs with 45 "once" requests per second for 6 runners
     And 2 of the VMs with paths open no tunnels
@@ -71,7 +68,6 @@
 
   # Guards against requests that are held back as if they had crashed runners,
   # because the connections of a VM that was cut off broke under them.
-  @known_red
   Scenario Outline: A lost path is no crash, with connections that are <mode>
     Given 8 VMs with 45 "safe" requests per second for 6 runners
     When 5 of the VMs lose their paths to all runners, and connections are <mode>
--- /dev/null
+++ b/teaseldale/tunnels/__init__.py
@@ -0,0 +1,19 @@
+"""Tunnels through other VMs to runners that a VM does not reach itself."""
+
+from teaseldale.tunnels._path_watch import PathWatch
+from teaseldale.tunnels._relay_choice import RelayChoice
+from teaseldale.tunnels._relaying_connector import RelayingConnector
+from teaseldale.tunnels._runner_paths import PathChange, RunnerPaths
+from teaseldale.tunnels._tunnel_client import NoTunnelError, TunnelClient
+from teaseldale.tunnels._tunnel_server import TunnelServer
+
+__all__ = (
+    'NoTunnelError',
+    'PathChange',
+    'PathWatch',
+    'RelayChoice',
+    'RelayingConnector',
+    'RunnerPaths',
+    'TunnelClient',
+    'TunnelServer',
+)
--- /dev/null
+++ b/teaseldale/tunnels/_tunnel_server.py
@@ -0,0 +1,149 @@
+"""Service that relays connections of other VMs to runners.
+
+A VM that has lost its paths to runners sends its requests through one that has
+not. The tunnel carries bytes only: the VM that asks for it keeps the admission,
+the budget, the deadline and the retries of its requests. A tunnel has one hop.
+"""
+
+from collections.abc import Callable
+
+from anyio.abc import TaskGroup
+
+from teaseldale.kernel import BaseService
+from teaseldale.metrics import Metrics
+from teaseldale.tunnels._handshake import (
+    TunnelStatus,
+    decode_request,
+    encode_reply,
+)
+from teaseldale.tunnels._head_reader import HeadReader
+from teaseldale.tunnels._pipe import PipeEnd
+from teaseldale.tunnels._runner_paths import RunnerPaths
+from teaseldale.upstreams import BaseTcpNetwork, Listener, PeerAddress
+
+_HEAD_TIMEOUT_SECONDS = 1
+_DIAL_TIMEOUT_MS = 300
+# Two descriptors and up to two buffers each; leaves most of both to requests.
+_MAX_TUNNELS = 400
+
+
+class TunnelServer(BaseService):
+    """Opens connections to runners on behalf of other VMs."""
+
+    def __init__(
+        self,
+        *,
+        address: PeerAddress,
+        network: BaseTcpNetwork,
+        accepts: Callable[[str, int], bool],
+        paths: RunnerPaths,
+        metrics: Metrics,
+    ) -> None:
+        """Listens on ``address`` after ``start``.
+
+        ``accepts`` returns whether a runner is registered and not leaving.
+        """
+        self._address = address
+        self._network = network
+        self._accepts = accepts
+        self._paths = paths
+        self._metrics = metrics
+        self._tasks: TaskGroup | None = None
+        self._listener: Listener | None = None
+        self._open_count = 0
+        self._is_draining = False
+
+    @property
+    def name(self) -> str:
+        """Returns the service name."""
+        return 'tunnel_server'
+
+    @property
+    def open_count(self) -> int:
+        """Returns the number of tunnels that are open or being opened.
+
+        Each of them carries one request.
+        """
+        return self._open_count
+
+    async def start(self, tasks: TaskGroup) -> None:
+        """Listens for other VMs; raises ``OSError`` if it cannot."""
+        self._tasks = tasks
+        self._listener = await self._network.listen(
+            self._accept,
+            self._address,
+        )
+
+    async def drain(self) -> None:
+        """Takes no more tunnels; open ones go on."""
+        self._is_draining = True
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def _accept(self) -> HeadReader:
+        entrance = HeadReader()
+        if self._tasks is not None:
+            self._tasks.start_soon(self._serve, entrance)
+        return entrance
+
+    async def _serve(self, entrance: HeadReader) -> None:
+        try:
+            head = await entrance.read_head(_HEAD_TIMEOUT_SECONDS)
+            address = decode_request(head)
+        except (OSError, ValueError) as error:
+            self._metrics.increment('tunnel_requests', type(error).__name__)
+            entrance.close()
+            return
+        self._open_count += 1
+        try:
+            status = await self._open(entrance, address)
+        finally:
+            self._open_count -= 1
+        self._metrics.increment('tunnel_requests', status.name.lower())
+
+    async def _open(
+        self,
+        entrance: HeadReader,
+        address: PeerAddress,
+    ) -> TunnelStatus:
+        status = self._refusal(address)
+        runner_end = None
+        if status is TunnelStatus.OPEN:
+            status, runner_end = await self._dial(address)
+        entrance.write(encode_reply(status))
+        if runner_end is None:
+            entrance.close()
+            return status
+        entrance.join(runner_end)
+        await runner_end.ended.wait()
+        return status
+
+    def _refusal(self, address: PeerAddress) -> TunnelStatus:
+        """Returns why no tunnel is opened, or ``OPEN``."""
+        if self._is_draining or self._open_count > _MAX_TUNNELS:
+            return TunnelStatus.NOT_TAKEN
+        if not self._accepts(*address):
+            return TunnelStatus.UNKNOWN_RUNNER
+        if self._paths.is_cut(address):
+            return TunnelStatus.NOT_TAKEN
+        return TunnelStatus.OPEN
+
+    async def _dial(
+        self,
+        address: PeerAddress,
+    ) -> tuple[TunnelStatus, PipeEnd | None]:
+        try:
+            _, runner_end = await self._network.dial(
+                PipeEnd,
+                address,
+                timeout_ms=_DIAL_TIMEOUT_MS,
+            )
+        except ConnectionRefusedError:
+            return TunnelStatus.REFUSED, None
+        except OSError:
+            return TunnelStatus.UNANSWERED, None
+        self._paths.note_heard(address)
+        return TunnelStatus.OPEN, runner_end
--- a/teaseldale/upstreams/_connector.py
+++ b/teaseldale/upstreams/_connector.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import functools
+from collections.abc import Collection
 
 import attrs
 
@@ -24,6 +25,7 @@
 
     transport: asyncio.Transport
     protocol: ResponseProtocol
+    is_tunnel: bool = False  # whether it leads through another VM
 
 
 class BaseConnector(abc.ABC):
@@ -47,6 +49,15 @@
     ) -> ProbeOutcome:
         """Returns what became of a new connection, without sending anything."""
 
+    def note_heard(self, address: PeerAddress) -> None:  # noqa: B027
+        """Records that the runner has answered on a direct connection."""
+
+    def keep_only(
+        self,
+        addresses: Collection[PeerAddress],
+    ) -> None:
+        """Drops what is known of runners that have ended."""
+
 
 class DirectConnector(BaseConnector):
     """Opens connections from this VM to the runner itself."""
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -98,7 +98,7 @@
             None if timeout_ms is None else timeout_ms / _MS_PER_SECOND
         )
         try:
-            return await self._connection.protocol.read(timeout_seconds)
+            received = await self._connection.protocol.read(timeout_seconds)
         except httpcore.ReadTimeout as timeout:
             raise self._owner.count_failure(
                 timeout, FailureKind.SILENT
@@ -107,6 +107,8 @@
             raise self._owner.count_failure(
                 error, FailureKind.BROKEN
             ) from error
+        self._owner.note_heard(self._connection)
+        return received
 
     def release(self) -> None:
         """Ends the exchange and releases the connection for reuse."""
@@ -163,11 +165,22 @@
         except BaseException:
             connection.transport.abort()
             raise
+        self.note_heard(connection)
         return RunnerAnswer(owner=self, connection=connection)
 
+    def note_heard(self, connection: _Connection) -> None:
+        """Records that the runner has sent something."""
+        if not connection.channel.is_tunnel:
+            self._connector.note_heard(self.address)
+
     def return_to_pool(self, connection: _Connection) -> None:
-        """Returns a connection to the pool, or closes it."""
-        if self._is_closed or not connection.protocol.can_be_reused:
+        """Returns a connection to the pool, or closes it.
+
+        A tunnel carries one request, so that the VM that relays it knows when
+        it is no longer used.
+        """
+        is_usable = connection.protocol.can_be_reused
+        if self._is_closed or connection.channel.is_tunnel or not is_usable:
             connection.transport.abort()
             return
         idle_ms = _idle_time_ms(connection.protocol)
@@ -177,6 +190,10 @@
     def close(self) -> None:
         """Closes idle connections; busy ones are closed on release."""
         self._is_closed = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes the idle connections."""
         for connection in self._idle:
             connection.transport.abort()
         self._idle.clear()
