Count a broken connection as a crash only if no VM reaches the runner

Cause: the probe that examines a broken connection came from the same VM. Where new connections are refused, it said that the runner had ended.

The probe now asks other VMs as well, with the means of tunnels: one that reaches the runner overrules a refusal here, and a VM whose own path is cut takes the word of those whose path is not. If none can tell, the examination goes on as after an unanswered probe; if no VM answers at all, the own probe decides as before.

Failing before: the example of requests that may run once and connections that are reset (suspects at VMs). Passing as before, so that no crash is missed: a runner that ends counts as crashed for VMs with and without a path.

--- a/teaseldale/forwarding/tests/cut_paths.feature
+++ b/teaseldale/forwarding/tests/cut_paths.feature
@@ -68,12 +68,20 @@
 
   # Guards against requests that are held back as if they had crashed runners,
   # because the connections of a VM that was cut off broke under them.
-  Scenario Outline: A lost path is no crash, with connections that are <mode>
-    Given 8 VMs with 45 "safe" requests per second for 6 runners
+  Scenario Outline: A lost path is no crash to "<kind>" requests, with connections that are <mode>
+    Given 8 VMs with 45 "<kind>" requests per second for 6 runners
     When 5 of the VMs lose their paths to all runners, and connections are <mode>
     Then no request counts as the cause of a crash
 
     Examples:
-      | mode   |
-      | reset  |
-      | silent |
+      | kind | mode   |
+      | safe | reset  |
+      | safe | silent |
+      | once | reset  |
+      | once | silent |
+
+  # Guards against crashes that are missed because no VM can prove them.
+  Scenario: A runner that ends under a request has crashed, also for VMs that are cut off
+    Given 8 VMs with 150 "once" requests per second for 3 runners
+    When 5 of the VMs lose their paths to all runners and one runner ends 4 s later
+    Then the requests under way there count as causes of a crash
--- a/teaseldale/forwarding/tests/steps_cut_paths.py
+++ b/teaseldale/forwarding/tests/steps_cut_paths.py
@@ -7,7 +7,7 @@
 
 from teaseldale.fakes import CutMode, run_in_virtual_time
 from teaseldale.forwarding.tests.cut_fleet import CutFleet
-from teaseldale.forwarding.tests.fleet_world import CONTACT_MS
+from teaseldale.forwarding.tests.fleet_world import CONTACT_MS, now_ms
 
 _BEFORE_S = 3
 _CUT_S = 12
@@ -160,3 +160,37 @@
     for vm in context.fleet.vms:
         suspects = vm.parts.crashes._suspects
         assert suspects.is_empty, vm.number
+
+
+@when(
+    '{count:d} of the VMs lose their paths to all runners and one runner ends '
+    '{seconds:d} s later'
+)
+def lose_paths_and_end(context, count, seconds):
+    async def scenario(world):
+        world.cut(count, CutMode.RESET)
+        await anyio.sleep(seconds)
+        runner = next(iter(world.runners.values()))
+        runner.crash()
+        context.ended_id = runner.entry.runner_id
+        context.ended_ms = now_ms()
+        await anyio.sleep(3)
+
+    play(context, scenario)
+
+
+@then('the requests under way there count as causes of a crash')
+def suspects_found(context):
+    world = context.fleet
+    under_way = [
+        arrival
+        for arrival in world.arrivals
+        if arrival.runner_id == context.ended_id
+        and arrival.at_ms > context.ended_ms - 70
+    ]
+    assert under_way
+    found = sum(
+        vm.parts.metrics.counter_value('broken_requests', 'runner_ended')
+        for vm in world.vms
+    )
+    assert found >= len(under_way), (found, len(under_way))
--- a/teaseldale/tunnels/_path_watch.py
+++ b/teaseldale/tunnels/_path_watch.py
@@ -7,7 +7,6 @@
 
 from teaseldale.clock import BaseClock
 from teaseldale.kernel import BaseService
-from teaseldale.tunnels._relaying_connector import RelayingConnector
 from teaseldale.tunnels._runner_paths import PathChange, RunnerPaths
 from teaseldale.upstreams import BaseConnector, PeerAddress, ProbeOutcome
 
@@ -29,7 +28,7 @@
         *,
         paths: RunnerPaths,
         direct: BaseConnector,
-        relaying: RelayingConnector,
+        relaying: BaseConnector,
         addresses: Callable[[], Iterable[PeerAddress]],
         clock: BaseClock,
     ) -> None:
@@ -82,4 +81,4 @@
         )
 
     async def _probe_other(self, address: PeerAddress) -> None:
-        await self._relaying.examine(address, timeout_ms=_PROBE_TIMEOUT_MS)
+        await self._relaying.probe(address, timeout_ms=_PROBE_TIMEOUT_MS)
--- a/teaseldale/tunnels/_relaying_connector.py
+++ b/teaseldale/tunnels/_relaying_connector.py
@@ -81,15 +81,6 @@
         address: PeerAddress,
         *,
         timeout_ms: float,
-    ) -> ProbeOutcome:
-        """Returns what became of a new connection, without sending anything."""
-        return await self._direct.probe(address, timeout_ms=timeout_ms)
-
-    async def examine(
-        self,
-        address: PeerAddress,
-        *,
-        timeout_ms: float,
     ) -> ProbeOutcome:
         """Returns what became of a new connection of this VM or another one.
 
@@ -161,7 +152,7 @@
         timeout_ms: float,
     ) -> ProbeOutcome:
         """Probes the runner instead of the VM that relays to it."""
-        return await self.examine(address, timeout_ms=timeout_ms)
+        return await self.probe(address, timeout_ms=timeout_ms)
 
     def _is_down(self, address: PeerAddress) -> bool:
         down_until_ms = self._down_until_ms.get(address, 0)
