--- a/teaseldale/forwarding/tests/cut_fleet.py
+++ b/teaseldale/forwarding/tests/cut_fleet.py
@@ -14,6 +14,7 @@
     now_ms,
 )
 from teaseldale.metrics import Metrics
+from teaseldale.platform.tests.wire_names import STAMP
 from teaseldale.tunnels import (
     PathWatch,
     RelayChoice,
@@ -29,7 +30,7 @@
 _ANSWER = (
     b'HTTP/1.1 200 OK\r\n'
     b'x-request-id: %b\r\n'
-    b'x-server-stamp: stamp\r\n'
+    b'%b: %b\r\n'
     b'keep-alive: timeout=5\r\n'
     b'content-length: 8\r\n\r\n'
     b'the body'
@@ -75,7 +76,7 @@
 
     def _answer(self, request_id):
         if not self._transport.is_closing():
-            self._transport.write(_ANSWER % request_id)
+            self._transport.write(_ANSWER % (request_id, *STAMP))
 
 
 class ListeningRunner:
