--- a/teaseldale/platform/tests/steps_orders.py
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -36,6 +36,7 @@
 from teaseldale.platform import PlatformFleetFormat, PlatformOrderStatus
 from teaseldale.routing import BacklogChoice, RunnerLimits
 from teaseldale.tables import InMemoryTable, Row
+from teaseldale.upstreams import DirectConnector
 
 
 class _StillClock:
@@ -58,7 +59,11 @@
         state=FleetState(
             configuration=ConfigurationHolder(),
             directory=directory,
-            connections=RunnerConnectionPools(clock=clock, metrics=metrics),
+            connections=RunnerConnectionPools(
+                connector=DirectConnector(),
+                clock=clock,
+                metrics=metrics,
+            ),
             choice=BacklogChoice(clock=clock, random_source=random.Random(1)),
             limits=RunnerLimits(
                 vm_name='vm',
