Allow little ahead in marks while the store answers

Cause: a mark allowed two seconds of demand, or one request, at once and a second more at each stage. All of it counts as spent when the VM loses power, so a loss of power of all VMs closed four seconds of demand of each account.

Change: a mark names a lead, the demand of two commits, or of 400 ms if several requests are expected in it. From its second second on it allows the demand again, half as much faster until it has caught up. A request beyond the lead waits for the next mark. Earlier builds read marks as before and expect at least what they allow; marks without a lead hold as before.

The scripted fleet of the tests let requests that waited in a killed VM go on; it drops them now, since their VM cannot send them.

--- a/teaseldale/budgets/_account_demand.py
+++ b/teaseldale/budgets/_account_demand.py
@@ -14,6 +14,10 @@
 # mark intervals because requests arrive in bursts and reserve more than they
 # use.
 _FIRST_STAGE_MS = 2000
+# Requests in the lead of a busy account. Fewer would cause a mark for almost
+# each request, however many there are.
+_BUSY_LEAD_MS = 400
+_BUSY_LEAD_REQUESTS = 1.5
 _WINDOW_MS = 4000  # short enough to follow a sudden increase of load
 _FIRST_REQUESTS = 4  # requests covered before any demand is measured
 _SIZE_WEIGHT = 0.2  # weight of the latest request in the moving average
@@ -70,6 +74,17 @@
         """Returns the tokens allowed by the first stage of a mark."""
         return self._tokens_for(_FIRST_STAGE_MS, least_requests=1)
 
+    def lead_tokens(self, lead_ms: int) -> int:
+        """Returns the tokens that a mark allows before its ramp begins.
+
+        They cover the demand of ``lead_ms``, and of a longer time if several
+        requests are expected in it.
+        """
+        busy_tokens = self._typical_rate() * _BUSY_LEAD_MS
+        if busy_tokens < self._typical_tokens * _BUSY_LEAD_REQUESTS:
+            busy_tokens = 0
+        return int(max(busy_tokens, self._typical_rate() * lead_ms))
+
     def step_tokens(self) -> int:
         """Returns the tokens that each later stage of a mark adds."""
         return int(self._typical_rate() * STAGE_MS)
--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -267,7 +267,7 @@
             granted = row.granted_to(self._holder)
         mark = SpendingMark(
             made_store_ms=self.keepers.store_ms,
-            allowed=allowance_of(held, granted),
+            allowed=allowance_of(held, granted, self.limits.lead_ms()),
         )
         self.limits.pending = BindingMark(
             mark=mark,
@@ -286,7 +286,7 @@
         read = ReadKeeperRow(row=own_row, revision=outcome.revision)
         self._own_row = read
         self.keepers.put(self._holder.vm_name, read)
-        self.limits.acknowledge()
+        self.limits.acknowledge(self._store.clock.monotonic_ms())
         held = self._held
         if row is not None:
             held.row = ReadAccountRow(row=row, revision=outcome.revision)
@@ -314,7 +314,7 @@
         if is_own and own.revision > known:
             # The transaction with an unknown outcome was applied: its mark is
             # in force, and the cached account row may be outdated.
-            self.limits.acknowledge()
+            self.limits.acknowledge(self._store.clock.monotonic_ms())
             self._is_read = False
         self._own_row = own
 
--- a/teaseldale/budgets/_account_rows.py
+++ b/teaseldale/budgets/_account_rows.py
@@ -23,6 +23,11 @@
 # mark, and its whole grant after the last stage. A restart loses the tokens
 # that the current stage allowed and that were not used, so stages are short.
 STAGE_MS = 1000
+# Stages before a mark allows more than its lead. A store that answers renews
+# marks before that.
+_RAMP_START_STAGES = 1
+# Demand that a mark then allows, until it allows the demand of its whole age.
+_RAMP_FACTOR = 1.5
 # The stages together exceed the store outages of current deployments.
 STAGE_COUNT = 15
 _SEPARATOR = '/'
@@ -117,24 +122,43 @@
 
 @attrs.frozen(kw_only=True)
 class MarkedAccount:
-    """Spending that a mark allows for one account."""
+    """Spending that a mark allows for one account.
+
+    A mark without a lead, written by an earlier build, allows ``limit_tokens``
+    at once and more at each stage. No mark allows more than that, so that
+    earlier builds may close the grants of this one.
+    """
 
     limit_tokens: int  # maximum use in the first stage
     step_tokens: int  # added at each later stage, from the measured demand
     # Granted beyond the demand. It is released slowly at first, for callers
     # that start sending during a store outage.
     spare_tokens: int
-
-    def bound_tokens(self, stage: int) -> int:
-        """Returns the maximum use up to a zero-based stage."""
-        spare_share = (stage / STAGE_COUNT) ** 2
-        allowed = stage * self.step_tokens + self.spare_tokens * spare_share
+    # Maximum use at first; the demand is added continuously from then on.
+    lead_tokens: int | None = None
+
+    def bound_tokens(self, age_ms: int) -> int:
+        """Returns the maximum use up to an age of the mark."""
+        stage_bound = self._staged_bound_tokens(age_ms // STAGE_MS)
+        if self.lead_tokens is None:
+            return stage_bound
+        stage = age_ms / STAGE_MS
+        late_stages = max(0, stage - _RAMP_START_STAGES)
+        demand_stages = min(stage, late_stages * _RAMP_FACTOR)
+        ramp = demand_stages * self.step_tokens + self._released_spare(stage)
+        return min(stage_bound, self.lead_tokens + int(ramp))
+
+    def _staged_bound_tokens(self, stage: int) -> int:
+        allowed = stage * self.step_tokens + self._released_spare(stage)
         return self.limit_tokens + int(allowed)
 
+    def _released_spare(self, stage: float) -> float:
+        return self.spare_tokens * (stage / STAGE_COUNT) ** 2
+
 
 @attrs.frozen(kw_only=True)
 class SpendingMark:
-    """Published upper bound of a VM's spending, by stages of ``STAGE_MS``.
+    """Published upper bound of a VM's spending, which grows with its age.
 
     The bound expires after the last stage.
     """
@@ -144,10 +168,9 @@
 
     def bound_tokens(self, age_ms: int) -> int | None:
         """Returns the maximum use at an age; None after expiry."""
-        stage = max(0, age_ms) // STAGE_MS
-        if stage >= STAGE_COUNT:
+        if age_ms >= STAGE_COUNT * STAGE_MS:
             return None
-        return self.allowed.bound_tokens(stage)
+        return self.allowed.bound_tokens(max(0, age_ms))
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/budgets/_account_shard.py
+++ b/teaseldale/budgets/_account_shard.py
@@ -181,7 +181,7 @@
         held.waiting.append(waiter)
         self._wake.set()
         wait_ms = _GRANT_TIMEOUT_MS
-        if self._is_store_lost:
+        if self._is_store_lost and not self._will_mark_allow():
             wait_ms = LOAN_TIMEOUT_MS
         try:
             with anyio.move_on_after(wait_ms / _MS_PER_SECOND):
@@ -197,6 +197,12 @@
             code = self.waiting.refusal_code(waiter)
         return self.waiting.refuse(waiter, code)
 
+    def _will_mark_allow(self) -> bool:
+        """Whether this VM can pay all waiting requests within the timeout."""
+        then_ms = self._clock.monotonic_ms() + _GRANT_TIMEOUT_MS
+        limit = self.rounds.limits.limit_tokens(self.held, then_ms)
+        return self.held.used_tokens + self.held.waiting_tokens <= limit
+
     async def _borrow_until_answered(self, waiter: GrantWaiter) -> None:
         """Requests loans repeatedly if the store does not answer in time."""
         if not self._is_store_lost:
@@ -205,7 +211,10 @@
             ):
                 await waiter.answered.wait()
         while not waiter.answered.is_set():
-            if waiter is self.held.waiting[0] and self._request_loan:
+            # The limit of a mark grows while a call to the store is pending.
+            self.waiting.serve()
+            is_first = waiter in self.held.waiting[:1]
+            if is_first and self._request_loan:
                 self._request_loan(self)
             with anyio.move_on_after(
                 _LOAN_REQUEST_INTERVAL_MS / _MS_PER_SECOND
--- a/teaseldale/budgets/_spending_marks.py
+++ b/teaseldale/budgets/_spending_marks.py
@@ -5,12 +5,16 @@
 from teaseldale.budgets._account_book import HeldAccount
 from teaseldale.budgets._account_rows import MarkedAccount, SpendingMark
 
-# Age at which a mark is renewed with the current spending. It is well below the
-# period of demand that the first stage of a mark allows.
+# Age at which a mark is renewed with the current spending. It is below the age
+# at which a mark allows more than its lead.
 _MARK_INTERVAL_MS = 1000
 # Renewal age without spending. A restart after a kill loses the tokens allowed
 # by the stages up to the age of the mark.
 _IDLE_MARK_INTERVAL_MS = 3000
+# A mark allows the demand of the time that this many commits take, so that
+# requests rarely wait for a mark if the store is slow.
+_LEAD_COMMITS = 2
+_MAX_LEAD_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -29,13 +33,20 @@
     acknowledged: BindingMark | None = None
     # Not acknowledged, but possibly written, so it is binding as well.
     pending: BindingMark | None = None
+    # Time that the latest mark took to be committed.
+    commit_duration_ms: int = 0
 
-    def acknowledge(self) -> None:
+    def acknowledge(self, now_ms: int) -> None:
         """Records that the store has committed the pending mark."""
         if self.pending is not None:
+            self.commit_duration_ms = now_ms - self.pending.made_ms
             self.acknowledged = self.pending
             self.pending = None
 
+    def lead_ms(self) -> int:
+        """Returns the period of demand that the next mark allows at once."""
+        return min(self.commit_duration_ms * _LEAD_COMMITS, _MAX_LEAD_MS)
+
     def is_mark_due(self, held: HeldAccount, now_ms: int) -> bool:
         """Whether a new mark should be committed now."""
         if self.acknowledged is None or self.pending is not None:
@@ -78,18 +89,24 @@
         return self.limit_tokens(held, now_ms) < needed <= held.granted_tokens
 
 
-def allowance_of(held: HeldAccount, granted_tokens: int) -> MarkedAccount:
+def allowance_of(
+    held: HeldAccount,
+    granted_tokens: int,
+    lead_ms: int,
+) -> MarkedAccount:
     """Returns the spending that a new mark allows for an account.
 
     Tokens that other VMs have asked to borrow are included in one mark only.
     """
     unused_tokens = max(0, granted_tokens - held.used_tokens)
-    first_stage_tokens = held.demand.first_stage_tokens()
-    first_stage_tokens += held.waiting_tokens + held.lending_tokens
+    requested_tokens = held.waiting_tokens + held.lending_tokens
     held.lending_tokens = 0
+    lead_tokens = held.demand.lead_tokens(lead_ms) + requested_tokens
+    first_stage_tokens = held.demand.first_stage_tokens() + requested_tokens
     first_stage_tokens = min(unused_tokens, first_stage_tokens)
     return MarkedAccount(
         limit_tokens=held.used_tokens + first_stage_tokens,
         step_tokens=held.demand.step_tokens(),
         spare_tokens=unused_tokens - first_stage_tokens,
+        lead_tokens=held.used_tokens + min(unused_tokens, lead_tokens),
     )
--- a/teaseldale/budgets/tests/account_fleet.py
+++ b/teaseldale/budgets/tests/account_fleet.py
@@ -65,9 +65,7 @@
         with anyio.CancelScope() as self.scope:
             async with anyio.create_task_group() as tasks:
                 self.grants.set_datagram_sender(self._send)
-                self.grants.update_prepaid_accounts(
-                    dict.fromkeys(fleet.accounts, fleet.prepaid_tokens),
-                )
+                self.grants.update_prepaid_accounts(fleet.prepaid_by_account)
                 await self.grants.start(tasks)
                 started.set()
                 await anyio.sleep_forever()
@@ -117,6 +115,7 @@
         self.random = random.Random(seed)
         self.state = InMemoryTable()
         self.prepaid_tokens = prepaid_tokens
+        self.prepaid_by_account = dict.fromkeys(accounts, prepaid_tokens)
         self.vms = [
             AccountVm(number=number + 1, fleet=self)
             for number in range(vm_count)
@@ -128,6 +127,7 @@
             },
         )
         self.used_tokens = 0
+        self.used_by_account = dict.fromkeys(accounts, 0)
         self.served_count = 0
         self.refusals = []
         self.tasks = None
@@ -167,6 +167,8 @@
         if isinstance(outcome, Refusal):
             self.refusals.append(outcome)
             return
+        if vm.grants is not grants:
+            return  # the VM ended while the request waited in it
         self.used_tokens += tokens
         self.check()
         await sleep_ms(lasts_ms)
@@ -185,6 +187,12 @@
             self.prepaid_tokens,
         )
 
+    def use(self, account, tokens):
+        """Records use of one account, which may not exceed its tokens."""
+        used = self.used_by_account[account] + tokens
+        assert used <= self.prepaid_by_account[account], (account, used)
+        self.used_by_account[account] = used
+
     async def load(self, vm, *, tokens, per_s, duration_ms):
         """Sends requests to one VM at a constant rate."""
         for _ in range(per_s * duration_ms // 1000):
