Extend grants for the loans that cut off VMs ask for

Cause: a VM that is cut off from the store borrowed only what its grant lacked, not what its mark disallowed, and a lender that reaches the store lent only what it had been granted for its own requests.

New scenario in account_grants.feature: 60,000 of 100,000 tokens for a VM that is cut off, refused before.

Change: the short amount is taken against the mark. Requests for loans name what the waiting requests lack beside what the borrower would like; a lender counts that as a request of its own when it changes its grant and mark. Spare tokens are what the mark allows, at most the grant less the demand of a second. Earlier builds leave the new field out and are asked as before.

--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -334,9 +334,11 @@
         own_unspent = held.granted_tokens - held.spent_tokens
         return GrantNeed(
             available_tokens=held.available_tokens,
-            waiting_tokens=held.waiting_tokens,
+            waiting_tokens=held.waiting_tokens + held.lending_tokens,
             first_waiting_tokens=(
-                held.waiting[0].most_tokens if held.waiting else 0
+                held.waiting[0].most_tokens
+                if held.waiting
+                else held.lending_tokens
             ),
             outage_tokens=held.demand.outage_tokens(),
             free_tokens=held.free_tokens,
--- a/teaseldale/budgets/_account_shard.py
+++ b/teaseldale/budgets/_account_shard.py
@@ -87,8 +87,8 @@
     def spare_tokens(self) -> int:
         """Tokens that can be lent without affecting the expected demand."""
         held = self.held
-        limit = self.waiting.limit_tokens()
-        return limit - held.used_tokens - held.demand.retained_tokens()
+        unused = held.available_tokens - held.demand.retained_tokens()
+        return min(unused, self.waiting.limit_tokens() - held.used_tokens)
 
     @property
     def may_hold_drawn_tokens(self) -> bool:
--- a/teaseldale/budgets/_token_loans.py
+++ b/teaseldale/budgets/_token_loans.py
@@ -37,6 +37,8 @@
     tokens: int
     borrower: str  # key of the requesting incarnation
     borrower_address: str
+    # Lacked by the waiting requests; absent in requests of earlier builds.
+    needed_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -86,10 +88,13 @@
         ]
         if self._send is None or not others:
             return
-        short_tokens = held.waiting_tokens - held.available_tokens
+        # A mark that allows less than the grant cannot be raised in time.
+        payable_tokens = shard.waiting.limit_tokens() - held.used_tokens
+        short_tokens = held.waiting_tokens - payable_tokens
         request = LoanRequest(
             account=held.account,
             tokens=max(short_tokens, 0) + held.demand.retained_tokens(),
+            needed_tokens=max(short_tokens, 0),
             borrower=self._holder.text,
             borrower_address=self._address,
         )
@@ -108,8 +113,8 @@
         held = shard.held
         tokens = min(request.tokens, shard.spare_tokens)
         if tokens < request.tokens:
-            # The next mark will allow the loan, and the borrower retries.
-            held.lending_tokens = request.tokens
+            # The next transaction allows the loan, and the borrower retries.
+            held.lending_tokens = request.needed_tokens or request.tokens
             shard.trigger_round()
         if tokens <= 0:
             self._metrics.increment('loans_refused')
--- a/teaseldale/budgets/tests/account_grants.feature
+++ b/teaseldale/budgets/tests/account_grants.feature
@@ -39,6 +39,14 @@
     Then fewer than 2 in 100 requests were refused
     And the account is not overspent
 
+  # Guards against refusals during a cut although tokens were free at the store: a
+  # lender only lent what it had been granted for its own requests.
+  Scenario: A VM that reaches the store is granted the tokens that others ask it to lend
+    Given 2 VMs with an account of 100,000 tokens
+    When VM 1 is cut off from the store and requests 60,000 tokens
+    Then no request was refused
+    And the account is not overspent
+
   Scenario: A VM restarted immediately reclaims the tokens that its mark excluded
     Given 1 VMs with an account of 100,000 tokens
     When VM 1 runs 5 requests of 1,000 tokens, one a second
--- a/teaseldale/budgets/tests/steps_account_grants.py
+++ b/teaseldale/budgets/tests/steps_account_grants.py
@@ -168,6 +168,19 @@
     play(context, workload)
 
 
+@when('VM 1 is cut off from the store and requests {tokens} tokens')
+def request_while_cut_off(context, tokens):
+    fleet = context.fleet
+
+    async def workload():
+        fleet.vms[0].table.down = True
+        await sleep_ms(3000)  # its mark then allows more than its lead
+        await fleet.request(fleet.vms[0], number(tokens))
+        assert fleet.refusals or fleet.served_count == 1
+
+    play(context, workload)
+
+
 @when('VM 2 requests {tokens} tokens')
 def second_requests(context, tokens):
     context.events.append(('ask', number(tokens)))
