Show where the tokens of an account are

Change: keepers log account_tokens when the counts have changed, once a second at most; earlier_start_found names the grant; `teaseldale explain-account ACCOUNT LOGS` adds them up by second.

--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -81,7 +81,7 @@
         self._start = start
         self._holder = start.holder
         self._store = store
-        self._held = held
+        self.held = held
         self._assigned = keepers
         self._own_row: ReadKeeperRow | None = None
         self.keepers = KeeperRegister(clock=store.clock)
@@ -99,24 +99,24 @@
     @property
     def is_assigned(self) -> bool:
         """Whether this VM is a keeper of the account."""
-        return self._assigned.is_keeper_of(self._held.account)
+        return self._assigned.is_keeper_of(self.held.account)
 
     @property
     def keeper_count(self) -> int:
         """Number of keepers, including those whose rows are not yet read."""
-        assigned_count = self._assigned.count(self._held.account)
+        assigned_count = self._assigned.count(self.held.account)
         return max(assigned_count, self.keepers.running_count)
 
     @property
     def needs_rounds(self) -> bool:
         """Whether this VM may have to write to the account's partition."""
-        held = self._held
+        held = self.held
         return self.is_assigned or held.granted_tokens > held.spent_tokens
 
     @property
     def spent_by_all(self) -> int:
         """Lower bound of the tokens that all keepers have spent."""
-        held = self._held
+        held = self.held
         if held.row is None:
             return held.spent_tokens
         others = self.keepers.spent_by_others(self._holder.vm_name)
@@ -128,7 +128,7 @@
         sent_ms = clock.monotonic_ms()
         read = await self._store.feed.read_all(
             ACCOUNTS_TABLE,
-            part=self._held.account,
+            part=self.held.account,
         )
         self.keepers.update_store_time(read.store_ms)
         self._apply_rows(read.rows, is_complete=True)
@@ -146,7 +146,7 @@
         for conflicts in range(_CONFLICT_ATTEMPTS):
             row = self._target_row(return_all=return_all)
             now_ms = self._store.clock.monotonic_ms()
-            if row is None and not self.limits.is_mark_due(self._held, now_ms):
+            if row is None and not self.limits.is_mark_due(self.held, now_ms):
                 return
             if await self._commit(row):
                 self._log_change(row, conflicts, started_ms)
@@ -154,7 +154,7 @@
             self._store.metrics.increment('grant_conflicts')
             if not self._is_read:
                 return
-        self._log.changed('grants_contended', account=self._held.account)
+        self._log.changed('grants_contended', account=self.held.account)
 
     def _log_earlier_incarnation(self) -> None:
         own = self._own_row
@@ -163,11 +163,14 @@
         mark = own.row.mark
         self._log.changed(
             'earlier_start_found',
-            account=self._held.account,
+            account=self.held.account,
             incarnation=own.row.incarnation,
             mark_age_ms=self._started_store_ms - mark.made_store_ms,
             bound_tokens=self._bound_of(own),
             spent_tokens=own.row.spent_tokens,
+            granted_tokens=(self.held.row or _EMPTY_ROW).row.granted_to(
+                attrs.evolve(self._holder, incarnation=own.row.incarnation),
+            ),
         )
 
     def _log_change(
@@ -180,7 +183,7 @@
             return
         self._log.changed(
             'grants_changed',
-            account=self._held.account,
+            account=self.held.account,
             granted=row.granted_to(self._holder),
             conflicts=conflicts,
             duration_ms=self._store.clock.monotonic_ms() - started_ms,
@@ -189,7 +192,7 @@
 
     def _target_row(self, *, return_all: bool) -> AccountRow | None:
         """Returns the target account row; None if it is up to date."""
-        held = self._held
+        held = self.held
         read = held.row or _EMPTY_ROW
         change = grant_change(self._grant_need())
         if change > 0 and not held.waiting and not self._assigned.is_settled:
@@ -218,19 +221,19 @@
         if row is not None:
             # Tokens that are about to be returned must not be spent.
             granted = row.granted_to(self._holder)
-            self._held.granted_tokens = min(self._held.granted_tokens, granted)
+            self.held.granted_tokens = min(self.held.granted_tokens, granted)
         own_key = keeper_key(self._holder.vm_name)
         own_revision = 0 if self._own_row is None else self._own_row.revision
         own_row = KeeperRow(
             incarnation=self._holder.incarnation,
             address=self._start.address,
             mark=mark,
-            spent_tokens=self._held.spent_tokens,
+            spent_tokens=self.held.spent_tokens,
         )
         checks = [check_of(own_key, own_revision)]
         writes = [row_write(own_key, own_row)]
         if row is not None:
-            read = self._held.row or _EMPTY_ROW
+            read = self.held.row or _EMPTY_ROW
             checks.append(check_of(GRANTS_KEY, read.revision))
             closed = read.row.granted_tokens.keys() - row.granted_tokens.keys()
             checks.extend(_mark_checks(closed, self.keepers))
@@ -240,7 +243,7 @@
                 make_transaction(
                     checks=checks,
                     writes=writes,
-                    part=self._held.account,
+                    part=self.held.account,
                 ),
             )
         except PlatformError:
@@ -262,7 +265,7 @@
         """
         if self.limits.pending is not None:
             return self.limits.pending.mark
-        held = self._held
+        held = self.held
         granted = held.granted_tokens
         if row is not None:
             granted = row.granted_to(self._holder)
@@ -289,7 +292,7 @@
         self._own_row = read
         self.keepers.put(self._holder.vm_name, read)
         self.limits.acknowledge(self._store.clock.monotonic_ms())
-        held = self._held
+        held = self.held
         if row is not None:
             held.row = ReadAccountRow(row=row, revision=outcome.revision)
         # No earlier transaction of this VM can be applied any more, since each
@@ -321,7 +324,7 @@
         self._own_row = own
 
     def _apply_account_row(self, row: Row | None) -> None:
-        held = self._held
+        held = self.held
         held.row = _EMPTY_ROW if row is None else decode_account_row(row)
         granted = held.row.row.granted_to(self._holder)
         if self.limits.pending is None:
@@ -331,7 +334,7 @@
             held.granted_tokens = min(held.granted_tokens, granted)
 
     def _grant_need(self) -> GrantNeed:
-        held = self._held
+        held = self.held
         unspent = held.prepaid_tokens - self.spent_by_all
         own_unspent = held.granted_tokens - held.spent_tokens
         return GrantNeed(
--- a/teaseldale/budgets/_account_shard.py
+++ b/teaseldale/budgets/_account_shard.py
@@ -6,6 +6,7 @@
 
 from teaseldale.budgets._account_book import GrantWaiter, HeldAccount
 from teaseldale.budgets._account_demand import AccountDemand
+from teaseldale.budgets._account_reports import AccountReports
 from teaseldale.budgets._account_rounds import (
     AccountRounds,
     StoreAccess,
@@ -70,6 +71,7 @@
             clock=store.clock,
             metrics=store.metrics,
         )
+        self._reports = AccountReports(rounds=self.rounds, clock=store.clock)
         self._request_loan: Callable[[AccountShard], None] | None = None
         self._wake = anyio.Event()
         self._next_read_ms = 0
@@ -231,6 +233,7 @@
             self._wake.set()
         else:
             self._record_store_recovery()
+        self._reports.log_if_changed()
         self.waiting.serve()
         if not self._is_store_lost:
             self.waiting.refuse_exhausted()
--- a/teaseldale/budgets/tests/account_grants.feature
+++ b/teaseldale/budgets/tests/account_grants.feature
@@ -6,6 +6,11 @@
     Then no request was refused
     And VM 1 made fewer than 30 transactions
 
+  Scenario: The tokens of an account are logged once a second at most
+    Given 2 VMs with an account of 1,000,000 tokens
+    When VM 1 runs 200 requests of 100 tokens over 4 s
+    Then VM 1 logged the tokens of the account 3 to 7 times
+
   Scenario: A VM spends from its grant while the store is unavailable
     Given 4 VMs with an account of 1,000,000 tokens
     When each VM runs 20 requests of 500 tokens a second for 3 s
--- a/teaseldale/budgets/tests/steps_account_grants.py
+++ b/teaseldale/budgets/tests/steps_account_grants.py
@@ -4,6 +4,7 @@
 import random
 
 import anyio
+import logbook
 from behave import given, then, when
 
 from teaseldale.budgets._account_rows import decode_account_row
@@ -43,7 +44,21 @@
         )
         context.commit_count = fleet.vms[0].table.commit_count - before
 
-    play(context, workload)
+    with logbook.TestHandler().applicationbound() as handler:
+        play(context, workload)
+        context.records = handler.records
+
+
+@then('VM 1 logged the tokens of the account {least:d} to {most:d} times')
+def tokens_logged(context, least, most):
+    lines = [
+        record
+        for record in context.records
+        if record.message == 'account_tokens'
+        and record.extra['granted_tokens'] > 0
+        and record.extra['spent_tokens'] > 0
+    ]
+    assert least <= len(lines) <= most, len(lines)
 
 
 @then('no request was refused')
--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 import anyio
+import attrs
 import fire
 import msgspec
 
 from teaseldale import VERSION
+from teaseldale.command._account_tokens import account_seconds
 from teaseldale.command._causes import find_causes
 from teaseldale.command._event_loop import run_until_signal
 from teaseldale.command._exits import (
@@ -71,6 +73,15 @@
         timeline = build_timeline(str(request), read_lines(map(str, paths)))
         return timeline.document() if json else timeline.render()
 
+    @fire.decorators.SetParseFns(  # type: ignore[untyped-decorator]
+        str,
+        account=str,
+    )
+    def explain_account(self, account: str, *paths: str) -> object:
+        """Prints where the tokens of ACCOUNT were, by second, from logs."""
+        seconds = account_seconds(str(account), read_lines(map(str, paths)))
+        return [attrs.asdict(second) for second in seconds]
+
     def causes(self, *paths: str) -> object:
         """Counts failed requests by cause from log files or standard input."""
         return find_causes(read_lines(map(str, paths))).document()
--- a/teaseldale/command/tests/explain.feature
+++ b/teaseldale/command/tests/explain.feature
@@ -47,6 +47,14 @@
     When a request ends with "status 200"
     Then the report counts 1 request and no failure
 
+  Scenario: The tokens of an account are counted over all VMs by second
+    Given two VMs log the tokens of an account, and one of them starts again
+    When the account is explained
+    Then its seconds show what is spent, payable and withheld by marks
+
+  Scenario: Explaining an account without log lines fails
+    Then explaining the account "none" fails with its name
+
   Scenario: A failed request with an unknown cause is listed
     Given the log of a VM where nothing else happens
     When a request ends with "refusal internal_error"
--- a/teaseldale/command/tests/steps_explain.py
+++ b/teaseldale/command/tests/steps_explain.py
@@ -9,6 +9,7 @@
 import msgspec
 from behave import given, then, when
 
+from teaseldale.command._account_tokens import account_seconds
 from teaseldale.command._causes import find_causes
 from teaseldale.command._explain import build_timeline
 from teaseldale.command._log_lines import read_lines
@@ -179,3 +180,59 @@
 @then('the report lists it as unexplained')
 def listed(context):
     assert context.report.document()['unexplained'] == ['r-1']
+
+
+def _account_line(time, vm, **fields):
+    line = {
+        'time': f'2026-01-01T00:00:{time}',
+        'vm': vm,
+        'channel': 'grants',
+        'event': 'account_tokens',
+        'account': 'a',
+        'prepaid_tokens': 1000,
+        'closed_tokens': 0,
+        'free_tokens': 100,
+        'granted_tokens': 450,
+        'limit_tokens': 300,
+        'spent_tokens': 200,
+        'reserved_tokens': 40,
+        **fields,
+    }
+    return msgspec.json.encode(line).decode()
+
+
+@given('two VMs log the tokens of an account, and one of them starts again')
+def account_lines(context):
+    context.lines = [
+        _account_line('01.1', 'vm-1'),
+        _account_line('01.2', 'vm-2', limit_tokens=450),
+        _account_line('01.3', 'vm-2', event='reservation_refused', code='x'),
+        _account_line('04.0', 'vm-1', event='started', account=''),
+        _account_line('04.2', 'vm-2', closed_tokens=300, spent_tokens=250),
+    ]
+
+
+@when('the account is explained')
+def explain_account(context):
+    context.seconds = account_seconds('a', context.lines)
+
+
+@then('its seconds show what is spent, payable and withheld by marks')
+def seconds_shown(context):
+    first, last = context.seconds
+    assert (first.spent, first.reserved) == (400, 80), first
+    assert (first.payable, first.withheld) == (270, 150), first
+    assert first.refusals == {'x': 1}, first
+    assert (last.closed, last.spent) == (300, 250), last
+    assert (last.payable, last.withheld) == (10, 150), last
+    assert not last.refusals, last
+
+
+@then('explaining the account "{account}" fails with its name')
+def unknown_account(context, account):
+    try:
+        account_seconds(account, [_LINE])
+    except CommandFailedError as error:
+        assert account in str(error)
+        return
+    raise AssertionError('an account without lines was explained')
