--- a/teaseldale/budgets/_account_grants.py
+++ b/teaseldale/budgets/_account_grants.py
@@ -21,8 +21,6 @@
     RETURN,
     RETURN_RECEIPT,
 )
-from teaseldale.budgets._relayed_store import RelayedStore
-from teaseldale.budgets._store_relay import StoreRelay
 from teaseldale.budgets._token_draws import TokenDraws
 from teaseldale.budgets._token_loans import LOAN, LOAN_REQUEST, TokenLoans
 from teaseldale.budgets._token_returns import TokenReturns
@@ -60,13 +58,6 @@
         """Creates the service without any account."""
         self._start = start
         self._keepers = keepers
-        self._relay = StoreRelay(
-            start=start,
-            members=keepers.members,
-            store=store,
-        )
-        self._relayed = RelayedStore(direct=store, relay=self._relay)
-        store = attrs.evolve(store, table=self._relayed, feed=self._relayed)
         self._store = store
         self._clock = store.clock
         self._shards: dict[str, AccountShard] = {}
@@ -96,7 +87,6 @@
             DRAW_ANSWER: self._draws.handle_answer,
             RETURN: self._returns.handle_return,
             RETURN_RECEIPT: self._returns.handle_receipt,
-            **self._relay.handlers,
         }
         keepers.members.add_change_listener(self._trigger_rounds)
 
@@ -116,14 +106,11 @@
         self._draws.set_datagram_sender(send)
         self._answers.set_datagram_sender(send)
         self._returns.set_datagram_sender(send)
-        self._relay.set_datagram_sender(send)
 
     async def start(self, tasks: TaskGroup) -> None:
         """Starts the loop of each account and the handling of draws."""
         self._tasks = tasks
         self._answers.use_task_group(tasks)
-        self._relay.use_task_group(tasks)
-        tasks.start_soon(self._relayed.probe)
         for shard in self._shards.values():
             tasks.start_soon(shard.run)
         tasks.start_soon(self._return_unused)
--- a/teaseldale/budgets/_spending_marks.py
+++ b/teaseldale/budgets/_spending_marks.py
@@ -14,7 +14,7 @@
 # A mark allows the demand of the time that this many commits take, so that
 # requests rarely wait for a mark if the store is slow.
 _LEAD_COMMITS = 2
-_MAX_LEAD_MS = 300
+_MAX_LEAD_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
