Begin the ramp of marks 700 ms after they are made

Cause: with the ramp from one second on, requests at the start of a cut of all VMs waited longer than they may.

--- a/teaseldale/budgets/_account_rows.py
+++ b/teaseldale/budgets/_account_rows.py
@@ -25,7 +25,7 @@
 STAGE_MS = 1000
 # Stages before a mark allows more than its lead. A store that answers renews
 # marks before that.
-_RAMP_START_STAGES = 1
+_RAMP_START_STAGES = 0.7
 # Demand that a mark then allows, until it allows the demand of its whole age.
 _RAMP_FACTOR = 1.5
 # The stages together exceed the store outages of current deployments.
