--- a/teaseldale/moves/tests/moves_processes.feature
+++ b/teaseldale/moves/tests/moves_processes.feature
@@ -1,5 +1,6 @@
 Feature: Release notes and moves on real processes
 
+  @known_red
   Scenario: A note, a bad version, and the death of the steering VM
     Given 4 VMs in 2 zones and an engine of version v2
     When a note that adds a budget is applied at VM 3
