Take no head that stopped for a whole answer

What callers saw elsewhere: a runner stopped in the middle of the head of its answer and closed the connection; they got a 200 with an empty or short body that was framed as whole.

Cause: a head that a blank line ends before its length or its chunks are named reads as that of an answer whose body ends with its connection. The runner still listened, so the end counted as intended, and nothing asked for a body.

Evidence: a head of each framing, cut at every byte and ended by nothing, one or two line breaks.

Change: a success without length and chunks must have a body, line breaks aside. The check is in the parser, so it holds for all that read through it: forwarding, tunnels' ends, service calls and engines of the own interface. The request may have run, so only kinds that may run again are tried again.

Ruled out: cuts within a length or the name of an encoding (the body that follows never comes, so these were broken before).

--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -17,6 +17,8 @@
 
 _BUFFER_LIMIT_BYTES = 65_536
 _FIRST_FINAL_STATUS = 200
+_FIRST_UNSUCCESSFUL_STATUS = 300
+_LINE_BREAKS = b'\r\n'
 
 # Returns whether a response with this status and headers is for the request.
 ResponseMatcher = Callable[[int, WireHeaders], bool]
@@ -57,6 +59,7 @@
         self._sizes = ResponseSizes()
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
+        self._has_body = False
         self._error: Exception | None = None
         # Set when a body ends with its connection, until it is examined.
         self._end: ConnectionEnd | None = None
@@ -164,6 +167,8 @@
         self._sizes.end_part()
         if self._is_skipping or self.is_complete:
             return
+        # Line breaks alone may belong to a head that stopped.
+        self._has_body = self._has_body or bool(part.strip(_LINE_BREAKS))
         self._chunks.append(part)
         self._buffered_bytes += len(part)
         if self._buffered_bytes > _BUFFER_LIMIT_BYTES and self._transport:
@@ -197,6 +202,7 @@
         self.is_complete = False
         self._chunks = []
         self._buffered_bytes = 0
+        self._has_body = False
 
     async def drain(self, timeout_seconds: float | None) -> None:
         """Waits until the write buffer has room.
@@ -250,7 +256,10 @@
         """Completes a response that ended with its connection, or fails it."""
         fault = await end.find_fault()
         if self._error is None:
-            self._error = fault
+            self._error = fault or _find_missing_body(
+                self.status,
+                has_body=self._has_body,
+            )
         self.is_complete = self._error is None
         end.close()
 
@@ -280,3 +289,18 @@
     except httptools.HttpParserError as error:
         return httpcore.RemoteProtocolError(str(error))
     return None
+
+
+def _find_missing_body(
+    status: int,
+    *,
+    has_body: bool,
+) -> httpcore.ReadError | None:
+    """Returns a fault if a success has neither length, chunks nor body.
+
+    Its peer may have closed the connection within the head, before the headers
+    that frame the body.
+    """
+    if has_body or status >= _FIRST_UNSUCCESSFUL_STATUS:
+        return None
+    return httpcore.ReadError('the response ended before its body')
--- a/teaseldale/upstreams/tests/answers.feature
+++ b/teaseldale/upstreams/tests/answers.feature
@@ -13,6 +13,7 @@
       | cut        | chunks without their end, then a reset         | broken                   |
       | unframed   | a body without length, then its end            | whole and closed         |
       | reset      | a body without length, then its end and a reset | broken                  |
+      | bodiless   | a head without length, then its end            | broken                   |
       | garbled    | bytes that are no answer                       | broken                   |
       | closing    | a whole answer that says it closes             | whole and closed         |
 
@@ -23,6 +24,22 @@
       | crossed    | only the answer of another request, then its end | broken                 |
       | interim    | an interim answer, then the whole one          | whole and kept open      |
 
+  # Guards against a head that a runner has not finished and that is read as the
+  # whole answer, because a line break ends it before its length is named.
+  Scenario Outline: A head with <framing> that stops at any byte is no whole answer
+    Given a request "r-1" that was sent to a runner
+    When the runner stops at each byte of a head with <framing>, with <ending>
+    Then none of these responses is whole
+
+    Examples:
+      | framing  | ending          |
+      | a length | nothing         |
+      | a length | a line break    |
+      | a length | two line breaks |
+      | chunks   | nothing         |
+      | chunks   | a line break    |
+      | chunks   | two line breaks |
+
   Scenario: Bytes on an idle connection make it unusable
     Given a request "r-1" that was sent to a runner
     When the runner sends a length and the whole body
--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -51,6 +51,7 @@
         HEAD + b'connection: close\r\n\r\nbody',
         _END,
     ],
+    'a head without length, then its end': [HEAD + b'\r\n', _END],
     'a body without length, then its end and a reset': [
         HEAD + b'connection: close\r\n\r\nbo',
         _END,
@@ -70,6 +71,22 @@
     ],
 }
 
+_HEADS = {
+    'a length': (
+        HEAD + b'x-server-stamp: s\r\ncontent-type: text/plain\r\n'
+        b'content-length: 4\r\nconnection: close\r\n'
+    ),
+    'chunks': (
+        HEAD + b'x-server-stamp: s\r\ncontent-type: text/event-stream\r\n'
+        b'transfer-encoding: chunked\r\nconnection: close\r\n'
+    ),
+}
+_ENDINGS = {
+    'nothing': b'',
+    'a line break': b'\r\n',
+    'two line breaks': b'\r\n\r\n',
+}
+
 
 class _Socket:
     def __init__(self):
@@ -248,6 +265,31 @@
     run_in_virtual_time(scenario)
 
 
+@when('the runner stops at each byte of a head with {framing}, with {ending}')
+def stopping_heads(context, framing, ending):
+    head = _HEADS[framing]
+    context.responses = {
+        head[:size]: run_in_virtual_time(
+            functools.partial(
+                exchange,
+                [head[:size] + _ENDINGS[ending], _END],
+                outcomes=['accepted'],
+            )
+        )
+        for size in range(len(head))
+    }
+
+
+@then('none of these responses is whole')
+def none_whole(context):
+    whole = [
+        head
+        for head, response in context.responses.items()
+        if not response.is_broken
+    ]
+    assert not whole, whole
+
+
 @given('a runner whose host {state}')
 def runner_host(context, state):
     listener = socket.socket()
