Report loads and needed tokens to the holder of a runner's room

What could not be told apart: whether a brittle runner rejects for want of slots or of memory, and whether requests had waited there before.

Change: a VM names in its reports the load that the runner's latest answer reported, at once if requests wait there, and what its requests need of the runner's memory: their own tokens (prompt and most output) and the parts of the prompt that a runner keeps once for all. A line for each rejection has the load, the VM's own requests and the room as last told. The ledger does not use any of it yet.

Messages of earlier builds lack the new fields, which have defaults; earlier builds pass over those of this one, as msgspec ignores further entries of an array.

--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -121,10 +121,10 @@
                 is_connection_lost=False,
             )
         reply = self._parts.wire.read_reply(answer.status, answer.headers)
-        self._note_load(reply)
         if reply.is_misdirected:
             self._parts.choice.mark_unreachable(self.runner.runner_id)
         else:
+            self._note_load(reply)
             self._note_announcement(reply)
         if reply.is_not_run:
             if not reply.is_misdirected:
@@ -289,3 +289,9 @@
                 ),
                 slot_count=reply.load.slot_count,
             )
+            self._parts.rooms.note_load(
+                self.runner.incarnation_name,
+                running_count=reply.load.running_count,
+                waiting_count=reply.load.waiting_count,
+                slot_count=reply.load.slot_count,
+            )
--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -5,7 +5,13 @@
 from teaseldale.forwarding._admission import AdmittedRequest
 from teaseldale.forwarding._dependencies import ForwardingDependencies
 from teaseldale.forwarding._runners import ForwardingRunner
-from teaseldale.routing import Permit, PlannedWork, RunnerBacklog
+from teaseldale.routing import (
+    Permit,
+    PlannedWork,
+    RunnerBacklog,
+    StartNeed,
+    need_of,
+)
 
 # Limited runners that are asked for a permit before a request is refused.
 _MAX_PERMIT_REQUESTS = 2
@@ -98,7 +104,10 @@
         runner = self._runner_of(chosen)
         if runner is None:
             return None
-        permit = await permits.take_now(runner.incarnation_name)
+        permit = await permits.take_now(
+            runner.incarnation_name,
+            need=self._need,
+        )
         return SelectedRunner(runner=runner, permit=permit)
 
     def _runner_of(
@@ -210,6 +219,7 @@
         permit = await permits.take(
             name,
             max_wait_ms=0 if is_tried_only else self._left_in_objective_ms,
+            need=self._need,
         )
         if not permit.is_granted:
             self._note_limited(permit.wait_ms)
@@ -221,6 +231,19 @@
             raise
         return SelectedRunner(runner=runner, permit=permit)
 
+    @property
+    def _need(self) -> StartNeed:
+        """Returns what the request needs at a runner of its service."""
+        configuration = self._parts.configuration.current
+        service = None
+        if configuration is not None:
+            service = configuration.services.get(self._admitted.service)
+        engine = None if service is None else service.engine
+        return need_of(
+            self._work,
+            0 if engine is None else engine.memory_tokens,
+        )
+
     @property
     def _left_in_objective_ms(self) -> float:
         admitted = self._admitted
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -54,6 +54,7 @@
     from teaseldale.routing._runner_table import RunnerTable
     from teaseldale.routing._runner_watch import RunnerWatch
     from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
+    from teaseldale.routing._start_need import StartNeed, need_of
 
 __getattr__ = LazyExports(  # noqa: WPS413
     __name__,
@@ -107,6 +108,7 @@
         'teaseldale.routing._runner_table': ('RunnerTable',),
         'teaseldale.routing._runner_watch': ('RunnerWatch',),
         'teaseldale.routing._slot_owner': ('LEASE_VALIDITY_MS',),
+        'teaseldale.routing._start_need': ('StartNeed', 'need_of'),
     },
 )
 
@@ -146,6 +148,8 @@
     'RunnerTable',
     'RunnerWatch',
     'SharedPart',
+    'StartNeed',
     'UpstreamPool',
+    'need_of',
     'prefix_hashes',
 )
--- a/teaseldale/routing/_room_messages.py
+++ b/teaseldale/routing/_room_messages.py
@@ -9,11 +9,30 @@
 ROOM_STATE = b'v'
 
 
+class PartTokens(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A part of prompts that a runner keeps once for all requests with it."""
+
+    part_id: str
+    token_count: int
+
+
+class ReportedLoad(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """The load that a runner has reported in an answer to a VM."""
+
+    number: int  # increases with each answer to the VM
+    running_count: int
+    waiting_count: int
+    slot_count: int
+
+
 class WaitingStart(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A request that waits for room."""
 
     permit_id: int
     max_wait_ms: float  # from now on; longest useful wait
+    # VMs of earlier versions name no tokens and ignore those of others.
+    own_tokens: int = 0  # memory that only this request needs
+    shared_parts: tuple[PartTokens, ...] = ()
 
 
 class RoomReport(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -31,6 +50,11 @@
     waiting: tuple[WaitingStart, ...]
     rejected_count: int  # requests of the VM that the runner rejected so far
     is_alone: bool = False  # whether the VM starts requests within its share
+    # VMs of earlier versions send none of the following and ignore them.
+    load: ReportedLoad | None = None  # the latest that the VM has received
+    open_tokens: tuple[int, ...] = ()  # own tokens of each of ``open_ids``
+    open_parts: tuple[PartTokens, ...] = ()  # shared ones of all ``open_ids``
+    memory_tokens: int = 0  # of the runner, as configured; 0 if unknown
 
 
 class RefusedStart(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/teaseldale/routing/_runner_permits.py
+++ b/teaseldale/routing/_runner_permits.py
@@ -4,6 +4,7 @@
 
 from teaseldale.routing._runner_limits import RunnerLimits
 from teaseldale.routing._runner_rooms import RoomPermit, RunnerRooms
+from teaseldale.routing._start_need import UNKNOWN_NEED, StartNeed
 
 
 @attrs.frozen(kw_only=True)
@@ -39,7 +40,13 @@
         """Returns whether ``take`` hardly grants a permit at present."""
         return self._rooms.has_silent_holder(runner)
 
-    async def take(self, runner: str, *, max_wait_ms: float) -> Permit:
+    async def take(
+        self,
+        runner: str,
+        *,
+        max_wait_ms: float,
+        need: StartNeed = UNKNOWN_NEED,
+    ) -> Permit:
         """Waits for room and returns a permit, which may be refused.
 
         The caller must wait until the start that the permit names, and release
@@ -48,28 +55,34 @@
         limit = await self._limits.take(runner, max_wait_ms=max_wait_ms)
         if not limit.is_granted:
             return Permit(wait_ms=limit.wait_ms)
-        return await self._take_room(runner, limit.wait_ms, max_wait_ms)
-
-    async def take_now(self, runner: str) -> Permit:
+        room = await self._rooms.take(
+            runner,
+            max_wait_ms=max_wait_ms,
+            need=need,
+        )
+        return _permit_of(room, limit.wait_ms)
+
+    async def take_now(
+        self,
+        runner: str,
+        *,
+        need: StartNeed = UNKNOWN_NEED,
+    ) -> Permit:
         """Returns a permit for a runner that ``may_start`` a request.
 
         The limit may just have been used up; the request is sent all the same.
         """
         await self._limits.take(runner, max_wait_ms=0)
-        return await self._take_room(runner, 0, 0)
+        room = await self._rooms.take(runner, max_wait_ms=0, need=need)
+        return _permit_of(room, 0)
 
     def release(self, permit: Permit) -> None:
         """Ends a permit, as its request has ended or is not sent."""
         if permit.room is not None:
             self._rooms.release(permit.room)
 
-    async def _take_room(
-        self,
-        runner: str,
-        start_ms: float,
-        max_wait_ms: float,
-    ) -> Permit:
-        room = await self._rooms.take(runner, max_wait_ms=max_wait_ms)
-        if room.is_granted:
-            return Permit(wait_ms=start_ms, room=room)
-        return Permit(wait_ms=room.wait_ms)
+
+def _permit_of(room: RoomPermit, start_ms: float) -> Permit:
+    if room.is_granted:
+        return Permit(wait_ms=start_ms, room=room)
+    return Permit(wait_ms=room.wait_ms)
--- a/teaseldale/routing/_runner_rooms.py
+++ b/teaseldale/routing/_runner_rooms.py
@@ -7,6 +7,7 @@
 datagrams are lost or VMs are cut off.
 """
 
+import functools
 import itertools
 import uuid
 from collections.abc import Callable, Collection, Iterator
@@ -28,13 +29,9 @@
 )
 from teaseldale.routing._room_post import RoomPost
 from teaseldale.routing._room_use import RoomUse, WaitingRequest
+from teaseldale.routing._start_need import UNKNOWN_NEED, StartNeed
 
-_MS_PER_SECOND = 1000
 _EPOCH_SHIFT_BITS = 80  # leaves a random number of 48 bits
-# Answers of the holder take a few ms; requests wait for lost ones meanwhile.
-_ANSWER_TIMEOUT_MS = 120
-# A report with requests that wait is repeated, as it may be lost.
-_REPEAT_MS = 40
 _HOLDER_RETRY_MS = 500.0  # named to callers if the holder does not answer
 _REPORT_INTERVAL_MS = 250
 
@@ -120,7 +117,13 @@
             return False
         return use.is_unanswered(self._clock.monotonic_ms())
 
-    async def take(self, runner: str, *, max_wait_ms: float) -> RoomPermit:
+    async def take(
+        self,
+        runner: str,
+        *,
+        max_wait_ms: float,
+        need: StartNeed = UNKNOWN_NEED,
+    ) -> RoomPermit:
         """Waits for room at a runner, for ``max_wait_ms`` at most.
 
         A permit that is granted must be released.
@@ -128,22 +131,25 @@
         permit_id = next(self._ids)
         use = self._use_of(runner)
         if not self.is_brittle(runner):
-            use.open_ids.add(permit_id)
+            use.open_needs[permit_id] = need
             return RoomPermit(runner=runner, permit_id=permit_id)
         self._has_brittle.set()
         now_ms = self._clock.monotonic_ms()
-        request = WaitingRequest(until_ms=now_ms + max_wait_ms)
+        request = WaitingRequest(until_ms=now_ms + max_wait_ms, need=need)
         use.waiting[permit_id] = request
         try:
             if not self.has_silent_holder(runner):
-                await self._wait(runner, request)
+                await request.wait(
+                    clock=self._clock,
+                    report=functools.partial(self._report, runner),
+                )
         except BaseException:
-            use.open_ids.discard(permit_id)
+            use.open_needs.pop(permit_id, None)
             raise
         finally:
             use.waiting.pop(permit_id)
             is_given_up = request.refused_wait_ms is None
-            if is_given_up and permit_id not in use.open_ids:
+            if is_given_up and permit_id not in use.open_needs:
                 self._report(runner)
         return self._outcome(runner, permit_id, request)
 
@@ -152,7 +158,7 @@
         use = self._uses.get(permit.runner)
         if use is None:
             return
-        use.open_ids.discard(permit.permit_id)
+        use.open_needs.pop(permit.permit_id, None)
         if self.is_brittle(permit.runner):
             self._report(permit.runner)
         elif use.is_idle:
@@ -176,11 +182,42 @@
         if is_news:
             self._apply_news(runner)
 
+    def note_load(
+        self,
+        runner: str,
+        *,
+        running_count: int,
+        waiting_count: int,
+        slot_count: int,
+    ) -> None:
+        """Records the load that an answer to this VM reports.
+
+        Requests that wait at a runner are reported at once, before more are
+        granted; other loads go with the next report.
+        """
+        use = self._uses.get(runner)
+        if use is None:
+            return
+        use.note_load(running_count, waiting_count, slot_count)
+        if waiting_count and self.is_brittle(runner):
+            self._report(runner)
+
     def note_rejection(self, runner: str) -> None:
         """Records that a runner has rejected a request of this VM."""
         if not self.is_brittle(runner):
             return
-        self._use_of(runner).rejected_count += 1
+        use = self._use_of(runner)
+        use.rejected_count += 1
+        load = use.load
+        self._log.changed(
+            'brittle_runner_rejected',
+            runner=runner,
+            running=None if load is None else load.running_count,
+            waiting=None if load is None else load.waiting_count,
+            slots=None if load is None else load.slot_count,
+            own_count=len(use.open_needs),
+            room=self._room_counts.get(runner),
+        )
         self._report(runner)
 
     def keep_only(self, runners: Collection[str]) -> None:
@@ -205,19 +242,6 @@
             if self._book.is_empty:
                 self._has_brittle = anyio.Event()
 
-    async def _wait(self, runner: str, request: WaitingRequest) -> None:
-        """Waits until the holder has decided, or it is too late."""
-        self._report(runner)
-        now_ms = self._clock.monotonic_ms()
-        give_up_ms = max(request.until_ms, now_ms + _ANSWER_TIMEOUT_MS)
-        while not request.is_decided.is_set() and now_ms < give_up_ms:
-            wait_ms = min(_REPEAT_MS, give_up_ms - now_ms)
-            with anyio.move_on_after(wait_ms / _MS_PER_SECOND):
-                await request.is_decided.wait()
-            now_ms = self._clock.monotonic_ms()
-            if not request.is_decided.is_set():
-                self._report(runner)
-
     def _outcome(
         self,
         runner: str,
@@ -232,7 +256,7 @@
             return RoomPermit(wait_ms=request.refused_wait_ms)
         if self._may_start_alone(runner):
             self._metrics.increment('room_permits', 'alone')
-            self._use_of(runner).open_ids.add(permit_id)
+            self._use_of(runner).open_needs[permit_id] = request.need
             self._report(runner)
             return RoomPermit(runner=runner, permit_id=permit_id)
         self._metrics.increment('room_permits', 'unanswered')
@@ -285,10 +309,16 @@
                 None if known is None else known.tolerated_rejections
             ),
             mention_age_ms=self._book.mention_age_ms(runner),
-            open_ids=tuple(use.open_ids),
+            open_ids=tuple(use.open_needs),
             waiting=use.asked(now_ms),
             rejected_count=use.rejected_count,
             is_alone=use.is_alone,
+            load=use.load,
+            open_tokens=tuple(
+                need.own_tokens for need in use.open_needs.values()
+            ),
+            open_parts=use.open_parts,
+            memory_tokens=use.memory_tokens,
         )
         self._post.send_report(report)
 
