--- a/teaseldale/forwarding/tests/fleet_world.py
+++ b/teaseldale/forwarding/tests/fleet_world.py
@@ -46,6 +46,8 @@
     def __init__(self, *, number, fleet):
         self.number = number
         self.fleet = fleet
+        self.has_ended = False
+        self._scopes = set()  # of its requests
         self.table = FakeTableService(
             state=fleet.state,
             random_source=random.Random(number),
@@ -72,17 +74,29 @@
         fleet.asked_count += 1
         request_id = request_id or b'r-%d' % fleet.asked_count
         caller = ScriptedCaller(
-            headers=unbilled_headers(request_id, _DEADLINE_MS),
+            headers=(
+                *unbilled_headers(request_id, _DEADLINE_MS),
+                *fleet.headers_of(request_id),
+            ),
             body=body,
             path=path,
         )
         caller.request_id = request_id
         caller.vm = self
         caller.asked_ms = now_ms()
-        await self.entry._respond(caller.exchange())
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            await self.entry._respond(caller.exchange())
+        self._scopes.discard(scope)
         fleet.callers.append(caller)
         return caller
 
+    def end(self):
+        """Ends the VM's process, which closes its connections."""
+        self.has_ended = True
+        for scope in self._scopes:
+            scope.cancel()
+
 
 class ModelledFleet:
     """VMs and their runners; subclasses model the runners."""
@@ -105,6 +119,10 @@
         """Returns the runner connections of a VM."""
         raise AssertionError(vm_number)
 
+    def headers_of(self, request_id):
+        """Returns the headers of a request beside those of each."""
+        return ()
+
     async def start(self, tasks):
         """Starts all VMs."""
         self.tasks = tasks
@@ -183,7 +201,7 @@
         for service in (vm.parts.limits, vm.parts.rooms):
             await service.start(self.tasks)
             service.set_datagram_sender(
-                functools.partial(self._send_datagram, number),
+                functools.partial(self._send_datagram, vm),
             )
         vm.handlers = {
             **vm.parts.limits.handlers,
@@ -214,7 +232,7 @@
             )
 
     async def _broadcast(self, vm):
-        while True:
+        while not vm.has_ended:
             await vm.exchange.wait_for_change()
             await anyio.sleep(_COALESCE_MS / 1000)
             vm.exchange.remove_expired()
@@ -222,11 +240,13 @@
             if notice is None:
                 continue
             for entry in vm.parts.cells.peers.values():
-                self._send_datagram(vm.number, entry.address, b'p' + notice)
+                self._send_datagram(vm, entry.address, b'p' + notice)
 
     def _send_datagram(self, sender, address, datagram):
+        if sender.has_ended:
+            return
         is_cut = self.cut_numbers and (
-            sender in self.cut_numbers
+            sender.number in self.cut_numbers
             or self._number_at(address) in self.cut_numbers
         )
         if not is_cut and self.random.random() >= self.loss_share:
--- a/teaseldale/forwarding/tests/steps_brittle_runners.py
+++ b/teaseldale/forwarding/tests/steps_brittle_runners.py
@@ -1,16 +1,18 @@
 """Steps for runners that end when they reject too many requests."""
 
 import anyio
+import attrs
 from behave import given, then, when
 
 from teaseldale.fakes import run_in_virtual_time
-from teaseldale.forwarding.tests.brittle_fleet import BrittleFleet
+from teaseldale.forwarding.tests.brittle_fleet import BrittleFleet, RunnerModel
 from teaseldale.forwarding.tests.brittle_histories import play_history
 from teaseldale.forwarding.tests.fleet_world import CONTACT_MS
 from teaseldale.routing._brittle_book import BrittleBook
 
 _BEFORE_S = 2
 _BRITTLE_S = 14
+_BURST_LOAD = 2  # by what the runners can run, beside the usual load
 _OBJECTIVE_MS = 100  # of the route
 
 
@@ -24,6 +26,67 @@
     context.per_s = load * context.fleet.room_per_s
 
 
+# What requests need of the memory of a runner with 16 slots, in tokens.
+_MEMORIES = {
+    'memory for half of their slots': {'memory_tokens': 8},
+    'memory for requests of 1 to 12 tokens': {
+        'memory_tokens': 30,
+        'most_tokens': 12,
+    },
+    'half of the memory that is configured': {
+        'memory_tokens': 8,
+        'named_memory_tokens': 16,
+    },
+    'memory for all of their slots': {},
+}
+_KNOWLEDGE = {
+    'nothing': {},
+    'the load': {'tells_load': True},
+    'the tokens': {'names_tokens': True},
+    'load and tokens': {'tells_load': True, 'names_tokens': True},
+}
+
+
+@given(
+    '{vms:d} VMs before {runners:d} runners with {memory}, of which they know '
+    '{knowledge}'
+)
+def fleet_short_of_memory(context, vms, runners, memory, knowledge):
+    context.model = RunnerModel(
+        slot_count=16,
+        queue_count=32,
+        **_MEMORIES[memory],
+        **_KNOWLEDGE[knowledge],
+    )
+    context.vm_count = vms
+    context.runner_count = runners
+
+
+@given('{queue:d} requests may wait at a runner that tolerates {tolerated:d}')
+def brittle_terms(context, queue, tolerated):
+    context.model = attrs.evolve(
+        context.model,
+        brittle_queue_count=queue,
+        tolerated=tolerated,
+    )
+
+
+@given('{share:d} in 100 requests run on after their connection has closed')
+def requests_run_on(context, share):
+    context.model = attrs.evolve(context.model, runs_on_share=share / 100)
+
+
+@given('the VMs send {load:g} times what the runners can run')
+def load_of_fleet(context, load):
+    context.fleet = BrittleFleet(
+        vm_count=context.vm_count,
+        runner_count=context.runner_count,
+        kind='safe',
+        model=context.model,
+    )
+    context.per_s = load * context.fleet.room_per_s
+
+
 @given('{share:d} in 100 datagrams between these VMs are lost')
 def lost_datagrams(context, share):
     context.fleet.loss_share = share / 100
@@ -49,7 +112,10 @@
             await anyio.sleep(_BEFORE_S)
             world.start_brittleness()
             await anyio.sleep(_BRITTLE_S / 2)
-            if event is not None:
+            if event == 'a burst comes':
+                burst_per_s = _BURST_LOAD * world.room_per_s
+                tasks.start_soon(world.send_other_requests, burst_per_s)
+            elif event is not None:
                 world.bring_about(event)
             await anyio.sleep(_BRITTLE_S / 2)
             context.end_ms = round(anyio.current_time() * 1000)
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -44,6 +44,17 @@
     return (b'server-brittle', b'%d' % count)
 
 
+def load_header(running_count, waiting_count, slot_count):
+    """Returns the header in which a runner reports its load."""
+    load = b'%d,%d,%d' % (running_count, waiting_count, slot_count)
+    return (b'x-instance-load', load)
+
+
+def usage_header(prompt_tokens, output_limit_tokens):
+    """Returns the header with the token counts of a request."""
+    return (b'x-token-usage', b'%d,%d' % (prompt_tokens, output_limit_tokens))
+
+
 def prompt_parts_header(part_ids):
     """Returns the header that lists the parts of a prompt."""
     return (
