Grant room at brittle runners by memory and by what they are seen to run

What callers and operators saw: brittle runners fell over under requests that they had to reject, although room there is granted.

Cause: the room was taken to be the slots and up to a quarter more. Where memory binds first, every start beyond it waits or is rejected; the first sign that was read was the rejection, and free room was granted all at once, so that rejections came back together, more than a runner stands. Class: a limit that is assumed instead of observed, with an unbounded step beyond it.

Change: a ledger bounds starts by the configured memory (shared parts of prompts once), by what the runner has lately been seen to run plus a few (ProvedRoom: half of the tolerated rejections, one while requests wait there, none after a rejection), and by the slots. Requests that run without a permit, such as those of an ended process, count as taken (UnheldRequests); reports of an ended process are dropped. Requests that do not wait pass no other in the queue.

Ruled out: lowering the room at each rejection faster (the first burst is already too many), and room for half of the slots everywhere (strands room).

--- a/teaseldale/forwarding/tests/brittle_memory.feature
+++ b/teaseldale/forwarding/tests/brittle_memory.feature
@@ -2,7 +2,6 @@
 
   # Guards against grants by slots alone: where memory binds first, every start
   # beyond it waits at the runner or is rejected.
-  @known_red
   Scenario Outline: <runners> runners with <memory>, of which VMs know <known>, stand <load> times their room
     Given 8 VMs before <runners> runners with <memory>, of which they know <known>
     And <queue> requests may wait at a runner that tolerates <tolerated>
@@ -22,7 +21,6 @@
 
   # Guards against the same where no answer says what binds, so that rejections
   # are the first sign.
-  @known_red
   Scenario Outline: 5 runners with <memory>, of which VMs know <known>, tolerate <tolerated> rejections
     Given 8 VMs before 5 runners with <memory>, of which they know <known>
     And 1 requests may wait at a runner that tolerates <tolerated>
@@ -39,7 +37,6 @@
 
   # Guards against starts that are all granted at once to the room that a quiet
   # time has left, and against room that is known to its holder alone.
-  @known_red
   Scenario Outline: 5 runners short of memory, of which VMs know <known>, stand it when <event>
     Given 8 VMs before 5 runners with memory for half of their slots, of which they know <known>
     And 1 requests may wait at a runner that tolerates 5
@@ -56,7 +53,6 @@
       | start again                        | 1.3  | load and tokens |
 
   # Guards against reports of waiting and of rejections that are lost.
-  @known_red
   Scenario: VMs that lose datagrams end no runner short of memory
     Given 8 VMs before 5 runners with memory for half of their slots, of which they know the load
     And 1 requests may wait at a runner that tolerates 5
@@ -67,7 +63,6 @@
 
   # Guards against room that is free by the permits of an ended process, but
   # taken by its requests, which their runner has not dropped.
-  @known_red
   Scenario: Requests of VMs that start again run on at runners short of memory
     Given 8 VMs before 5 runners with memory for half of their slots, of which they know load and tokens
     And 1 requests may wait at a runner that tolerates 2
--- a/teaseldale/routing/_room_holding.py
+++ b/teaseldale/routing/_room_holding.py
@@ -85,10 +85,9 @@
             now_ms = self._clock.monotonic_ms()
             is_new = now_ms - known.known_ms < _NEWLY_KNOWN_MS
             delay_ms = _FIRST_REPORTS_MS if is_new else _LATER_REPORTS_MS
-            slot_count = self._holders.slot_count_of(runner)
             ledger = RoomLedger(
-                slot_count=slot_count,
-                room_count=self._room_counts.get(runner, slot_count),
+                slot_count=self._holders.slot_count_of(runner),
+                proved_count=self._room_counts.get(runner, 0),
                 tolerated_rejections=known.tolerated_rejections,
                 now_ms=now_ms,
                 opens_ms=now_ms + delay_ms,
@@ -116,7 +115,11 @@
         )
         if ledger is None:
             return state
-        state = msgspec.structs.replace(state, room_count=ledger.room_count)
+        now_ms = self._clock.monotonic_ms()
+        state = msgspec.structs.replace(
+            state,
+            room_count=ledger.room_count(now_ms),
+        )
         sequence = ledger.sequence_of(vm_name)
         if not sequence:
             return state
@@ -124,5 +127,5 @@
             state,
             sequence=sequence,
             granted_ids=ledger.granted_ids(vm_name),
-            refused=ledger.refuse(vm_name, self._clock.monotonic_ms()),
+            refused=ledger.refuse(vm_name, now_ms),
         )
--- a/teaseldale/routing/_room_ledger.py
+++ b/teaseldale/routing/_room_ledger.py
@@ -1,9 +1,10 @@
 """The requests of all VMs at one brittle runner, as the holder sees them.
 
-Invariant: the permits that VMs hold, and the shares of those that the holder
-does not hear, never exceed the room. A permit counts from its grant until a
-report of its VM lacks it, so that lost, late and repeated datagrams only make
-the holder count too many.
+Invariants: the permits that VMs hold, the shares of those that the holder does
+not hear and the requests that run without a permit never exceed the room, nor
+do their tokens exceed the memory of the runner. A permit counts from its grant
+until a report of its VM lacks it, so that lost, late and repeated datagrams
+only make the holder count too many.
 """
 
 from collections import deque
@@ -11,11 +12,15 @@
 
 import attrs
 
+from teaseldale.routing._proved_room import ProvedRoom
+from teaseldale.routing._room_client import HeldPermit, RoomClient
+from teaseldale.routing._room_memory import exceeds, tokens_in_use
 from teaseldale.routing._room_messages import (
     RefusedStart,
     RoomReport,
     WaitingStart,
 )
+from teaseldale.routing._unheld_requests import UnheldRequests
 
 # A VM that is not heard for this long may have to start requests within its
 # share. VMs report several times in this time, and wait longer themselves.
@@ -24,44 +29,34 @@
 _ENDED_MS = 3000
 # The share of a VM is kept for this long; the VM gives it up sooner.
 _SHARE_KEPT_MS = 20_000
-# After a rejection the requests that are still on their way may be rejected.
-_CLOSED_AFTER_REJECTION_MS = 200
-# The room shrinks at each rejection and grows by one in this time while
-# requests wait for it.
-_GROWTH_INTERVAL_MS = 2000
-# Beyond its slots a runner is tested again for more room in this time.
-_RETEST_INTERVAL_MS = 30_000
-# Requests that may wait at the runner, so that a slot is not free until a VM
-# has got its permit: this share of the slots, two at least. A runner that
-# tolerates fewer rejections than the minimum is not tested for it.
-_EXTRA_SHARE = 0.25
-_MIN_EXTRA_COUNT = 2
-_MIN_TOLERATED = 3
+# A start that has not been rejected for this long has been accepted.
+_ACCEPTED_MS = 300
+# Without a reported load for this long, starts count as running once they have
+# been accepted.
+_LOAD_VALID_MS = 1000
 _RATE_WINDOW_MS = 2000
 # Wait that is named when no request has ended lately.
 _UNKNOWN_WAIT_MS = 500.0
-
-
-@attrs.define(kw_only=True)
-class _Client:
-    """What the holder knows of one VM."""
-
-    epoch: int
-    held: set[int] = attrs.field(factory=set)  # granted and not yet ended
-    waiting: dict[int, WaitingStart] = attrs.field(factory=dict)
-    sequence: int = 0
-    heard_ms: int = 0  # monotonic
-    is_idle: bool = True  # whether the latest report holds nothing
-    rejected_count: int = 0
-    is_alone: bool = False
+# Wait that is named to a request that exceeds the runner's memory.
+_NEVER_WAIT_MS = 10_000.0
 
 
 @attrs.frozen(kw_only=True)
 class _Turn:
+    """A request in the queue.
+
+    Requests that do not wait come last, so that they pass no other.
+    """
+
+    start: WaitingStart
     until_ms: float  # monotonic; later starts are useless
-    permit_id: int
     vm_name: str
 
+    @property
+    def rank(self) -> tuple[bool, float]:
+        """Returns the key by which the queue is sorted."""
+        return not self.start.max_wait_ms, self.until_ms
+
 
 class RoomLedger:
     """Grants the room of one incarnation of a runner."""
@@ -70,55 +65,57 @@
         self,
         *,
         slot_count: int,
-        room_count: int,
+        proved_count: int,
         tolerated_rejections: int,
         now_ms: int,
         opens_ms: int,
     ) -> None:
         """Grants nothing before ``opens_ms``, so that all VMs can report.
 
-        ``room_count`` is the room as last known.
+        ``proved_count`` is the room as an earlier holder has told it, or 0.
         """
-        extra_count = max(_MIN_EXTRA_COUNT, int(slot_count * _EXTRA_SHARE))
-        if tolerated_rejections < _MIN_TOLERATED:
-            extra_count = 0
         self._slot_count = slot_count
-        self._most_count = slot_count + extra_count
-        # Room that is not exceeded until the runner is tested again.
-        self._ceiling_count = self._most_count
-        self._rejected_ms = now_ms
+        self._proved = ProvedRoom(
+            slot_count=slot_count,
+            tolerated_rejections=tolerated_rejections,
+            proved_count=proved_count,
+            now_ms=now_ms,
+        )
+        self._unheld = UnheldRequests()
+        self._memory_tokens = 0  # 0 if unknown
+        self._loaded_ms = now_ms - _LOAD_VALID_MS  # latest reported load
+        self._rejected_ms = now_ms  # latest rejection
         self._began_ms = now_ms
         self._opens_ms = opens_ms
-        self._changed_ms = now_ms  # of the room
-        self._clients: dict[str, _Client] = {}
+        self._clients: dict[str, RoomClient] = {}
         self._queue: list[_Turn] = []  # the most urgent first
         self._ends_ms: deque[int] = deque()  # of requests, latest last
-        self.room_count = room_count
 
     def apply(self, report: RoomReport, now_ms: int) -> bool:
         """Applies a VM's report; returns False if it is out of date."""
-        client = self._clients.get(report.vm_name)
-        if client is None or client.epoch != report.epoch:
-            # Earlier rejections are known to the holder before this one, and
-            # the requests of an earlier process have ended with it.
-            client = _Client(
-                epoch=report.epoch,
-                rejected_count=report.rejected_count,
-            )
-            self._clients[report.vm_name] = client
-        if report.sequence <= client.sequence:
+        client = self._client_of(report, now_ms)
+        if client is None or report.sequence <= client.sequence:
             return False
-        client.sequence = report.sequence
-        client.heard_ms = now_ms
-        client.is_alone = report.is_alone
-        client.is_idle = not (report.open_ids or report.waiting)
-        self._note_rejections(client, report.rejected_count, now_ms)
-        open_ids = set(report.open_ids)
-        asked = {start.permit_id: start for start in report.waiting}
-        ended = client.held - open_ids - asked.keys()
+        self._memory_tokens = report.memory_tokens or self._memory_tokens
+        is_new_load = client.note_load(report.load)
+        rejected_count = client.note_rejections(report.rejected_count)
+        if rejected_count:
+            self._rejected_ms = now_ms
+            self._proved.note_rejections(
+                rejected_count,
+                running_count=(
+                    None if client.load is None else client.load.running_count
+                ),
+                held_count=self._held_count() + self._unheld.count(now_ms),
+                now_ms=now_ms,
+            )
+        ended = client.apply(report, now_ms)
         self._ends_ms.extend(now_ms for _ in ended)
-        client.held = (client.held - ended) | open_ids
-        self._enqueue(report.vm_name, client, asked, now_ms)
+        if not rejected_count:
+            self._note_ended(ended, now_ms)
+        if is_new_load:
+            self._apply_load(client, now_ms, is_rejection=bool(rejected_count))
+        self._enqueue(report, client, now_ms)
         return True
 
     def grant(self, users: Collection[str], now_ms: int) -> set[str]:
@@ -127,15 +124,34 @@
         granted: set[str] = set()
         if now_ms < self._opens_ms:
             return granted
-        self._grow(now_ms)
-        free_count = self.room_count - self._taken_count(users, now_ms)
+        self._drop_ended(now_ms)
+        self._note_accepted(now_ms)
+        taken_count = self._taken_count(users, now_ms)
+        limit_count = self._proved.limit_count(taken_count, now_ms)
+        free_count = limit_count - taken_count
+        unheard_count = max(0, taken_count - self._held_count())
+        unheard_tokens = unheard_count * self._mean_tokens()
         while free_count > 0 and self._queue:
-            turn = self._queue.pop(0)
-            self._clients[turn.vm_name].held.add(turn.permit_id)
+            turn = self._queue[0]
+            if not self._fits_memory(turn.start, unheard_tokens):
+                break
+            self._queue.pop(0)
+            place = limit_count - free_count + 1
+            self._clients[turn.vm_name].hold(turn.start, place, now_ms)
             granted.add(turn.vm_name)
             free_count -= 1
         return granted
 
+    def room_count(self, now_ms: int) -> int:
+        """Returns how many requests the runner takes, as far as is known."""
+        counts = [self._slot_count]
+        if self._proved.has_bound(now_ms):
+            counts.append(self._proved.proved_count)
+        mean_tokens = self._mean_tokens()
+        if self._memory_tokens and mean_tokens:
+            counts.append(int(self._memory_tokens / mean_tokens))
+        return min(counts)
+
     def sequence_of(self, vm_name: str) -> int:
         """Returns the sequence of a VM's latest report; 0 without any."""
         client = self._clients.get(vm_name)
@@ -146,7 +162,7 @@
         client = self._clients.get(vm_name)
         if client is None:
             return ()
-        return tuple(client.held & client.waiting.keys())
+        return tuple(client.held.keys() & client.waiting.keys())
 
     def refuse(self, vm_name: str, now_ms: int) -> tuple[RefusedStart, ...]:
         """Refuses the requests of a VM for which room comes too late."""
@@ -155,78 +171,139 @@
         for position, turn in enumerate(tuple(self._queue)):
             if turn.vm_name != vm_name:
                 continue
-            if now_ms + self._wait_ms(position, now_ms) > turn.until_ms:
+            wait_ms = self._wait_ms(position, now_ms)
+            never_fits = exceeds(self._memory_tokens, turn.start)
+            if never_fits or now_ms + wait_ms > turn.until_ms:
                 self._queue.remove(turn)
-                client.waiting.pop(turn.permit_id, None)
+                client.waiting.pop(turn.start.permit_id, None)
                 # A later request would be the last one in the queue.
-                wait_ms = self._wait_ms(len(self._queue), now_ms)
+                later_ms = self._wait_ms(len(self._queue), now_ms)
                 refused.append(
-                    RefusedStart(permit_id=turn.permit_id, wait_ms=wait_ms),
+                    RefusedStart(
+                        permit_id=turn.start.permit_id,
+                        wait_ms=_NEVER_WAIT_MS if never_fits else later_ms,
+                    ),
                 )
         return tuple(refused)
 
+    def _client_of(self, report: RoomReport, now_ms: int) -> RoomClient | None:
+        """Returns the sender's client; None if its process has ended."""
+        client = self._clients.get(report.vm_name)
+        if client is None:
+            client = RoomClient.of(report)
+            self._clients[report.vm_name] = client
+        elif client.has_replaced(report.epoch):
+            return None
+        elif client.epoch != report.epoch:
+            # A runner may go on with requests whose connection has closed.
+            self._unheld.note_abandoned(len(client.held), now_ms)
+            client = client.successor(report)
+            self._clients[report.vm_name] = client
+        return client
+
+    def _apply_load(
+        self,
+        client: RoomClient,
+        now_ms: int,
+        *,
+        is_rejection: bool,
+    ) -> None:
+        load = client.load
+        if load is None:
+            return
+        self._loaded_ms = now_ms
+        self._unheld.note_load(
+            load.running_count + load.waiting_count,
+            self._held_count(),
+            now_ms,
+        )
+        if load.waiting_count:
+            self._proved.note_waiting(load.running_count, now_ms)
+        elif not is_rejection:
+            self._proved.note_running(load.running_count, now_ms)
+
+    def _note_ended(self, ended: list[HeldPermit], now_ms: int) -> None:
+        """Counts what ran at a runner that does not report its load."""
+        if not self._has_load(now_ms):
+            accepted_count = max(
+                (
+                    permit.place
+                    for permit in ended
+                    if permit.granted_ms >= self._rejected_ms
+                ),
+                default=0,
+            )
+            self._proved.note_running(accepted_count, now_ms)
+
+    def _note_accepted(self, now_ms: int) -> None:
+        """Counts what runs at a runner that does not report its load."""
+        if not self._has_load(now_ms):
+            accepted_count = max(
+                client.accepted_count(self._rejected_ms, now_ms - _ACCEPTED_MS)
+                for client in self._clients.values()
+            )
+            self._proved.note_running(accepted_count, now_ms)
+
+    def _has_load(self, now_ms: int) -> bool:
+        return now_ms - self._loaded_ms < _LOAD_VALID_MS
+
     def _enqueue(
         self,
-        vm_name: str,
-        client: _Client,
-        asked: dict[int, WaitingStart],
+        report: RoomReport,
+        client: RoomClient,
         now_ms: int,
     ) -> None:
         """Replaces the queued requests of a VM by those that it asks for."""
+        vm_name = report.vm_name
+        asked = {start.permit_id: start for start in report.waiting}
         known = client.waiting
         client.waiting = asked
         self._queue = [
             turn
             for turn in self._queue
-            if turn.vm_name != vm_name or turn.permit_id in asked
+            if turn.vm_name != vm_name or turn.start.permit_id in asked
         ]
-        for permit_id, start in asked.items():
-            if permit_id not in known and permit_id not in client.held:
-                self._queue.append(
-                    _Turn(
-                        until_ms=now_ms + start.max_wait_ms,
-                        permit_id=permit_id,
-                        vm_name=vm_name,
-                    )
-                )
-        self._queue.sort(key=lambda turn: turn.until_ms)
-
-    def _note_rejections(
-        self,
-        client: _Client,
-        rejected_count: int,
-        now_ms: int,
-    ) -> None:
-        new_count = rejected_count - client.rejected_count
-        client.rejected_count = rejected_count
-        if new_count <= 0:
-            return
-        held_count = sum(len(other.held) for other in self._clients.values())
-        lowered = min(self.room_count, held_count) - new_count
-        self.room_count = max(1, lowered)
-        self._ceiling_count = max(self._slot_count, lowered)
-        self._rejected_ms = now_ms
-        self._changed_ms = now_ms
-        self._opens_ms = max(
-            self._opens_ms,
-            now_ms + _CLOSED_AFTER_REJECTION_MS,
+        self._queue.extend(
+            _Turn(
+                start=start,
+                until_ms=now_ms + start.max_wait_ms,
+                vm_name=vm_name,
+            )
+            for permit_id, start in asked.items()
+            if permit_id not in known and permit_id not in client.held
         )
+        self._queue.sort(key=lambda turn: turn.rank)
 
-    def _grow(self, now_ms: int) -> None:
-        if now_ms - self._rejected_ms >= _RETEST_INTERVAL_MS:
-            self._rejected_ms = now_ms
-            self._ceiling_count = self._most_count
-        is_due = now_ms - self._changed_ms >= _GROWTH_INTERVAL_MS
-        if is_due and self._queue and self.room_count < self._ceiling_count:
-            self._changed_ms = now_ms
-            self.room_count += 1
+    def _drop_ended(self, now_ms: int) -> None:
+        """Drops the permits of VMs whose requests must have ended."""
+        for client in self._clients.values():
+            if now_ms - client.heard_ms >= _ENDED_MS:
+                client.forget_permits()
+
+    def _held_count(self) -> int:
+        return sum(len(client.held) for client in self._clients.values())
+
+    def _mean_tokens(self) -> float:
+        """Returns the mean need of the held permits; 0 if it is unknown."""
+        used_tokens = tokens_in_use(self._clients.values())
+        return used_tokens / max(1, self._held_count())
+
+    def _fits_memory(self, start: WaitingStart, unheard_tokens: float) -> bool:
+        """Returns whether a start fits beside all others.
+
+        ``unheard_tokens`` are needed by requests of which nothing is known.
+        """
+        if not self._memory_tokens:
+            return True
+        used_tokens = tokens_in_use(self._clients.values(), start)
+        return used_tokens + unheard_tokens <= self._memory_tokens
 
     def _taken_count(self, users: Collection[str], now_ms: int) -> int:
-        share = self.room_count // max(1, len(users))
-        taken_count = 0
+        share = self.room_count(now_ms) // max(1, len(users))
+        taken_count = self._unheld.count(now_ms)
         if now_ms - self._began_ms < _ENDED_MS:
             # Others may have used the room before this VM became its holder.
-            taken_count = share * len(set(users) - self._clients.keys())
+            taken_count += share * len(set(users) - self._clients.keys())
         for name, client in self._clients.items():
             kept_count = share if name in users else 0
             taken_count += _taken_by(client, kept_count, now_ms)
@@ -246,7 +323,7 @@
         )
 
 
-def _taken_by(client: _Client, share: int, now_ms: int) -> int:
+def _taken_by(client: RoomClient, share: int, now_ms: int) -> int:
     """Returns the room that counts as taken by a VM.
 
     ``share`` is what it may use while the holder does not hear it.
