Answer the requests that a stopped VM cannot finish

What callers saw elsewhere: in a planned stop in calm, requests that came late in the grace period were taken and passed on, and cut without an answer at its end, also ones that may not be repeated.

Cause: nothing between admission and the cut knew of the end of the process. A request taken within 2.5 s of the signal may wait for its body, for tokens or for a permit, and its first or next attempt may start right before the cut; it was then closed without "not run", which would have been true for some.

Change: ProcessEnd bounds what may still begin. From the signal on an attempt starts only if three latency objectives of its route are left, or the rest of its own time; runners get no more time than the VM has. 200 ms before requests are cut, those without an answer get one: 503 and "not run" if no runner has got them, else 502. A request counts as possibly run from the moment at which it is written, so that an answer in the middle of an attempt is true; before, that was known only once the attempt had ended.

Evidence: planned_stop.feature, 9 examples in virtual time.

Relays: tunnels drain first and open no more; a request that another VM sends through one is that VM's to answer. Not looked into: the same end in the own interface, which cuts at its own drain time-out.

--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -9,6 +9,7 @@
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._crash_reports import CrashReports
+from teaseldale.forwarding._process_end import ProcessEnd
 from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import RunnerDirectory
 from teaseldale.forwarding._version_moves import VersionMoves
@@ -47,3 +48,4 @@
     metrics: Metrics
     random_source: random.Random
     log: StateLog
+    process_end: ProcessEnd = attrs.field(factory=ProcessEnd)
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -20,6 +20,7 @@
     body_too_slow,
     draining,
     internal_error,
+    process_ended,
     timed_out,
 )
 from teaseldale.forwarding._request_log import RequestLog
@@ -39,6 +40,8 @@
 _BALANCER_DETECTION_MS = 2500
 # Part of the grace period reserved for returning grants and exiting.
 _EXIT_RESERVE_MS = 700
+# Before that, requests without an answer get one.
+_LAST_ANSWERS_MS = 200
 _DRAIN_POLL_MS = 20
 _EXPIRY_CHECK_MS = 200  # interval of closing idle runner connections
 _STATUS_OK = 200
@@ -110,19 +113,23 @@
     async def drain(self) -> None:
         """Serves until the load balancer has removed this VM, then stops.
 
-        Open requests may finish within the grace period; the rest are
-        cancelled.
+        Open requests may finish within the grace period. The rest are told
+        whether they may have run, or cancelled if their answer has begun.
         """
         self._is_draining = True
         started_ms = self._parts.clock.monotonic_ms()
+        deadline_at_ms = started_ms + self._settings.grace_ms - _EXIT_RESERVE_MS
+        process_end = self._parts.process_end
+        process_end.announce(deadline_at_ms - _LAST_ANSWERS_MS)
         await self._parts.clock.sleep_ms(_BALANCER_DETECTION_MS)
         # The balancer now sends requests here only if it has no other VM. New
         # requests are refused, as the end of the process could cut them.
         self._is_closed = True
         self._parts.grants.retire()
-        deadline_at_ms = started_ms + self._settings.grace_ms - _EXIT_RESERVE_MS
         while self._running_count or self._count_tunnels():
-            if self._parts.clock.monotonic_ms() >= deadline_at_ms:
+            now_ms = self._parts.clock.monotonic_ms()
+            process_end.reach_if_due(now_ms)
+            if now_ms >= deadline_at_ms:
                 break
             await self._parts.clock.sleep_ms(_DRAIN_POLL_MS)
         self._parts.log.changed('drained', left_count=self._running_count)
@@ -212,11 +219,14 @@
         admitted: AdmittedRequest,
     ) -> bytes | Refusal:
         limit_bytes = self._limits().body_bytes
-        with anyio.move_on_after(self._remaining_seconds(admitted)):
+        remaining_seconds = self._remaining_seconds(admitted)
+        with self._parts.process_end.limit(remaining_seconds):
             try:
                 return await exchange.body(limit_bytes)
             except BodyTooLargeError:
                 return body_too_large(limit_bytes)
+        if self._parts.process_end.is_reached:
+            return draining()
         return body_too_slow()
 
     def _remaining_seconds(self, admitted: AdmittedRequest) -> float:
@@ -229,15 +239,21 @@
         admitted: AdmittedRequest,
         answer: CallerAnswer,
     ) -> None:
-        limit = anyio.move_on_after(self._remaining_seconds(admitted))
-        with limit:
+        process_end = self._parts.process_end
+        with process_end.limit(self._remaining_seconds(admitted)):
             await self._reserve_and_run(run, admitted, answer)
-        if not limit.cancelled_caught:
             return
         if answer.has_started:
-            answer.abort(CutReason.TIME_OVER)
+            answer.abort(
+                CutReason.VM_ENDED
+                if process_end.is_reached
+                else CutReason.TIME_OVER,
+            )
             return
-        refusal = timed_out(not_run=not run.record.may_have_run)
+        may_have_run = run.record.may_have_run
+        refusal = timed_out(not_run=not may_have_run)
+        if process_end.is_reached:
+            refusal = process_ended() if may_have_run else draining()
         await answer.refuse(refusal, admitted.request)
 
     async def _reserve_and_run(
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -71,6 +71,16 @@
     )
 
 
+def process_ended() -> Refusal:
+    """Returns the answer to a request that runs as its VM's process ends."""
+    return Refusal(
+        code=RefusalCode.UPSTREAM_BROKE_OFF,
+        message='The VM ended before the runner had answered.',
+        not_run=False,
+        step=Step.DISPATCH,
+    )
+
+
 def body_too_slow() -> Refusal:
     """Returns the refusal of a body that missed the request's deadline."""
     return Refusal(
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -18,6 +18,7 @@
 from teaseldale.forwarding._events import EventSplitter, StreamOrderError
 from teaseldale.forwarding._refusals import (
     answer_broke_off,
+    draining,
     no_runner,
     runners_limited,
     timed_out,
@@ -146,7 +147,11 @@
         if selected is None:
             return None
         # Crashes may have been reported while the selection waited.
-        if self._crash_guard.is_quarantined or not self._may_retry():
+        if (
+            self._crash_guard.is_quarantined
+            or not _ends_in_time(self._parts, self._admitted)
+            or not self._may_retry()
+        ):
             self._parts.permits.release(selected.permit)
             return None
         self.record.runners.append(selected.runner.runner_id)
@@ -170,6 +175,8 @@
     def _may_attempt(self) -> bool:
         if not self._admitted.left_ms(self._parts.clock):
             return False
+        if not _ends_in_time(self._parts, self._admitted):
+            return False
         if self.record.may_have_run and not self._route.may_run_again:
             return False
         return self.record.arrival_count < max(self._route.runner_limit, 1)
@@ -177,6 +184,7 @@
     async def _run_attempt(self, attempt: Attempt) -> bool:
         """Returns whether the caller has its final answer."""
         self.record.arrival_count += 1
+        had_run = self.record.may_have_run
         sent = await attempt.send(
             self._admitted.request,
             self._body,
@@ -186,6 +194,7 @@
         if isinstance(sent, Replied):
             return await self._handle_reply(attempt, sent)
         if isinstance(sent, NotRun):
+            self.record.may_have_run = had_run
             self._uncount_arrival(sent)
         if isinstance(sent, BrokeOff):
             self.record.may_have_run = True
@@ -216,9 +225,15 @@
         account = self._admitted.account
         now_ms = self._parts.clock.monotonic_ms()
         self.record.dispatched_ms.append(now_ms - self._admitted.arrival_ms)
+        # The request may run from now on, also if its answer is not awaited.
+        self.record.may_have_run = True
+        left_ms = min(
+            self._admitted.left_ms(self._parts.clock),
+            self._parts.process_end.left_ms(now_ms),
+        )
         return Dispatch(
             runner=attempt.runner,
-            left_ms=self._admitted.left_ms(self._parts.clock),
+            left_ms=int(left_ms),
             account=None if account is None else account.name,
             priority=self._admitted.priority,
             last_event_id=self._events.last_id,
@@ -363,6 +378,8 @@
         if self._crash_guard.is_quarantined:
             self.record.fingerprint = self._crash_guard.fingerprint
             return self._crash_guard.refusal()
+        if not _ends_in_time(self._parts, self._admitted):
+            return draining()
         limited_for_ms = self._selection.limited_for_ms
         if limited_for_ms is None:
             return no_runner(self._admitted.service)
@@ -377,6 +394,18 @@
         self._parts.metrics.increment('attempts_failed')
 
 
+def _ends_in_time(
+    parts: ForwardingDependencies,
+    admitted: AdmittedRequest,
+) -> bool:
+    """Returns whether an attempt can end before the process does."""
+    return parts.process_end.may_start(
+        now_ms=parts.clock.monotonic_ms(),
+        objective_ms=admitted.route.objective_ms,
+        left_ms=admitted.left_ms(parts.clock),
+    )
+
+
 def _is_connection_lost(error: Exception) -> bool:
     return isinstance(error, UpstreamError) and error.kind is FailureKind.BROKEN
 
