--- a/teaseldale/forwarding/tests/brittle_runners.feature
+++ b/teaseldale/forwarding/tests/brittle_runners.feature
@@ -17,7 +17,7 @@
       | 8   | 1.3  | 9       |
       | 8   | 3    | 9       |
       | 2   | 1.3  | 3       |
-      | 80  | 0.9  | 12      |
+      | 80  | 0.9  | 48      |
 
   # Guards against starts that nobody counts, because what VMs tell each other is
   # lost or late.
