Take no single waiting request and no old load for a full runner

What callers would see: runners that start again serve a third of what they can for as long as they are brittle; runners with free slots get one start at a time.

Cause, three of them, all in the use of reported loads by the new ledger. (1) A load counts the request with whose answer it comes, but was compared with the permits after that one had ended, so each runner with few requests seemed to run one without a permit. (2) The same for loads that a VM reports up to 250 ms later.

Change: loads are compared with the permits of before; those older than 50 ms say nothing of requests without a permit; two loads in a row show a full runner. Beside it, rejections that come near their bound spare half of the room for a second, where all grants had stopped.

Evidence: random histories now draw memory, slots, places to wait, tolerated rejections and what is known as well; the former facts of a seed stay.

--- a/teaseldale/forwarding/tests/brittle_fleet.py
+++ b/teaseldale/forwarding/tests/brittle_fleet.py
@@ -297,15 +297,17 @@
 
     def _with_memory(self, configuration):
         """Returns a configuration whose requests name tokens, unbilled."""
-        memory_tokens = self.model.named_memory_tokens
-        if memory_tokens is None:
-            memory_tokens = self.model.memory_tokens
+        memory_tokens = (
+            self.model.named_memory_tokens or self.model.memory_tokens
+        )
         services = {
             name: attrs.evolve(
                 service,
                 engine=attrs.evolve(
                     service.engine,
-                    memory_tokens=memory_tokens,
+                    memory_tokens=(
+                        memory_tokens or service.engine.memory_tokens
+                    ),
                 ),
             )
             for name, service in configuration.services.items()
--- a/teaseldale/forwarding/tests/brittle_histories.py
+++ b/teaseldale/forwarding/tests/brittle_histories.py
@@ -5,7 +5,10 @@
 import anyio
 
 from teaseldale.fakes import run_in_virtual_time
-from teaseldale.forwarding.tests.brittle_fleet import BrittleFleet
+from teaseldale.forwarding.tests.brittle_fleet import (
+    BrittleFleet,
+    RunnerModel,
+)
 
 _BEFORE_S = 2
 _AFTER_EVENT_S = 6
@@ -20,6 +23,15 @@
 )
 
 
+_MEMORIES = (
+    {},
+    {},
+    {'memory_tokens': 8},
+    {'memory_tokens': 30, 'most_tokens': 12},
+    {'memory_tokens': 8, 'named_memory_tokens': 16},
+)
+
+
 def play_history(seed):
     """Returns the fleet after the history of a seed, and what happened."""
     source = random.Random(seed)
@@ -31,10 +43,23 @@
         'event': source.choice(_EVENTS),
         'event_s': source.uniform(1, 5),
     }
+    kind = source.choice(('safe', 'once'))
+    # Drawn last, so that the rest of a history is as it was without a model.
+    facts['model'] = RunnerModel(
+        slot_count=source.choice((4, 8, 16)),
+        queue_count=source.choice((8, 32)),
+        brittle_queue_count=source.choice((0, 1, 1, 4)),
+        tolerated=source.choice((2, 5, 5, 10)),
+        tells_load=source.choice((True, True, False)),
+        names_tokens=source.choice((True, False)),
+        runs_on_share=source.choice((0, 0, 0.3)),
+        **source.choice(_MEMORIES),
+    )
     world = BrittleFleet(
         vm_count=facts['vms'],
         runner_count=facts['runners'],
-        kind=source.choice(('safe', 'once')),
+        kind=kind,
+        model=facts['model'],
     )
     world.random = random.Random(seed)
     world.loss_share = facts['loss_share']
--- a/teaseldale/routing/_proved_room.py
+++ b/teaseldale/routing/_proved_room.py
@@ -46,6 +46,9 @@
         self._rejected_ms: int | None = None  # latest rejection
         self._recent_ms: deque[int] = deque()  # rejections of the last second
         self._closed_until_ms = now_ms
+        # Until then half of the room is spared, as the next rejection may be
+        # one too many.
+        self._spared_until_ms = now_ms
         self._ceiling_count: int | None = None  # after a rejection
         # Whether what runs is counted anew once starts are granted again.
         self._begins_anew = False
@@ -73,6 +76,8 @@
             self._replace(held_count, now_ms)
         self._turn_window(now_ms)
         limit_count = self.proved_count + self._untried_count(now_ms)
+        if now_ms < self._spared_until_ms:
+            limit_count = self.proved_count // 2
         return max(1, min(limit_count, self._most_count(now_ms)))
 
     def note_running(self, count: int, now_ms: int) -> None:
@@ -109,15 +114,12 @@
             self._begins_anew = True
             # Even if each reopening costs a rejection, the runner bears them.
             closed_ms = max(_MIN_CLOSED_MS, _MS_PER_SECOND // spare_count)
-            self._close(now_ms + closed_ms)
+            self._closed_until_ms = now_ms + closed_ms
         else:
             self._ceiling_count = None
             self._replace(min(running_count, accepted_count), now_ms)
         if len(self._recent_ms) >= spare_count:
-            self._close(now_ms + _MS_PER_SECOND)
-
-    def _close(self, until_ms: int) -> None:
-        self._closed_until_ms = max(self._closed_until_ms, until_ms)
+            self._spared_until_ms = now_ms + _MS_PER_SECOND
 
     def _replace(self, count: int, now_ms: int) -> None:
         self._window_began_ms = now_ms
--- a/teaseldale/routing/_room_ledger.py
+++ b/teaseldale/routing/_room_ledger.py
@@ -84,6 +84,7 @@
         self._unheld = UnheldRequests()
         self._memory_tokens = 0  # 0 if unknown
         self._loaded_ms = now_ms - _LOAD_VALID_MS  # latest reported load
+        self._waiting_count = 0  # requests, by the latest load
         self._rejected_ms = now_ms  # latest rejection
         self._began_ms = now_ms
         self._opens_ms = opens_ms
@@ -109,11 +110,14 @@
                 held_count=self._held_count() + self._unheld.count(now_ms),
                 now_ms=now_ms,
             )
+        # A load counts the request with whose answer it came.
+        held_count = self._held_count()
         ended = client.apply(report, now_ms)
         self._ends_ms.extend(now_ms for _ in ended)
         if not rejected_count:
             self._note_ended(ended, now_ms)
         if is_new_load:
+            self._unheld.note_load(report.load, held_count, now_ms)
             self._apply_load(client, now_ms, is_rejection=bool(rejected_count))
         self._enqueue(report, client, now_ms)
         return True
@@ -208,16 +212,18 @@
         *,
         is_rejection: bool,
     ) -> None:
+        """Applies a new load.
+
+        A request may wait for the next step of its engine, so that a single
+        load with waiting requests does not show that the runner is full.
+        """
         load = client.load
         if load is None:
             return
         self._loaded_ms = now_ms
-        self._unheld.note_load(
-            load.running_count + load.waiting_count,
-            self._held_count(),
-            now_ms,
-        )
-        if load.waiting_count:
+        earlier_count = self._waiting_count
+        self._waiting_count = load.waiting_count
+        if earlier_count and load.waiting_count:
             self._proved.note_waiting(load.running_count, now_ms)
         elif not is_rejection:
             self._proved.note_running(load.running_count, now_ms)
--- a/teaseldale/routing/_room_messages.py
+++ b/teaseldale/routing/_room_messages.py
@@ -23,6 +23,7 @@
     running_count: int
     waiting_count: int
     slot_count: int
+    age_ms: int = 0  # since the answer
 
 
 class WaitingStart(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
--- a/teaseldale/routing/_room_use.py
+++ b/teaseldale/routing/_room_use.py
@@ -4,6 +4,7 @@
 
 import anyio
 import attrs
+import msgspec
 
 from teaseldale.clock import BaseClock
 from teaseldale.routing._room_messages import (
@@ -67,7 +68,8 @@
         self.waiting: dict[int, WaitingRequest] = {}
         self.rejected_count = 0
         self.is_alone = False
-        self.load: ReportedLoad | None = None  # the latest of the runner
+        self._load: ReportedLoad | None = None  # the latest of the runner
+        self._loaded_ms = now_ms  # monotonic; when it was received
         self._sequence = 0  # of the latest report
         self._acknowledged = 0
         self._acknowledged_ms = now_ms  # monotonic; latest contact
@@ -120,18 +122,30 @@
 
     def note_load(
         self,
+        *,
         running_count: int,
         waiting_count: int,
         slot_count: int,
+        now_ms: int,
     ) -> None:
         """Records the load that an answer of the runner reports."""
-        self.load = ReportedLoad(
-            number=1 if self.load is None else self.load.number + 1,
+        self._loaded_ms = now_ms
+        self._load = ReportedLoad(
+            number=1 if self._load is None else self._load.number + 1,
             running_count=running_count,
             waiting_count=waiting_count,
             slot_count=slot_count,
         )
 
+    def load(self, now_ms: int) -> ReportedLoad | None:
+        """Returns the load that the runner has last reported to this VM."""
+        if self._load is None:
+            return None
+        return msgspec.structs.replace(
+            self._load,
+            age_ms=now_ms - self._loaded_ms,
+        )
+
     def asked(self, now_ms: int) -> tuple[WaitingStart, ...]:
         """Returns the waiting requests of a report that is sent now."""
         return tuple(
--- a/teaseldale/routing/_runner_rooms.py
+++ b/teaseldale/routing/_runner_rooms.py
@@ -198,7 +198,12 @@
         use = self._uses.get(runner)
         if use is None:
             return
-        use.note_load(running_count, waiting_count, slot_count)
+        use.note_load(
+            running_count=running_count,
+            waiting_count=waiting_count,
+            slot_count=slot_count,
+            now_ms=self._clock.monotonic_ms(),
+        )
         if waiting_count and self.is_brittle(runner):
             self._report(runner)
 
@@ -208,7 +213,7 @@
             return
         use = self._use_of(runner)
         use.rejected_count += 1
-        load = use.load
+        load = use.load(self._clock.monotonic_ms())
         self._log.changed(
             'brittle_runner_rejected',
             runner=runner,
@@ -313,7 +318,7 @@
             waiting=use.asked(now_ms),
             rejected_count=use.rejected_count,
             is_alone=use.is_alone,
-            load=use.load,
+            load=use.load(now_ms),
             open_tokens=tuple(
                 need.own_tokens for need in use.open_needs.values()
             ),
--- a/teaseldale/routing/_unheld_requests.py
+++ b/teaseldale/routing/_unheld_requests.py
@@ -2,11 +2,14 @@
 
 from collections import deque
 
+from teaseldale.routing._room_messages import ReportedLoad
+
 # Requests of an ended process that no load has shown have ended by then.
 _ABANDONED_MS = 3000
 # A load that was made before the process ended does not count.
 _MIN_LATER_MS = 100
 _LOAD_VALID_MS = 1000
+_MAX_LOAD_AGE_MS = 50  # of a load when its VM reports it
 # Loads and reports overtake each other, so only a lasting excess counts.
 _LOAD_COUNT = 3
 
@@ -28,11 +31,17 @@
 
     def note_load(
         self,
-        request_count: int,
+        load: ReportedLoad | None,
         held_count: int,
         now_ms: int,
     ) -> None:
-        """Records what the runner reports beside the permits held there."""
+        """Records what the runner reports beside the permits held there.
+
+        Permits may have ended since an older load, which says nothing.
+        """
+        if load is None or load.age_ms >= _MAX_LOAD_AGE_MS:
+            return
+        request_count = load.running_count + load.waiting_count
         excess_count = max(0, request_count - held_count)
         self._excesses.append(excess_count)
         self._loaded_ms = now_ms
