Forget what a brittle runner ran before an idle time

Read in the code: what a runner has been seen to run counts for one to two windows, but the first call after an idle time took the window before that time for the latest one. A burst after a quiet time was granted what had fit then, whatever is free now.

Beside it, two names: half of the room is kept free near the bound.

--- a/teaseldale/routing/_proved_room.py
+++ b/teaseldale/routing/_proved_room.py
@@ -46,9 +46,9 @@
         self._rejected_ms: int | None = None  # latest rejection
         self._recent_ms: deque[int] = deque()  # rejections of the last second
         self._closed_until_ms = now_ms
-        # Until then half of the room is spared, as the next rejection may be
-        # one too many.
-        self._spared_until_ms = now_ms
+        # Until then half of the room is kept free, as the next rejection may
+        # be one too many.
+        self._halved_until_ms = now_ms
         self._ceiling_count: int | None = None  # after a rejection
         # Whether what runs is counted anew once starts are granted again.
         self._begins_anew = False
@@ -76,7 +76,7 @@
             self._replace(held_count, now_ms)
         self._turn_window(now_ms)
         limit_count = self.proved_count + self._untried_count(now_ms)
-        if now_ms < self._spared_until_ms:
+        if now_ms < self._halved_until_ms:
             limit_count = self.proved_count // 2
         return max(1, min(limit_count, self._most_count(now_ms)))
 
@@ -107,19 +107,19 @@
         self._recent_ms.extend(now_ms for _ in range(count))
         while self._recent_ms[0] <= now_ms - _MS_PER_SECOND:
             self._recent_ms.popleft()
-        spare_count = max(1, self._tolerated - 1)
+        near_count = max(1, self._tolerated - 1)  # one below the bound
         accepted_count = max(1, held_count - count)
         if running_count is None:
             self._ceiling_count = accepted_count
             self._begins_anew = True
             # Even if each reopening costs a rejection, the runner bears them.
-            closed_ms = max(_MIN_CLOSED_MS, _MS_PER_SECOND // spare_count)
+            closed_ms = max(_MIN_CLOSED_MS, _MS_PER_SECOND // near_count)
             self._closed_until_ms = now_ms + closed_ms
         else:
             self._ceiling_count = None
             self._replace(min(running_count, accepted_count), now_ms)
-        if len(self._recent_ms) >= spare_count:
-            self._spared_until_ms = now_ms + _MS_PER_SECOND
+        if len(self._recent_ms) >= near_count:
+            self._halved_until_ms = now_ms + _MS_PER_SECOND
 
     def _replace(self, count: int, now_ms: int) -> None:
         self._window_began_ms = now_ms
@@ -128,8 +128,9 @@
 
     def _turn_window(self, now_ms: int) -> None:
         if now_ms - self._window_began_ms >= _WINDOW_MS:
+            is_next = now_ms - self._window_began_ms < 2 * _WINDOW_MS
             self._window_began_ms = now_ms
-            self._earlier_count = self._now_count
+            self._earlier_count = self._now_count if is_next else 0
             self._now_count = 0
 
     def _untried_count(self, now_ms: int) -> int:
