--- a/teaseldale/forwarding/tests/steps_planned_stop.py
+++ b/teaseldale/forwarding/tests/steps_planned_stop.py
@@ -11,6 +11,7 @@
 from teaseldale.platform.tests.wire_names import (
     deadline_ms_of,
     unbilled_headers,
+    usage_header,
 )
 
 _GRACE_MS = 8000
@@ -76,9 +77,7 @@
         )
         if state.endswith('tokens'):
             parts.grants.reserve = _reserve_never
-            context.caller._scope['headers'] += (
-                (b'x-token-usage', b'1000,500'),
-            )
+            context.caller._scope['headers'] += (usage_header(1000, 500),)
         async with anyio.create_task_group() as tasks:
             parts.grants.update_prepaid_accounts({'a': 1_000_000})
             await parts.grants.start(tasks)
--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -73,11 +73,11 @@
 
 _HEADS = {
     'a length': (
-        HEAD + b'x-server-stamp: s\r\ncontent-type: text/plain\r\n'
+        HEAD + b'x-stamp: s\r\ncontent-type: text/plain\r\n'
         b'content-length: 4\r\nconnection: close\r\n'
     ),
     'chunks': (
-        HEAD + b'x-server-stamp: s\r\ncontent-type: text/event-stream\r\n'
+        HEAD + b'x-stamp: s\r\ncontent-type: text/event-stream\r\n'
         b'transfer-encoding: chunked\r\nconnection: close\r\n'
     ),
 }
