Read the era of the store from its answers and log its changes

Cause: nothing in the log or the code could tell a store that has returned from an older copy from one that has not. Change: StoreEras keeps the highest era that any answer named. Answers of an era that is over raise EraChangedError, and so do pages of two eras. Lines of grants name the era. A store that names no era is in era 0, as before. Evidence: four new examples of store.feature; no logic of accounts uses the era yet.

--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -40,6 +40,7 @@
     Conflicted,
     Row,
     RowCheck,
+    StoreEras,
     make_transaction,
 )
 
@@ -55,6 +56,7 @@
     feed: BaseRowFeed
     clock: BaseClock
     metrics: Metrics
+    eras: StoreEras = attrs.field(factory=StoreEras)
 
 
 @attrs.frozen(kw_only=True)
@@ -165,6 +167,7 @@
             'earlier_start_found',
             account=self.held.account,
             incarnation=own.row.incarnation,
+            era=self._store.eras.current,
             mark_age_ms=self._started_store_ms - mark.made_store_ms,
             bound_tokens=self._bound_of(own),
             spent_tokens=own.row.spent_tokens,
@@ -186,6 +189,7 @@
             account=self.held.account,
             granted=row.granted_to(self._holder),
             conflicts=conflicts,
+            era=self._store.eras.current,
             duration_ms=self._store.clock.monotonic_ms() - started_ms,
             vm_count=self.keeper_count,
         )
--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -77,7 +77,13 @@
         address=str(settings.peer_address),
         started_ms=PROCESS_START_MS,
     )
-    access = StoreAccess(table=store, feed=store, clock=clock, metrics=metrics)
+    access = StoreAccess(
+        table=store,
+        feed=store,
+        clock=clock,
+        metrics=metrics,
+        eras=store.eras,
+    )
     members = _build_members(start, access)
     links = build_runner_links(settings, access, members)
     parts = _build_dependencies(settings, start, access, members, links)
--- a/teaseldale/platform/_store.py
+++ b/teaseldale/platform/_store.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from teaseldale.forwarding import Address
+from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Step
 from teaseldale.tables import (
@@ -22,6 +23,7 @@
     RowChanges,
     RowCheck,
     RowWrite,
+    StoreEras,
     Transaction,
 )
 
@@ -38,6 +40,9 @@
 _STATUS_OK = 200
 _STATUS_GONE = 410
 _STATUS_CONFLICT = 412
+# Rises by one each time the store returns from an older copy.
+_ERA_HEADER = b'store-era'
+_ERA_DIGITS = 15  # more do not occur within a store's life
 _TABLE = 'Table'
 _PART = 'part'
 
@@ -81,6 +86,8 @@
         """Uses ``feeds`` for long polls and ``calls`` for all other calls."""
         self._calls = calls
         self._feeds = feeds
+        self._log = StateLog(channel='store')
+        self.eras = StoreEras()
 
     @classmethod
     def at(cls, address: Address, metrics: Metrics) -> 'PlatformStore':
@@ -109,16 +116,18 @@
             path='/-/rows-tx',
             body=_encode_transaction(transaction),
         )
+        era = self._observe_era(reply, Step.TABLE_COMMIT)
         if reply.status not in {_STATUS_OK, _STATUS_CONFLICT}:
             raise self._calls.failed(
                 Step.TABLE_COMMIT, f'status {reply.status}'
             )
         answer = self._decode(reply, Step.TABLE_COMMIT)
         if reply.status == _STATUS_CONFLICT:
-            return Conflicted(rows=tuple(map(_row_of, answer.rows)))
+            return Conflicted(rows=tuple(map(_row_of, answer.rows)), era=era)
         return Committed(
             revision=answer.revision,
             store_ms=int(answer.store_ms),
+            era=era,
         )
 
     async def read(self, *, table: str, key: str) -> Row | None:
@@ -174,6 +183,7 @@
             path=f'/-/rows-feed?{query}',
             timeout_ms=bounded_wait_ms + _FEED_SLACK_MS,
         )
+        era = self._observe_era(reply, Step.TABLE_READ)
         if reply.status == _STATUS_GONE:
             raise HistoryLostError(
                 step=Step.TABLE_READ,
@@ -185,6 +195,7 @@
             rows=tuple(map(_row_of, answer.rows)),
             revision=answer.revision,
             received_bytes=len(reply.content),
+            era=era,
         )
 
     async def close(self) -> None:
@@ -201,34 +212,63 @@
         part: str = '',
     ) -> RowChanges:
         rows: list[Row] = []
-        revision: int | None = None
+        first: RowChanges | None = None
         received_bytes = 0
         while True:
             query = {_TABLE: table, _PART: part, 'From': first_key}
             if end_key:
                 # The platform's name for the end of a key range.
                 query['Target'] = end_key
-            encoded = urlencode(query)
-            reply = await self._calls.exchange(
-                step=Step.TABLE_READ,
-                method='GET',
-                path=f'/-/rows-get?{encoded}',
-            )
-            answer = self._decode_rows(reply)
-            received_bytes += len(reply.content)
-            rows.extend(map(_row_of, answer.rows))
-            if revision is None:
-                revision = answer.revision
-            if not (answer.has_more and answer.rows):
+            page, has_more = await self._read_page(urlencode(query))
+            first = first or page
+            # Pages of two eras do not make one table.
+            self.eras.require_current(first.era, Step.TABLE_READ)
+            rows.extend(page.rows)
+            received_bytes += page.received_bytes
+            if not (has_more and page.rows):
                 return RowChanges(
                     rows=tuple(rows),
-                    revision=revision,
-                    store_ms=int(answer.store_ms),
+                    revision=first.revision,
+                    store_ms=page.store_ms,
                     received_bytes=received_bytes,
+                    era=first.era,
                 )
-            last_key = answer.rows[-1].key
+            last_key = page.rows[-1].key
             first_key = f'{last_key}\0'
 
+    async def _read_page(self, query: str) -> tuple[RowChanges, bool]:
+        """Returns one page and whether more pages follow."""
+        reply = await self._calls.exchange(
+            step=Step.TABLE_READ,
+            method='GET',
+            path=f'/-/rows-get?{query}',
+        )
+        era = self._observe_era(reply, Step.TABLE_READ)
+        answer = self._decode_rows(reply)
+        page = RowChanges(
+            rows=tuple(map(_row_of, answer.rows)),
+            revision=answer.revision,
+            store_ms=int(answer.store_ms),
+            received_bytes=len(reply.content),
+            era=era,
+        )
+        return page, answer.has_more
+
+    def _observe_era(self, reply: HttpReply, step: Step) -> int:
+        """Returns the era of an answer; the known one if it has none.
+
+        Raises ``EraChangedError`` if that era is over.
+        """
+        for name, text in reply.headers:
+            if name.lower() != _ERA_HEADER:
+                continue
+            if text.isdigit() and len(text) <= _ERA_DIGITS:
+                self.eras.observe(int(text))
+                self.eras.require_current(int(text), step)
+                return int(text)
+            self._log.changed('store_era_unreadable', header=repr(text))
+        return self.eras.current
+
     def _decode_rows(self, reply: HttpReply) -> _RowsAnswer:
         if reply.status != _STATUS_OK:
             raise self._calls.failed(Step.TABLE_READ, f'status {reply.status}')
--- a/teaseldale/platform/tests/steps_store.py
+++ b/teaseldale/platform/tests/steps_store.py
@@ -13,6 +13,7 @@
     BaseHttpExchange,
     Committed,
     Conflicted,
+    EraChangedError,
     HistoryLostError,
     HttpReply,
     RowCheck,
@@ -63,10 +64,11 @@
         answer = self.answers.pop(0)
         if answer is None:
             raise self.failed(step, 'ReadTimeout')
-        status, content = answer
+        status, content, *era = answer
         if not isinstance(content, bytes):
             content = msgspec.json.encode(content)
-        return HttpReply(status=status, content=content)
+        headers = [(b'Store-Era', str(value).encode()) for value in era]
+        return HttpReply(status=status, content=content, headers=headers)
 
     def failed(self, step, reason):
         return PlatformError(step=step, peer='store', reason=reason)
@@ -202,3 +204,41 @@
 @then('the outcome is a row that holds nothing')
 def empty_row(context):
     assert [row.value for row in context.outcome.rows] == [b'']
+
+
+@given('a store whose answers name the eras {eras}')
+def store_with_eras(context, eras):
+    answers = [
+        (200, {'SchemaVersion': 412, 'NowMs': 51230}, era)
+        for era in eras.split(', ')
+    ]
+    make_store(context, *answers)
+
+
+@when('{count:d} transactions are made')
+def transactions(context, count):
+    context.outcomes = []
+    for _ in range(count):
+        transact(context)
+        context.outcomes.append(context.outcome)
+
+
+@given('a store that changes its era from 3 to 4 between 2 pages')
+def era_between_pages(context):
+    page = {'Rows': [{**_ROW, 'Value': _VALUE}], 'SchemaVersion': 20}
+    make_store(context, (200, {**page, 'HasMore': True}, 3), (200, page, 4))
+
+
+@then('their eras are {eras}, and the known era is {known:d}')
+def eras_of_outcomes(context, eras, known):
+    found = [
+        'over' if isinstance(outcome, EraChangedError) else str(outcome.era)
+        for outcome in context.outcomes
+    ]
+    assert ', '.join(found) == eras, found
+    assert context.store.eras.current == known, context.store.eras.current
+
+
+@then('the outcome is an era that is over')
+def era_over(context):
+    assert isinstance(context.outcome, EraChangedError), context.outcome
--- a/teaseldale/platform/tests/store.feature
+++ b/teaseldale/platform/tests/store.feature
@@ -27,3 +27,21 @@
     Given a store that answers 200 with version 412
     When a transaction with a check, a write and a removal is made
     Then the store receives each under the platform's field names
+
+  # Guards against answers of a lost history that are taken for current ones
+  # after the store has returned from an older copy.
+  Scenario Outline: Answers with the eras <named> have the eras <eras>
+    Given a store whose answers name the eras <named>
+    When 3 transactions are made
+    Then their eras are <eras>, and the known era is <known>
+
+    Examples:
+      | named        | eras       | known |
+      | 3, 4, 4      | 3, 4, 4    | 4     |
+      | 4, 3, 4      | 4, over, 4 | 4     |
+      | 4, -, 1e9    | 4, 4, 4    | 4     |
+
+  Scenario: Pages of two eras are not joined into one table
+    Given a store that changes its era from 3 to 4 between 2 pages
+    When a whole table is read
+    Then the outcome is an era that is over
--- a/teaseldale/tables/__init__.py
+++ b/teaseldale/tables/__init__.py
@@ -23,6 +23,7 @@
     HistoryLostError,
     RowChanges,
 )
+from teaseldale.tables._store_eras import NO_ERA, EraChangedError, StoreEras
 from teaseldale.tables._table import (
     BaseTableService,
     Committed,
@@ -42,6 +43,7 @@
     'BaseTableService',
     'Committed',
     'Conflicted',
+    'EraChangedError',
     'HistoryLostError',
     'HttpMembershipList',
     'HttpReply',
@@ -49,12 +51,14 @@
     'InMemoryTable',
     'LeaseRecord',
     'MemberState',
+    'NO_ERA',
     'PlatformHttpClient',
     'RetryingTableService',
     'Row',
     'RowChanges',
     'RowCheck',
     'RowWrite',
+    'StoreEras',
     'TableFollower',
     'TableLease',
     'Transaction',
--- a/teaseldale/tables/_http_client.py
+++ b/teaseldale/tables/_http_client.py
@@ -1,6 +1,7 @@
 """Pooled HTTP client shared by the clients of the platform's services."""
 
 import abc
+from collections.abc import Sequence
 from typing import TypeVar
 
 import attrs
@@ -24,6 +25,7 @@
 
     status: int
     content: bytes
+    headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 @attrs.define(kw_only=True)
@@ -156,7 +158,11 @@
             'store_bytes_received',
             amount=len(response.content),
         )
-        return HttpReply(status=response.status, content=response.content)
+        return HttpReply(
+            status=response.status,
+            content=response.content,
+            headers=response.headers,
+        )
 
     async def close(self) -> None:
         """Closes all pooled connections."""
--- a/teaseldale/tables/_row_feed.py
+++ b/teaseldale/tables/_row_feed.py
@@ -20,6 +20,7 @@
     revision: int  # the next request starts after it
     store_ms: int = 0  # the store's monotonic clock, if it has one
     received_bytes: int = 0  # size of the response, if there is one
+    era: int = 0  # of the store when it answered
 
 
 class BaseRowFeed(abc.ABC):
--- a/teaseldale/tables/_table.py
+++ b/teaseldale/tables/_table.py
@@ -60,6 +60,7 @@
 
     revision: int
     store_ms: int = 0  # the store's monotonic clock, if it has one
+    era: int = 0  # of the store when it committed
 
 
 @attrs.frozen(kw_only=True)
@@ -67,6 +68,7 @@
     """The transaction was not applied; the checks of ``rows`` failed."""
 
     rows: tuple[Row, ...]
+    era: int = 0  # of the store when it answered
 
 
 def make_transaction(
