--- a/teaseldale/budgets/tests/account_fleet.py
+++ b/teaseldale/budgets/tests/account_fleet.py
@@ -60,6 +60,7 @@
                 feed=self.table,
                 clock=clock,
                 metrics=self.metrics,
+                eras=self.table.eras,
             ),
         )
         with anyio.CancelScope() as self.scope:
--- a/teaseldale/budgets/tests/owed_requests.py
+++ b/teaseldale/budgets/tests/owed_requests.py
@@ -134,7 +134,7 @@
     return sorted(found, key=lambda arrival: arrival.at_ms)
 
 
-def owed_tokens(requests, faults):
+def owed_tokens(requests, faults, prepaid_factor=1):
     """Returns the tokens that one ledger without faults would serve.
 
     Requests that arrive while all VMs are down are not owed.
@@ -155,9 +155,8 @@
         while ending and ending[0][0] <= request.at_ms:
             _, _, account, unused = heapq.heappop(ending)
             used[account] -= unused
-        if used[request.account] + request.tokens > prepaid_tokens(
-            request.account
-        ):
+        prepaid = prepaid_tokens(request.account) * prepaid_factor
+        if used[request.account] + request.tokens > prepaid:
             continue
         used[request.account] += request.tokens
         served += request.tokens
@@ -170,7 +169,16 @@
 class OwedRun:
     """Plays a workload with faults on a fleet."""
 
-    def __init__(self, *, vm_count, seed, faults, fleet_class=AccountFleet):
+    def __init__(
+        self,
+        *,
+        vm_count,
+        seed,
+        faults,
+        fleet_class=AccountFleet,
+        prepaid_factor=1,
+    ):
+        self.prepaid_factor = prepaid_factor
         self.fleet = fleet_class(
             vm_count=vm_count,
             prepaid_tokens=0,
@@ -178,7 +186,8 @@
             accounts=tuple(REQUESTS_PER_S),
         )
         self.fleet.prepaid_by_account = {
-            account: prepaid_tokens(account) for account in REQUESTS_PER_S
+            account: int(prepaid_tokens(account) * prepaid_factor)
+            for account in REQUESTS_PER_S
         }
         bursts = [fault for fault in faults if isinstance(fault, Burst)]
         self.requests = arrivals(seed=seed, vm_count=vm_count, bursts=bursts)
@@ -196,7 +205,9 @@
         )
         return Result(
             served_tokens=self.served_tokens,
-            owed_tokens=owed_tokens(self.requests, self.faults),
+            owed_tokens=owed_tokens(
+                self.requests, self.faults, self.prepaid_factor
+            ),
             transactions=self.transactions,
             first_refusals=self.first_refusals,
             delayed=self.delayed,
--- a/teaseldale/fakes/_table.py
+++ b/teaseldale/fakes/_table.py
@@ -17,6 +17,7 @@
     InMemoryTable,
     Row,
     RowChanges,
+    StoreEras,
     Transaction,
 )
 
@@ -40,6 +41,7 @@
         self.down = False  # all calls time out
         self.lose_answers = False  # commits are applied, answers lost
         self.late_commits = False  # commits are applied after their time-out
+        self.late_commit_ms = timeout_ms * 2  # delay of late commits
         self.history_lost = False  # the next wait for changes loses history
         self.answer_loss_rate: float = (
             0  # fraction of commits whose answer is lost
@@ -52,6 +54,7 @@
         self._random = random_source
         self._timeout_ms = timeout_ms
         self._gate = gate or PauseGate()
+        self.eras = StoreEras()
 
     async def commit(self, transaction: Transaction) -> Committed | Conflicted:
         """Applies the transaction, subject to the faults that are set."""
@@ -61,19 +64,20 @@
         )
         await self._delay(Step.TABLE_COMMIT)
         if self.late_commits:
-            delay_ms = self._timeout_ms * 2
-            _apply_later(self.state, transaction, delay_ms)
+            _apply_later(self.state, transaction, self.late_commit_ms)
             await anyio.sleep(self._timeout_ms / _MS_PER_SECOND)
             raise _platform_error(Step.TABLE_COMMIT, 'time-out')
         outcome = self.state.commit(transaction)
+        era = self.state.era
         await self._gate.wait_while_paused()
         answer_lost = self._random.random() < self.answer_loss_rate
         if self.lose_answers or answer_lost:
             await anyio.sleep(self._timeout_ms / _MS_PER_SECOND)
             raise _platform_error(Step.TABLE_COMMIT, 'answer lost')
+        self._observe_era(era, Step.TABLE_COMMIT)
         if isinstance(outcome, Conflicted):
-            return outcome
-        return attrs.evolve(outcome, store_ms=_store_ms())
+            return attrs.evolve(outcome, era=era)
+        return attrs.evolve(outcome, store_ms=_store_ms(), era=era)
 
     async def read_all(self, table: str, *, part: str = '') -> RowChanges:
         """Returns a snapshot of all rows of a table's part."""
@@ -86,10 +90,12 @@
             part=part,
         )
         self.read_bytes += _size_of(rows)
+        self._observe_era(self.state.era, Step.TABLE_READ)
         return RowChanges(
             rows=rows,
             revision=self.state.revision,
             store_ms=_store_ms(),
+            era=self.state.era,
         )
 
     async def wait_for_changes(
@@ -104,7 +110,8 @@
         deadline_ms = _store_ms() + wait_ms
         while True:
             await self._delay(Step.TABLE_READ)
-            if self.history_lost:
+            self._observe_era(self.state.era, Step.TABLE_READ)
+            if self.history_lost or after_revision > self.state.revision:
                 self.history_lost = False
                 raise HistoryLostError(
                     step=Step.TABLE_READ,
@@ -121,6 +128,7 @@
                     rows=rows,
                     revision=self.state.revision,
                     store_ms=_store_ms(),
+                    era=self.state.era,
                 )
 
     async def read(self, *, table: str, key: str) -> Row | None:
@@ -145,8 +153,12 @@
             after_revision=after_revision,
         )
 
+    def _observe_era(self, era: int, step: Step) -> None:
+        self.eras.observe(era)
+        self.eras.require_current(era, step)
+
     async def _delay(self, step: Step) -> None:
-        if self.down:
+        if self.down or self.state.is_away:
             await anyio.sleep(self._timeout_ms / _MS_PER_SECOND)
             await self._gate.wait_while_paused()
             raise _platform_error(step, 'time-out')
--- a/teaseldale/tables/__init__.py
+++ b/teaseldale/tables/__init__.py
@@ -10,7 +10,7 @@
 )
 from teaseldale.tables._http_membership import HttpMembershipList
 from teaseldale.tables._http_table import HttpTableService
-from teaseldale.tables._in_memory_table import InMemoryTable
+from teaseldale.tables._in_memory_table import InMemoryTable, TableCopy
 from teaseldale.tables._lease import LeaseRecord, TableLease
 from teaseldale.tables._membership import (
     BaseMembershipList,
@@ -59,6 +59,7 @@
     'RowCheck',
     'RowWrite',
     'StoreEras',
+    'TableCopy',
     'TableFollower',
     'TableLease',
     'Transaction',
--- a/teaseldale/tables/_in_memory_table.py
+++ b/teaseldale/tables/_in_memory_table.py
@@ -1,6 +1,8 @@
 """In-memory state of a table service, for stand-ins and fakes."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+
+import attrs
 
 from teaseldale.tables._table import (
     Committed,
@@ -11,6 +13,15 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class TableCopy:
+    """Rows and outcomes of a table at one revision."""
+
+    rows: Mapping[tuple[str, str, str], Row]
+    outcomes: Mapping[str, Committed | Conflicted]
+    revision: int
+
+
 class InMemoryTable:
     """Rows in a dictionary, changed by serializable transactions."""
 
@@ -19,6 +30,27 @@
         self._rows: dict[tuple[str, str, str], Row] = {}
         self._outcomes: dict[str, Committed | Conflicted] = {}
         self.revision = 0
+        # Incremented by each return from a copy; 0 if the store has no eras.
+        self.era = 0
+        self.is_away = False  # answers nobody
+
+    def copy(self) -> TableCopy:
+        """Returns a copy of the current state."""
+        return TableCopy(
+            rows=dict(self._rows),
+            outcomes=dict(self._outcomes),
+            revision=self.revision,
+        )
+
+    def return_from(self, copy: TableCopy) -> None:
+        """Begins a new era with the state of a copy.
+
+        Later commits are lost, and their revisions are assigned again.
+        """
+        self._rows = dict(copy.rows)
+        self._outcomes = dict(copy.outcomes)
+        self.revision = copy.revision
+        self.era += 1
 
     def commit(self, transaction: Transaction) -> Committed | Conflicted:
         """Applies the transaction; a resend gets the first outcome."""
