Read a followed table again when the store begins a new era

Cause: a follower asks for changes after the highest revision it has seen. A store that has returned from an older copy assigns those revisions again, and what it wrote under them was skipped without notice. Change: an answer of another era makes the follower read the whole table. Ruled out: 410 alone; the store sends it only for revisions it lacks.

--- a/teaseldale/tables/_table_follower.py
+++ b/teaseldale/tables/_table_follower.py
@@ -5,12 +5,13 @@
 from teaseldale.clock import BaseClock
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.outcomes import PlatformError
+from teaseldale.outcomes import PlatformError, Step
 from teaseldale.tables._row_feed import (
     BaseRowFeed,
     HistoryLostError,
     RowChanges,
 )
+from teaseldale.tables._store_eras import NO_ERA, EraChangedError
 from teaseldale.tables._table import Row
 
 # Maximum wait of one feed request. It bounds how long a dead connection goes
@@ -59,6 +60,7 @@
         self._on_snapshot = on_snapshot
         self._on_changes = on_changes
         self._revision: int | None = None
+        self._era = NO_ERA  # that the revision belongs to
         self._pause_ms = _FIRST_PAUSE_MS
         self._last_answer_ms = clock.monotonic_ms()
         self._failing_since_ms: int | None = None
@@ -90,9 +92,13 @@
         while True:
             try:
                 await self._step()
-            except HistoryLostError:
+            except (HistoryLostError, EraChangedError) as error:
                 self._metrics.increment('feeds_read_again', self._table)
-                self._log.changed('feed_history_lost', table=self._table)
+                self._log.changed(
+                    'feed_history_lost',
+                    table=self._table,
+                    reason=error.reason,
+                )
                 self._revision = None
             except PlatformError as error:
                 await self._handle_failure(error)
@@ -107,8 +113,17 @@
         changes = await self._feed.wait_for_changes(
             self._table,
             after_revision=self._revision,
-            wait_ms=self._wait_ms,
+            # A store that answers again may have begun a new era.
+            wait_ms=self._wait_ms if self._failing_since_ms is None else 0,
         )
+        if changes.era != self._era:
+            # The store may have assigned the revisions up to the last one
+            # anew, and omits those changes.
+            raise EraChangedError(
+                step=Step.TABLE_READ,
+                peer='store',
+                reason=f'era {changes.era} instead of {self._era}',
+            )
         self._handle_answer(changes, self._on_changes)
 
     def _apply_all(self, rows: tuple[Row, ...]) -> None:
@@ -132,6 +147,7 @@
             callback(changes.rows)
             self._log_answer(changes, is_whole=is_whole)
         self._revision = max(self._revision or 0, changes.revision)
+        self._era = changes.era
         if self._skips_replaced and _has_replaced_versions(changes.rows):
             self._revision = None
 
