--- a/teaseldale/forwarding/tests/brittle_histories.py
+++ b/teaseldale/forwarding/tests/brittle_histories.py
@@ -32,8 +32,11 @@
 )
 
 
-def play_history(seed):
-    """Returns the fleet after the history of a seed, and what happened."""
+def play_history(seed, model=None):
+    """Returns the fleet after the history of a seed, and what happened.
+
+    Without ``model`` the runners are random as well.
+    """
     source = random.Random(seed)
     facts = {
         'vms': source.choice((4, 8, 8, 12, 20)),
@@ -45,7 +48,7 @@
     }
     kind = source.choice(('safe', 'once'))
     # Drawn last, so that the rest of a history is as it was without a model.
-    facts['model'] = RunnerModel(
+    facts['model'] = model or RunnerModel(
         slot_count=source.choice((4, 8, 16)),
         queue_count=source.choice((8, 32)),
         brittle_queue_count=source.choice((0, 1, 1, 4)),
--- a/teaseldale/forwarding/tests/brittle_runners.feature
+++ b/teaseldale/forwarding/tests/brittle_runners.feature
@@ -42,6 +42,20 @@
       | 3 VMs reach other VMs no more      | 50    |
       | start again                        | 90    |
 
+  # Guards against the same where a runner does not notice that the VM of a
+  # request has ended, so that the request takes room without a permit.
+  Scenario Outline: Brittle runners on which requests run on do not end when <event>
+    Given 8 VMs that send 0.9 times what 9 runners can run, where requests run on after their connection has closed
+    When the runners become brittle and then <event>
+    Then no runner ends under the requests that it rejects
+    And <share> in 100 of the last 5 s are served
+
+    Examples:
+      | event                              | share |
+      | the VMs that hold their room leave | 90    |
+      | start again                        | 90    |
+      | 3 VMs start again                  | 90    |
+
   # Guards against a VM that starts again under its name and whose requests for
   # room pass for old ones.
   Scenario: VMs that start again get room at brittle runners
@@ -62,6 +76,10 @@
     When 4 random histories from seed 1 are played
     Then no runner of these histories ends under the requests that it rejects
 
+  Scenario: Random histories in which requests run on end no brittle runner
+    When 4 random histories from seed 1 are played, where requests run on after their connection has closed
+    Then no runner of these histories ends under the requests that it rejects
+
   # Guards against a service that counts as brittle for as long as its runners
   # start again one after the other, because each was taken to be so.
   Scenario: A new runner is taken to be brittle by the age of the latest mention
--- a/teaseldale/forwarding/tests/steps_brittle_runners.py
+++ b/teaseldale/forwarding/tests/steps_brittle_runners.py
@@ -16,7 +16,9 @@
 _OBJECTIVE_MS = 100  # of the route
 
 
-@given('{vms:d} VMs that send {load:g} times what {runners:d} runners can run')
+@given(
+    '{vms:d} VMs that send {load:g} times what {runners:d} runners can run',
+)
 def brittle_fleet(context, vms, load, runners):
     context.fleet = BrittleFleet(
         vm_count=vms,
@@ -26,6 +28,24 @@
     context.per_s = load * context.fleet.room_per_s
 
 
+# Requests run on at a runner after their connection has closed.
+_RUNS_ON = RunnerModel(runs_on_share=1)
+
+
+@given(
+    '{vms:d} VMs that send {load:g} times what {runners:d} runners can run, '
+    'where requests run on after their connection has closed'
+)
+def fleet_with_running_on(context, vms, load, runners):
+    context.fleet = BrittleFleet(
+        vm_count=vms,
+        runner_count=runners,
+        kind='safe',
+        model=_RUNS_ON,
+    )
+    context.per_s = load * context.fleet.room_per_s
+
+
 # What requests need of the memory of a runner with 16 slots, in tokens.
 _MEMORIES = {
     'memory for half of their slots': {'memory_tokens': 8},
@@ -188,6 +208,17 @@
     ]
 
 
+@when(
+    '{count:d} random histories from seed {seed:d} are played, where requests '
+    'run on after their connection has closed'
+)
+def play_histories_with_running_on(context, count, seed):
+    context.histories = [
+        (number, *play_history(number, _RUNS_ON))
+        for number in range(seed, seed + count)
+    ]
+
+
 @then('no runner of these histories ends under the requests that it rejects')
 def no_falls_in_histories(context):
     fallen = [
