Let a former keeper try again to join an era

Cause: a VM that keeps an account no more, and has nothing left of it, runs no rounds. In a new era it reads the account once and writes its grant; if that transaction was lost, nothing made it try again, and all others waited for it with the free tokens withheld. Evidence: the new scenario of store_returns.feature fails before (vm-2 is still awaited after 3 s) and passes now. Change: a VM that knew the account in an earlier era has rounds until it has joined.

--- a/teaseldale/budgets/_account_era.py
+++ b/teaseldale/budgets/_account_era.py
@@ -75,18 +75,18 @@
         self._earlier: EarlierKnowledge | None = None
         self._prepaid_tokens = 0  # as known soon after the return
         self._log = StateLog(channel='grants')
-        self.era = NO_ERA  # of the rows as read
+        self.number = NO_ERA  # of the rows as read
         self.read: ReadConfirmationRow | None = None
 
     @property
     def is_current(self) -> bool:
         """Whether the rows were read in the store's current era."""
-        return self.era == self._eras.current
+        return self.number == self._eras.current
 
     @property
     def is_joined(self) -> bool:
         """Whether the account row counts this VM's grant."""
-        if self.era == NO_ERA:
+        if self.number == NO_ERA:
             return True
         confirmation = self.confirmation
         return (
@@ -94,10 +94,15 @@
             and self._holder.text in confirmation.joined
         )
 
+    @property
+    def is_join_due(self) -> bool:
+        """Whether others may wait for what this VM knows of the account."""
+        return self._earlier is not None and not self.is_joined
+
     @property
     def confirmation(self) -> ConfirmationRow | None:
         """The confirmation in the current era; None before it is opened."""
-        if self.read is None or self.read.row.era != self.era:
+        if self.read is None or self.read.row.era != self.number:
             return None
         return self.read.row
 
@@ -118,7 +123,7 @@
 
     def enter(self, era: int) -> None:
         """Enters an era whose rows have not been applied yet."""
-        self.era = era
+        self.number = era
         self.read = None
 
     def apply(self, row: Row | None) -> None:
@@ -127,7 +132,7 @@
 
     def checks(self) -> Iterable[RowCheck]:
         """Returns the check that fails for transactions of earlier eras."""
-        if self.era == NO_ERA:
+        if self.number == NO_ERA:
             return ()
         revision = 0 if self.read is None else self.read.revision
         return (check_of(CONFIRMATION_KEY, revision),)
@@ -136,13 +141,13 @@
         """Returns the write of a changed confirmation row."""
         if state is None or state.confirmation == self.confirmation:
             return ()
-        if self.era == NO_ERA:
+        if self.number == NO_ERA:
             return ()
         return (row_write(CONFIRMATION_KEY, state.confirmation),)
 
     def acknowledge(self, state: AccountState, revision: int) -> None:
         """Records that the store has committed a state."""
-        if self.era == NO_ERA or state.confirmation == self.confirmation:
+        if self.number == NO_ERA or state.confirmation == self.confirmation:
             return
         if not self.is_joined:
             self._log_joined(state)
@@ -170,7 +175,7 @@
 
     def changed_state(self, row: AccountRow) -> AccountState:
         """Returns a changed account row with its confirmation."""
-        confirmation = self.confirmation or ConfirmationRow(era=self.era)
+        confirmation = self.confirmation or ConfirmationRow(era=self.number)
         if confirmation.awaited_vms:
             known = max(
                 confirmation.prepaid_tokens, self._early_prepaid_tokens()
@@ -183,7 +188,7 @@
         self._log.changed(
             'grant_confirmed',
             account=self._held.account,
-            era=self.era,
+            era=self.number,
             granted=self._held.granted_tokens,
             was_known=self._earlier is not None,
             awaited_vms=list(state.confirmation.awaited_vms),
@@ -194,7 +199,7 @@
         awaited = self._awaited_when_opened(found)
         if awaited is None:
             return None
-        return open_account(found.row, era=self.era, awaited_vms=awaited)
+        return open_account(found.row, era=self.number, awaited_vms=awaited)
 
     def _awaited_when_opened(self, found: FoundAccount) -> Iterable[str] | None:
         """Returns the VMs to wait for; None to let other VMs open first."""
--- a/teaseldale/budgets/_account_rounds.py
+++ b/teaseldale/budgets/_account_rounds.py
@@ -132,8 +132,9 @@
         """Whether this VM may have to write to the account's partition."""
         held = self.held
         has_grant = held.granted_tokens > held.spent_tokens
-        is_awaited = self._own.read is not None and not self.era.is_current
-        return self.is_assigned or has_grant or is_awaited
+        is_unread = self._own.read is not None and not self.era.is_current
+        is_joining = is_unread or self.era.is_join_due
+        return self.is_assigned or has_grant or is_joining
 
     @property
     def spent_by_all(self) -> int:
@@ -156,7 +157,7 @@
                 self._own.started_store_ms,
                 read.store_ms - (sent_ms - self._start.started_ms),
             )
-            self._own.log_earlier(self.held, self._log, self.era.era)
+            self._own.log_earlier(self.held, self._log, self.era.number)
         self._is_read = True
 
     async def change(self, *, return_all: bool = False) -> None:
@@ -255,7 +256,7 @@
 
         The revisions of the checks mean other rows there.
         """
-        if outcome.era != self.era.era:
+        if outcome.era != self.era.number:
             self._is_read = False
             raise EraChangedError(
                 step=Step.TABLE_COMMIT,
@@ -310,7 +311,7 @@
 
     def _enter_era(self, era: int) -> None:
         """Discards all rows if they were read in an earlier era."""
-        if era == self.era.era:
+        if era == self.era.number:
             return
         if self.held.row is not None:
             known = self.held.row.row
--- a/teaseldale/budgets/tests/steps_store_returns.py
+++ b/teaseldale/budgets/tests/steps_store_returns.py
@@ -8,7 +8,11 @@
 from behave import given, then, when
 
 from teaseldale.budgets import _account_era
-from teaseldale.budgets.tests.account_fleet import AccountFleet, sleep_ms
+from teaseldale.budgets.tests.account_fleet import (
+    ACCOUNT,
+    AccountFleet,
+    sleep_ms,
+)
 from teaseldale.budgets.tests.owed_requests import PowerLoss
 from teaseldale.budgets.tests.store_returns import (
     ReturnsRun,
@@ -159,6 +163,45 @@
     assert 92_000 <= used <= 100_000, used
 
 
+def rounds_of(vm):
+    return vm.grants._shards[ACCOUNT].rounds
+
+
+async def lose_first_transaction(fleet):
+    second = fleet.vms[1]
+    copy = fleet.state.copy()
+    rounds_of(second)._plan.assigned.is_keeper_of = lambda account: False
+    await sleep_ms(1500)
+    fleet.state.return_from(copy)
+    second.table.late_commits = True
+    second.table.late_commit_ms = 60_000
+    second.table.eras.observe(fleet.state.era)
+    await sleep_ms(400)
+    second.table.late_commits = False
+
+
+@when(
+    'VM 2 is keeper no more, and its first transaction after a return of the '
+    'store is lost'
+)
+def first_transaction_lost(context):
+    fleet = context.fleet
+
+    async def workload():
+        await lose_first_transaction(fleet)
+        await sleep_ms(3000)
+        context.awaited = rounds_of(fleet.vms[0]).era.awaited_vms
+        context.is_joined = rounds_of(fleet.vms[0]).era.is_joined
+
+    run_in_virtual_time(functools.partial(fleet.run_workload, workload))
+
+
+@then('no VM of the account is awaited 3 s later')
+def none_awaited(context):
+    assert context.is_joined
+    assert not context.awaited, context.awaited
+
+
 async def late_transaction(fleet, store):
     table = fleet.vms[0].table
     await fleet.request(fleet.vms[0], 100)
--- a/teaseldale/budgets/tests/store_returns.feature
+++ b/teaseldale/budgets/tests/store_returns.feature
@@ -30,6 +30,13 @@
     Then at most 100,000 tokens are used
     And all but 8,000 are used once VM 2 reaches the store again
 
+  # Guards against tokens that stay withheld for a VM that is alive: it is keeper
+  # no more, holds nothing, and tries only once to join the era.
+  Scenario: A former keeper joins an era although its first transaction is lost
+    Given 2 VMs of a store with eras and an account of 100,000 tokens
+    When VM 2 is keeper no more, and its first transaction after a return of the store is lost
+    Then no VM of the account is awaited 3 s later
+
   # Guards against a change that is based on rows which exist no more: revisions
   # of the lost time are assigned again, and a late transaction fits by chance.
   Scenario: A transaction of an earlier era is not applied although its revisions fit
