Keep the confirmation of an account readable for earlier builds

Cause: a build without eras decodes each row of an account's part but the grants as that of a keeper before it looks at the key. The confirmation row, which stands there as soon as the store names eras, lacked the fields of a keeper: decoding raised, and the earlier build's VM ended. Evidence: the new scenario of store_returns.feature decodes the rows as builds without eras do; it raises before (incarnation is missing), passes now. Change: the row has those fields, with an address and a mark of no VM. Its key is none of a keeper, so that earlier builds drop it. Stores without eras have no such row; nothing changes there.

--- a/teaseldale/budgets/_confirmation_rows.py
+++ b/teaseldale/budgets/_confirmation_rows.py
@@ -3,10 +3,15 @@
 import attrs
 import msgspec
 
+from teaseldale.budgets._account_rows import MarkedAccount, SpendingMark
 from teaseldale.tables import Row
 
 # Key in the partition of each account, if the store has eras.
 CONFIRMATION_KEY = 'confirmation'
+_NO_SPENDING = SpendingMark(
+    made_store_ms=0,
+    allowed=MarkedAccount(limit_tokens=0, step_tokens=0, spare_tokens=0),
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -24,6 +29,11 @@
     awaited_vms: tuple[str, ...] = ()
     # Prepaid tokens that holders of the lost time may have known.
     prepaid_tokens: int = 0
+    # Builds without eras decode each row but the grants as that of a keeper,
+    # and end if one of its fields is missing.
+    incarnation: str = ''
+    address: str = ''
+    mark: SpendingMark = _NO_SPENDING
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/budgets/tests/steps_store_returns.py
+++ b/teaseldale/budgets/tests/steps_store_returns.py
@@ -5,9 +5,15 @@
 from unittest import mock
 
 import attrs
+import msgspec
 from behave import given, then, when
 
 from teaseldale.budgets import _account_era
+from teaseldale.budgets._account_rows import (
+    ACCOUNTS_TABLE,
+    GRANTS_KEY,
+    SpendingMark,
+)
 from teaseldale.budgets.tests.account_fleet import (
     ACCOUNT,
     AccountFleet,
@@ -163,6 +169,41 @@
     assert 92_000 <= used <= 100_000, used
 
 
+@attrs.frozen(kw_only=True)
+class EarlierKeeperRow:
+    """Row of a keeper as builds without eras decode it."""
+
+    incarnation: str
+    address: str
+    mark: SpendingMark
+    spent_tokens: int = 0
+
+
+@when('an earlier build reads the rows of the account')
+def earlier_build_reads(context):
+    fleet = context.fleet
+    run_in_virtual_time(
+        functools.partial(fleet.run_workload, lambda: sleep_ms(1000))
+    )
+    rows = fleet.state.scan(
+        table=ACCOUNTS_TABLE, prefix='', after_revision=0, part=ACCOUNT
+    )
+    context.keepers = {}
+    for row in rows:
+        if row.key == GRANTS_KEY:
+            continue
+        keeper = msgspec.msgpack.decode(row.value, type=EarlierKeeperRow)
+        if row.key.startswith('keeper/'):
+            context.keepers[row.key] = keeper
+    context.row_count = len(rows)
+
+
+@then('it finds the rows of {count:d} keepers')
+def finds_keepers(context, count):
+    assert len(context.keepers) == count, context.keepers
+    assert context.row_count == count + 2, context.row_count
+
+
 def rounds_of(vm):
     return vm.grants._shards[ACCOUNT].rounds
 
--- a/teaseldale/budgets/tests/store_returns.feature
+++ b/teaseldale/budgets/tests/store_returns.feature
@@ -44,6 +44,13 @@
     When a transaction is late by 1,000 ms, and the store returns without the one before it
     Then the late transaction is not applied
 
+  # Guards against an earlier build that ends as it reads the part of an account:
+  # it takes each row but the grants for that of a keeper.
+  Scenario: Earlier builds read an account that has been confirmed
+    Given 2 VMs of a store with eras and an account of 100,000 tokens
+    When an earlier build reads the rows of the account
+    Then it finds the rows of 2 keepers
+
   # Guards against tests that pass without what they test.
   Scenario Outline: The tests notice <fault>
     Given the fault of <fault>
