--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -24,6 +24,7 @@
 from teaseldale.forwarding._limit_holders import CellLimitHolders
 from teaseldale.forwarding._metrics_page import MetricsPage
 from teaseldale.forwarding._node import (
+    UNLIMITED_RETRIES,
     Address,
     ExposureLimits,
     NodeSettings,
@@ -55,6 +56,7 @@
 )
 
 __all__ = (
+    'UNLIMITED_RETRIES',
     'Address',
     'Announcement',
     'BaseFleetFormat',
--- a/teaseldale/forwarding/_node.py
+++ b/teaseldale/forwarding/_node.py
@@ -24,6 +24,14 @@
     window_ms: int
 
 
+# Retry limits of a deployment that sets none.
+UNLIMITED_RETRIES = RetryLimits(
+    share=1,
+    extra_count=1_000_000_000,
+    window_ms=10_000,
+)
+
+
 @attrs.frozen(kw_only=True)
 class ExposureLimits:
     """Limits on the requests that a bad version may receive."""
@@ -44,8 +52,7 @@
     peer_address: Address  # listens for datagrams of other VMs
     store_address: Address  # store of the rows that outlive a VM
     retry_bounds: RetryLimits
-    drain_ms: int  # minimum time that a leaving runner keeps serving
     grace_ms: int  # from the stop request until the process is killed
-    exposure: ExposureLimits  # of version moves
+    exposure: ExposureLimits | None  # of version moves; None if they are off
     memory_bytes: int  # the process is killed above it
     is_first_start: bool = False  # no VM of the fleet has run before
--- a/teaseldale/forwarding/_version_moves.py
+++ b/teaseldale/forwarding/_version_moves.py
@@ -96,7 +96,7 @@
         self,
         *,
         holder: HolderKey,
-        limits: ExposureLimits,
+        limits: ExposureLimits | None,
         vm_count: Callable[[], int],
         directory: RunnerDirectory,
         store: MoveStore,
@@ -105,9 +105,10 @@
     ) -> None:
         """``limits`` bound the requests that a bad version receives.
 
-        The extra ones are divided among the VMs that ``vm_count`` counts.
-        ``holder`` identifies this incarnation of the VM; each incarnation
-        publishes its own counts.
+        Without limits, orders are reported and not carried out. The extra
+        ones are divided among the VMs that ``vm_count`` counts. ``holder``
+        identifies this incarnation of the VM; each incarnation publishes its
+        own counts.
         """
         self._holder = holder
         self._limits = limits
@@ -134,6 +135,15 @@
         known = self._running.get(order.service)
         if known is not None and known.order.revision >= order.revision:
             return
+        if self._limits is None:
+            self._metrics.increment('version_orders_ignored')
+            self._log.changed(
+                'version_order_ignored',
+                service=order.service,
+                version=order.version,
+                reason='the settings limit no exposure',
+            )
+            return
         plan = OrderPlan(
             duration_ms=order.duration_ms,
             share_limit=self._limits.share,
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -60,6 +60,9 @@
     running_count: int
     waiting_count: int
     slot_count: int
+    # How many times longer than usual work takes at the moment; None if the
+    # runner does not say.
+    slowdown: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/platform/_settings_file.py
+++ b/teaseldale/platform/_settings_file.py
@@ -4,10 +4,12 @@
 import pathlib
 import re
 import tomllib
+from collections.abc import Mapping
 
 import msgspec
 
 from teaseldale.forwarding import (
+    UNLIMITED_RETRIES,
     Address,
     ExposureLimits,
     NodeSettings,
@@ -24,6 +26,12 @@
 # Memory that a VM may use at the target size.
 _DEFAULT_MEMORY_MB = 256
 _MAX_PORT = 65_535
+# Bounds that a contract requires. Without the contract they may be missing, and
+# the feature that they limit is off.
+_BOUNDS_BY_CONTRACT: Mapping[str, tuple[str, ...]] = {
+    'retry': ('RetryBudgetRatio', 'BudgetWindowS', 'BudgetExtraTries'),
+    'rollout': ('ExposureShare',),
+}
 _ADDRESS = re.compile('(?P<ip>[0-9.]+):(?P<port>[0-9]{1,5})')
 
 
@@ -33,12 +41,24 @@
 
 
 class _Bounds(msgspec.Struct):
-    drain_ms: int = msgspec.field(name='DrainMs')
     grace_s: float = msgspec.field(name='GraceS')
-    retry_share: float = msgspec.field(name='RetryBudgetRatio')
-    retry_window_s: float = msgspec.field(name='BudgetWindowS')
-    extra_tries: float = msgspec.field(name='BudgetExtraTries')
-    exposure_share: float = msgspec.field(name='ExposureShare')
+    # The rest is required by contracts, see ``_BOUNDS_BY_CONTRACT``.
+    retry_share: float | None = msgspec.field(
+        name='RetryBudgetRatio',
+        default=None,
+    )
+    retry_window_s: float | None = msgspec.field(
+        name='BudgetWindowS',
+        default=None,
+    )
+    extra_tries: float | None = msgspec.field(
+        name='BudgetExtraTries',
+        default=None,
+    )
+    exposure_share: float | None = msgspec.field(
+        name='ExposureShare',
+        default=None,
+    )
     exposure_extra: float = msgspec.field(name='ExposureTolerance', default=0)
 
 
@@ -63,6 +83,11 @@
     limits: _Limits = msgspec.field(name='Limits', default_factory=_Limits)
     # Whether the whole system is started for the first time.
     is_first_start: bool = msgspec.field(name='Bootstrap', default=False)
+    # Parts of the rules in force; each requires some of the bounds.
+    contracts: frozenset[str] = msgspec.field(
+        name='Contracts',
+        default=frozenset(),
+    )
 
 
 def read_settings_file(path: str) -> NodeSettings:
@@ -75,6 +100,7 @@
     except (OSError, ValueError) as error:
         raise SettingsError(f'{path}: {error}') from error
     errors = _validate_struct(document, _SettingsFile, '')
+    errors.extend(_missing_bounds(document))
     if errors:
         raise SettingsError('\n'.join(f'{path}: {text}' for text in errors))
     return _settings_of(msgspec.convert(document, _SettingsFile))
@@ -102,18 +128,29 @@
         metrics_address=Address(ip=decoded.ip, port=METRICS_PORT),
         peer_address=Address(ip=decoded.ip, port=decoded.port_range[0]),
         store_address=decode_address(decoded.platform.address),
-        retry_bounds=RetryLimits(
-            share=bounds.retry_share,
-            extra_count=int(bounds.extra_tries),
-            window_ms=int(bounds.retry_window_s * _MS_PER_SECOND),
-        ),
+        retry_bounds=_retry_limits_of(bounds),
         memory_bytes=_memory_bytes_of(decoded.limits),
-        drain_ms=bounds.drain_ms,
         grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
-        exposure=ExposureLimits(
-            share=bounds.exposure_share,
-            extra_count=int(bounds.exposure_extra),
-        ),
+        exposure=_exposure_limits_of(bounds),
+    )
+
+
+def _retry_limits_of(bounds: _Bounds) -> RetryLimits:
+    if bounds.retry_share is None or bounds.retry_window_s is None:
+        return UNLIMITED_RETRIES
+    return RetryLimits(
+        share=bounds.retry_share,
+        extra_count=int(bounds.extra_tries or 0),
+        window_ms=int(bounds.retry_window_s * _MS_PER_SECOND),
+    )
+
+
+def _exposure_limits_of(bounds: _Bounds) -> ExposureLimits | None:
+    if bounds.exposure_share is None:
+        return None
+    return ExposureLimits(
+        share=bounds.exposure_share,
+        extra_count=int(bounds.exposure_extra),
     )
 
 
@@ -122,6 +159,21 @@
     return int(memory_mb * _BYTES_PER_MB)
 
 
+def _missing_bounds(document: Mapping[str, object]) -> list[str]:
+    """Returns one message for each bound that a listed contract lacks."""
+    contracts = document.get('Contracts')
+    bounds = document.get('Bounds')
+    if not isinstance(contracts, list) or not isinstance(bounds, dict):
+        return []
+    return [
+        f'Bounds.{bound}: missing, the contract {contract!r} requires it'
+        for contract, required in _BOUNDS_BY_CONTRACT.items()
+        if contract in contracts
+        for bound in required
+        if bound not in bounds
+    ]
+
+
 def _validate_struct(
     document: object,
     expected_type: type[msgspec.Struct],
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -41,6 +41,8 @@
 _FIRST_ERROR_STATUS = 400
 _HIGHEST_PRIORITY, _LOWEST_PRIORITY = 0, 9
 _MS_PER_SECOND = 1000
+_LOAD_COUNTS = 3  # running, waiting and slots, at the start of a load report
+_USUAL_PERCENT = 100
 _INTEGER = re.compile('[0-9]{1,18}')
 _QUOTED_LENGTH = 40  # of a wrong value in an error
 
@@ -247,17 +249,33 @@
 
 
 def _load_of(text: str) -> RunnerLoad | None:
+    """Returns the reported load; figures that this build knows not are ignored.
+
+    A slowdown that cannot be read does not spoil the counts before it.
+    """
+    figures = text.split(',')
     try:
-        running, waiting, slots = map(_integer_of, text.split(','))
+        running, waiting, slots = map(_integer_of, figures[:_LOAD_COUNTS])
     except ValueError:
         return None
+    slowdown_percent = ''.join(figures[_LOAD_COUNTS : _LOAD_COUNTS + 1])
     return RunnerLoad(
         running_count=running,
         waiting_count=waiting,
         slot_count=slots,
+        slowdown=_slowdown_of(slowdown_percent),
     )
 
 
+def _slowdown_of(percent: str) -> float | None:
+    """Returns how many times longer than usual work takes, or None."""
+    try:
+        usual_percent = _integer_of(percent)
+    except ValueError:
+        return None
+    return usual_percent / _USUAL_PERCENT or None
+
+
 def _non_negative_of(text: str) -> float | None:
     """Returns a finite number that is not negative, or None."""
     try:
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -18,6 +18,18 @@
       | 0             | 256,000,000 |
       | no MemoryMb   | 256,000,000 |
 
+  # Guards against a process that does not start where a bound is left out
+  # because the contract that it belongs to is not in force.
+  Scenario: Settings need the bounds of each set of contracts and no others
+    Given the platform's settings file
+    Then it is valid with any set of contracts and the bounds that they require
+    And each bound that a contract requires is named if it is missing
+
+  # Guards against a version that gets traffic without a bound.
+  Scenario: Version moves are off where the settings limit no exposure
+    Given the platform's settings file
+    Then without its exposure bounds the settings turn version moves off
+
   Scenario Outline: A settings file with <mistake> is rejected
     Given the platform's settings file with <mistake>
     Then the settings are rejected with an error that names <named>
@@ -202,10 +214,30 @@
     Examples:
       | text                        | load   |
       | 3,0,8                       | 3 of 8 |
+      | 3,0,8,100                   | 3 of 8 |
+      | 3,0,8,250,17                | 3 of 8 |
+      | 3,0,8,soon                  | 3 of 8 |
       | ²,0,8                       | none   |
       | 3,0                         | none   |
       | 3,0,99999999999999999999999 | none   |
 
+  # Guards against a placement that takes no account of a busy machine.
+  Scenario Outline: A load of "<text>" says that work takes <slowdown> times as long
+    Given an answer whose runner reports the load "<text>"
+    Then the decoded slowdown is <slowdown>
+
+    Examples:
+      | text         | slowdown |
+      | 3,0,8,100    | 1        |
+      | 3,0,8,250,17 | 2.5      |
+      | 3,0,8        | unknown  |
+      | 3,0,8,0      | unknown  |
+      | 3,0,8,-5     | unknown  |
+      | 3,0,8,1e3    | unknown  |
+
+  Scenario: Load reports with any further figures are read for those known
+    Then each load report of counts and arbitrary further text gives the counts
+
   Scenario: A runner gets the fleet's headers and no hop-by-hop headers
     Given a caller's request that forges the fleet's headers
     Then the runner gets the caller's id, model, usage and prompt parts unchanged
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -1,11 +1,16 @@
 """Steps for messages in the platform's formats."""
 
 import base64
+import itertools
 import pathlib
+import re
 import tempfile
 
 import msgspec
 from behave import given, then, when
+from hypothesis import given as generated
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
 
 import teaseldale
 from teaseldale.forwarding import (
@@ -203,6 +208,68 @@
     context.settings_text = f'{_SETTINGS}\n[Limits]\n{field}'
 
 
+# Bounds that the platform leaves out where a contract is not in force.
+_CONTRACT_BOUNDS = {
+    'retry': ('RetryBudgetRatio', 'BudgetWindowS', 'BudgetExtraTries'),
+    'rollout': ('ExposureShare', 'ExposureTolerance'),
+    'places': (),
+    'pressure': (),
+    'tenants': (),
+}
+_REQUIRED_BOUNDS = {
+    'retry': ('RetryBudgetRatio', 'BudgetWindowS', 'BudgetExtraTries'),
+    'rollout': ('ExposureShare',),
+}
+
+
+def settings_with(contracts, *, missing=()):
+    """Returns the settings with contracts, less some bounds."""
+    listed = ', '.join(f'"{name}"' for name in contracts)
+    text = f'Contracts = [{listed}]{_SETTINGS}'
+    for bound in missing:
+        text = re.sub(f'(?m)^{bound} = .*$', '', text)
+    return text
+
+
+def bounds_without(contracts):
+    return [
+        bound
+        for contract, bounds in _CONTRACT_BOUNDS.items()
+        if contract not in contracts
+        for bound in bounds
+    ]
+
+
+@then('it is valid with any set of contracts and the bounds that they require')
+def settings_of_contracts(context):
+    names = tuple(_CONTRACT_BOUNDS)
+    for size in range(len(names) + 1):
+        for contracts in itertools.combinations(names, size):
+            load_settings(
+                settings_with(contracts, missing=bounds_without(contracts)),
+            )
+
+
+@then('each bound that a contract requires is named if it is missing')
+def missing_bounds_named(context):
+    for contract, bounds in _REQUIRED_BOUNDS.items():
+        try:
+            load_settings(settings_with((contract,), missing=bounds))
+        except SettingsError as error:
+            message = str(error)
+        else:
+            raise AssertionError(f'{contract}: accepted without its bounds')
+        for bound in bounds:
+            assert f'Bounds.{bound}: missing' in message, message
+
+
+@then('without its exposure bounds the settings turn version moves off')
+def settings_without_exposure(context):
+    text = settings_with((), missing=_CONTRACT_BOUNDS['rollout'])
+    assert load_settings(text).exposure is None
+    assert load_settings(_SETTINGS).exposure is not None
+
+
 @then('the settings allow {size} bytes of memory')
 def allowed_memory(context, size):
     settings = load_settings(context.settings_text)
@@ -682,6 +749,30 @@
         assert (found.running_count, found.waiting_count) == (3, 0), found
 
 
+@then('the decoded slowdown is {slowdown}')
+def decoded_slowdown(context, slowdown):
+    expected = None if slowdown == 'unknown' else float(slowdown)
+    assert context.reply.load.slowdown == expected, context.reply
+
+
+@then('each load report of counts and arbitrary further text gives the counts')
+def decoded_counts(context):
+    counts = strategies.tuples(*[strategies.integers(0, 10**6)] * 3)
+
+    @hypothesis_settings(derandomize=True, database=None)
+    @generated(
+        counts, strategies.text(strategies.characters(max_codepoint=255))
+    )
+    def check(figures, further):
+        text = f'{",".join(map(str, figures))},{further}'
+        headers = ((b'x-instance-load', text.encode('latin-1')),)
+        load = PlatformWireFormat().read_reply(200, headers).load
+        found = (load.running_count, load.waiting_count, load.slot_count)
+        assert found == figures, (text, load)
+
+    check()
+
+
 @then('the answer is decoded as one of a runner that is {decoded}')
 def decoded_leaving(context, decoded):
     expected = decoded == 'leaving'
