--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -27,6 +27,7 @@
     MoveStore,
     NodeSettings,
     RequestLog,
+    RingPartOwners,
     VersionMoves,
     VmDatagrams,
     VmLoadReporter,
@@ -35,6 +36,7 @@
 from teaseldale.logs import StateLog
 from teaseldale.members import (
     AccountKeepers,
+    HashRing,
     MemberList,
     VmEntry,
 )
@@ -49,6 +51,7 @@
 )
 from teaseldale.routing import (
     BacklogChoice,
+    PartDirectory,
     PlacementExchange,
     RetryWindow,
     RunnerPermits,
@@ -127,6 +130,7 @@
             grants=parts.grants,
             limits=parts.limits,
             rooms=parts.rooms,
+            part_directory=parts.part_directory,
             clock=clock,
             metrics=metrics,
         ),
@@ -213,6 +217,15 @@
         connections=connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
         cells=links.cells,
+        part_directory=PartDirectory(
+            vm_name=settings.name,
+            owners=RingPartOwners(
+                ring=HashRing(members=members),
+                cells=links.cells,
+            ),
+            clock=clock,
+            metrics=metrics,
+        ),
         retries=RetryWindow(
             clock=clock,
             share=bounds.share,
--- a/teaseldale/forwarding/__init__.py
+++ b/teaseldale/forwarding/__init__.py
@@ -30,6 +30,7 @@
     NodeSettings,
     RetryLimits,
 )
+from teaseldale.forwarding._part_owners import RingPartOwners
 from teaseldale.forwarding._relayed_runners import RelayedRunners
 from teaseldale.forwarding._request_log import RequestLog
 from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
@@ -88,6 +89,7 @@
     'RelayedRunners',
     'RequestLog',
     'RetryLimits',
+    'RingPartOwners',
     'RunnerAnnouncements',
     'RunnerDirectory',
     'RunnerLoad',
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -81,6 +81,7 @@
             work,
             parts.choice.backlog(runner.runner_id, runner.slot_count),
         )
+        parts.part_directory.note_placed(work, runner.runner_id)
         self._has_read = False
         self._answer_began_ms: int | None = None  # monotonic
         self._has_ended = False
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -20,6 +20,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.routing import (
     BacklogChoice,
+    PartDirectory,
     RetryWindow,
     RunnerLimits,
     RunnerPermits,
@@ -37,6 +38,7 @@
     connections: RunnerConnectionPools
     choice: BacklogChoice
     cells: FleetCells
+    part_directory: PartDirectory
     retries: RetryWindow
     crashes: CrashReports
     limits: RunnerLimits
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -126,6 +126,7 @@
         service = self._admitted.service
         self._parts.retries.note_request(service)
         self._selection.begin()
+        await self._selection.locate_prefix()
         while True:
             attempt = await self._next_attempt()
             if attempt is None:
--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -52,6 +52,22 @@
             self._admitted.service,
         )
 
+    async def locate_prefix(self) -> None:
+        """Asks the fleet which runner caches the prompt's shared parts.
+
+        A runner of another cell can be the source of a fetch.
+        """
+        choice = self._parts.choice
+        if choice.is_prefix_cached(self._work):
+            return
+        runner_id = await self._parts.part_directory.find(self._work)
+        runner = runner_id and self._parts.directory.find(runner_id)
+        if not runner:
+            return
+        choice.backlog(runner.runner_id, runner.slot_count)
+        for part in self._work.parts[:-1]:
+            choice.note_remote_part(runner.runner_id, part.part_id)
+
     async def select(self) -> SelectedRunner | None:
         """Returns the runner of the next attempt, or None if there is none.
 
--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -18,7 +18,12 @@
 from teaseldale.logs import StateLog
 from teaseldale.members import FleetCells, MemberList
 from teaseldale.metrics import Metrics
-from teaseldale.routing import PlacementExchange, RunnerLimits, RunnerRooms
+from teaseldale.routing import (
+    PartDirectory,
+    PlacementExchange,
+    RunnerLimits,
+    RunnerRooms,
+)
 
 # Coalescing interval of changed counts. Reading a prompt takes tens to hundreds
 # of ms, so that older counts would often miss the latest request.
@@ -47,6 +52,7 @@
         grants: AccountGrants,
         limits: RunnerLimits,
         rooms: RunnerRooms,
+        part_directory: PartDirectory,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
@@ -58,6 +64,7 @@
         self._grants = grants
         self._limits = limits
         self._rooms = rooms
+        self._part_directory = part_directory
         self._clock = clock
         self._metrics = metrics
         self._transport: asyncio.DatagramTransport | None = None
@@ -78,6 +85,7 @@
                     **self._grants.handlers,
                     **self._limits.handlers,
                     **self._rooms.handlers,
+                    **self._part_directory.handlers,
                 },
                 metrics=self._metrics,
             ),
@@ -87,6 +95,7 @@
         self._grants.set_datagram_sender(self._send_datagram)
         self._limits.set_datagram_sender(self._send_datagram)
         self._rooms.set_datagram_sender(self._send_datagram)
+        self._part_directory.set_datagram_sender(self._send_datagram)
         tasks.start_soon(self._send)
         tasks.start_soon(self._remove_silent_vms)
 
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -31,6 +31,7 @@
     RequestLog,
     RetryLimits,
     RetryPolicy,
+    RingPartOwners,
     RunnerAnnouncements,
     RunnerDirectory,
     VersionMoves,
@@ -42,6 +43,7 @@
     BaseFleetMembers,
     FixedMembers,
     FleetCells,
+    HashRing,
     VmEntry,
 )
 from teaseldale.memory import ByteBudget, budget_bytes_of
@@ -49,6 +51,7 @@
 from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
 from teaseldale.routing import (
     BacklogChoice,
+    PartDirectory,
     RetryWindow,
     RunnerLimits,
     RunnerPermits,
@@ -207,6 +210,15 @@
         connections=options.connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
         cells=cells,
+        part_directory=PartDirectory(
+            vm_name=options.vm_name,
+            owners=RingPartOwners(
+                ring=HashRing(members=members),
+                cells=cells,
+            ),
+            clock=clock,
+            metrics=metrics,
+        ),
         retries=RetryWindow(
             clock=clock,
             share=0.2,
--- a/teaseldale/forwarding/tests/fleet_world.py
+++ b/teaseldale/forwarding/tests/fleet_world.py
@@ -206,7 +206,11 @@
         vm.handlers = {
             **vm.parts.limits.handlers,
             **vm.parts.rooms.handlers,
+            **vm.parts.part_directory.handlers,
         }
+        vm.parts.part_directory.set_datagram_sender(
+            functools.partial(self._send_datagram, vm),
+        )
         vm.exchange = PlacementExchange(
             vm_name=f'vm-{number}',
             choice=vm.parts.choice,
--- a/teaseldale/members/__init__.py
+++ b/teaseldale/members/__init__.py
@@ -1,6 +1,7 @@
 """Fleet membership, cells of VMs and keepers of accounts."""
 
 from teaseldale.members._cells import FleetCells
+from teaseldale.members._hash_ring import HashRing
 from teaseldale.members._keepers import KEEPER_COUNT, AccountKeepers
 from teaseldale.members._member_list import MemberList
 from teaseldale.members._members import (
@@ -16,6 +17,7 @@
     'BaseFleetMembers',
     'FixedMembers',
     'FleetCells',
+    'HashRing',
     'MemberList',
     'VmEntry',
     'rank_by_hash',
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -17,6 +17,10 @@
     )
     from teaseldale.routing._fleet_router import FleetRouter
     from teaseldale.routing._limit_holders import BaseLimitHolders
+    from teaseldale.routing._part_directory import (
+        BasePartOwners,
+        PartDirectory,
+    )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
         PlacementExchange,
@@ -70,6 +74,10 @@
             'RoundRobinChoice',
         ),
         'teaseldale.routing._fleet_router': ('FleetRouter',),
+        'teaseldale.routing._part_directory': (
+            'BasePartOwners',
+            'PartDirectory',
+        ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
             'PlacementExchange',
@@ -120,6 +128,7 @@
     'BacklogChoice',
     'BaseLeavingRunners',
     'BaseLimitHolders',
+    'BasePartOwners',
     'BaseRouter',
     'BaseUpstreamChoice',
     'CacheAction',
@@ -128,6 +137,7 @@
     'LeastInFlightChoice',
     'LeastReportedChoice',
     'LocalRouter',
+    'PartDirectory',
     'Permit',
     'PlacedWork',
     'Placement',
--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -120,6 +120,17 @@
         if backlog is not None:
             backlog.note_part(part_id)
 
+    def is_prefix_cached(self, work: PlannedWork) -> bool:
+        """Returns whether a known runner caches all shared parts of a prompt.
+
+        The last part is specific to the request.
+        """
+        shared_ids = [part.part_id for part in work.parts[:-1]]
+        return any(
+            all(part_id in backlog.parts for part_id in shared_ids)
+            for backlog in self._backlogs.values()
+        )
+
     def keep_only(self, runners: frozenset[str]) -> None:
         """Drops the backlogs of other runners unless this VM uses them."""
         for name in tuple(self._backlogs):
