--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -55,6 +55,10 @@
     def ordered_service(self, row: Row) -> str | None:
         """Returns the service of a version order row, or None for others."""
 
+    @abc.abstractmethod
+    def evacuated_zone(self, row: Row) -> str | None:
+        """Returns the zone that a row evacuates, or None for other rows."""
+
     @abc.abstractmethod
     def decode_order(self, row: Row) -> VersionOrder:
         """Decodes a version order; raises ``UnreadableRowError``."""
@@ -144,10 +148,21 @@
         )
 
     def _apply_all_operator_rows(self, rows: tuple[Row, ...]) -> None:
-        """Applies a full read; an order without a row has been withdrawn."""
+        """Applies a full read.
+
+        An order or an evacuation without a row has been withdrawn.
+        """
         self._apply_operator_rows(rows)
         services = {self._format.ordered_service(row) for row in rows}
         self._state.moves.keep_only_orders(services)
+        zones = {
+            self._format.evacuated_zone(row)
+            for row in rows
+            if row.value is not None
+        }
+        self._evacuate_only(
+            self._state.directory.evacuated_zones.intersection(zones),
+        )
 
     def _apply_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
@@ -161,6 +176,10 @@
         if service is not None:
             self._apply_order_row(service, row)
             return
+        zone = self._format.evacuated_zone(row)
+        if zone is not None:
+            self._apply_evacuation_row(zone, row)
+            return
         configuration = self._format.decode_configuration(row)
         if configuration is not None:
             self._apply_configuration(configuration)
@@ -171,6 +190,34 @@
         else:
             self._state.moves.apply_order(self._format.decode_order(row))
 
+    def _apply_evacuation_row(self, zone: str, row: Row) -> None:
+        zones = self._state.directory.evacuated_zones
+        if row.value is None:
+            self._evacuate_only(zones - {zone})
+        else:
+            self._evacuate_only(zones | {zone})
+
+    def _evacuate_only(self, zones: frozenset[str]) -> None:
+        directory = self._state.directory
+        previous = directory.evacuated_zones
+        directory.evacuate_only(zones)
+        for zone in sorted(zones ^ previous):
+            is_evacuated = zone in zones
+            change = 'evacuated' if is_evacuated else 'readmitted'
+            self._metrics.increment('zone_evacuations', change)
+            # A zone without runners may be misspelt, or not read yet.
+            self._log.changed(
+                'zone_evacuation_changed',
+                zone=zone,
+                is_evacuated=is_evacuated,
+                runners=sum(
+                    runner.availability_zone == zone
+                    for runner in directory.all_runners()
+                ),
+                are_runners_known=directory.is_known,
+            )
+        self._metrics.set_gauge('zones_evacuated', len(zones))
+
     def _apply_configuration(self, offered: ForwardingConfiguration) -> None:
         if self._state.configuration.adopt_if_newer(offered):
             self._state.grants.update_prepaid_accounts(
--- a/teaseldale/forwarding/_relayed_runners.py
+++ b/teaseldale/forwarding/_relayed_runners.py
@@ -28,11 +28,15 @@
         return self._find(address) is not None
 
     def is_paused(self, address: PeerAddress) -> bool:
-        """Returns whether the runner there asks this VM for a pause."""
+        """Returns whether the runner there gets nothing from this VM now.
+
+        It asks this VM for a pause, or its availability zone is evacuated,
+        which a VM that asks for a relay may not know yet.
+        """
         runner = self._find(address)
         if runner is None:
             return False
-        return self._announcements.paused_for_ms(runner) > 0
+        return self._announcements.find_objection(runner) is not None
 
     def note_answer(
         self,
--- a/teaseldale/forwarding/_runner_announcements.py
+++ b/teaseldale/forwarding/_runner_announcements.py
@@ -86,6 +86,8 @@
         """
         if not self._directory.accepts_requests(runner):
             return 'runner_leaving'
+        if runner.availability_zone in self._directory.evacuated_zones:
+            return 'zone_evacuated'
         if self.paused_for_ms(runner):
             return 'runner_paused'
         return None
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -1,6 +1,6 @@
 """Directory of registered runners, filtered by version orders."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -61,6 +61,8 @@
         self._withheld_versions: dict[str, str] = {}
         # Proven versions by service.
         self._only_versions: dict[str, str] = {}
+        # Availability zones whose runners get no requests.
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.is_known = False  # whether the table has been read once
 
     def usable(self, service: str) -> tuple[ForwardingRunner, ...]:
@@ -68,14 +70,14 @@
         return self._by_service.get(service, ())
 
     def unproven(self, service: str) -> tuple[ForwardingRunner, ...]:
-        """Returns the non-leaving runners of the unproven version."""
+        """Returns the runners of the unproven version that accept requests."""
         withheld = self._withheld_versions.get(service)
         return tuple(
             runner
             for runner in self._runners.values()
             if runner.service == service
             and runner.version == withheld
-            and not runner.is_leaving
+            and _is_available(runner, self.evacuated_zones)
         )
 
     def all_runners(self) -> tuple[ForwardingRunner, ...]:
@@ -132,6 +134,15 @@
         known = self.find_incarnation(runner.incarnation_name)
         return known is not None and not known.is_leaving
 
+    def evacuate_only(self, zones: Collection[str]) -> None:
+        """Sets the availability zones whose runners get no requests.
+
+        Zones without a runner are kept, as one may register there later.
+        """
+        if self.evacuated_zones != frozenset(zones):
+            self.evacuated_zones = frozenset(zones)
+            self._rebuild_index()
+
     def find_at(self, address: Address) -> ForwardingRunner | None:
         """Returns the latest runner at an address that is not leaving."""
         return max(
@@ -226,5 +237,15 @@
                 runner for runner in members if runner.version == only_version
             ]
         return tuple(
-            runner for runner in selected or members if not runner.is_leaving
+            runner
+            for runner in selected or members
+            if _is_available(runner, self.evacuated_zones)
         )
+
+
+def _is_available(
+    runner: ForwardingRunner,
+    evacuated_zones: frozenset[str],
+) -> bool:
+    is_evacuated = runner.availability_zone in evacuated_zones
+    return not (runner.is_leaving or is_evacuated)
--- a/teaseldale/forwarding/tests/late_dispatch.feature
+++ b/teaseldale/forwarding/tests/late_dispatch.feature
@@ -32,6 +32,9 @@
       | is replaced          | a connection is opened | once |
       | leaves by its entry  | a permit is awaited    | safe |
       | is removed           | a permit is awaited    | safe |
+      | is in an evacuated zone | a connection is opened | safe |
+      | is in an evacuated zone | a connection is opened | once |
+      | is in an evacuated zone | a permit is awaited    | once |
 
   # Guards against a runner that works on a request longer than its caller waits,
   # because time before the request was sent is left out.
--- a/teaseldale/forwarding/tests/steps_late_dispatch.py
+++ b/teaseldale/forwarding/tests/steps_late_dispatch.py
@@ -114,7 +114,10 @@
 
 def ask(context, kind, deadline_ms, on_select=None):
     """Sends one request; ``on_select`` is called with the first runner."""
-    runners = tuple(map(make_runner, range(_RUNNER_COUNT)))
+    runners = tuple(
+        attrs.evolve(make_runner(number), availability_zone=f'z-{number}')
+        for number in range(_RUNNER_COUNT)
+    )
     context.connections = SlowConnections(context.delays)
     context.caller = SlowCaller(
         headers=unbilled_headers(b'r-1', deadline_ms),
@@ -179,6 +182,8 @@
     if change == 'leaves by an answer':
         reply = parts.wire.read_reply(200, (LEAVING,))
         parts.announcements.note_answer(runner, reply.announcement)
+    elif change == 'is in an evacuated zone':
+        parts.directory.evacuate_only({runner.availability_zone})
     else:
         parts.directory.apply_changes({runner.runner_id: changed[change]})
 
--- a/teaseldale/platform/_fleet_rows.py
+++ b/teaseldale/platform/_fleet_rows.py
@@ -23,6 +23,7 @@
 
 _CONFIGURATION_KEY = 'config'
 _ORDER_PREFIX = 'rollout/'
+_EVACUATION_PREFIX = 'evacuate/'
 _MS_PER_SECOND = 1000
 # Bounds of what another writer may have put into a row.
 _MAX_SLOT_COUNT = 100_000
@@ -160,6 +161,15 @@
             return None
         return row.key.removeprefix(_ORDER_PREFIX)
 
+    def evacuated_zone(self, row: Row) -> str | None:
+        """Returns the zone named by an evacuation's key, None for others.
+
+        The row's value is not read: its presence is the request.
+        """
+        if not row.key.startswith(_EVACUATION_PREFIX):
+            return None
+        return row.key.removeprefix(_EVACUATION_PREFIX)
+
     def decode_order(self, row: Row) -> VersionOrder:
         """Decodes a version order; raises ``UnreadableRowError``."""
         record = _decode(row, _OrderRecord)
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -165,6 +165,44 @@
     And a full read of the table does not return the order
     Then runners of both versions are used
 
+  # Guards against requests to a zone whose evacuation an operator has ordered,
+  # whichever of the two tables is read first.
+  Scenario Outline: Runners of a zone are not used while it is evacuated, <order>
+    Given runners in the zones "z1,z2,z2", read <order>
+    Then the runners of the zones "z1" are used, also after a full read
+    And only runners of the zones "z2" get an objection to a send
+    When the evacuation of zone "z2" ends by <end>
+    Then the runners of the zones "z1,z2,z2" are used
+    And only runners of the zones "" get an objection to a send
+
+    Examples:
+      | order                                          | end                                    |
+      | before the row that evacuates zone "z2"        | a removal of the row                   |
+      | after the row that evacuates zone "z2"         | a removal of the row                   |
+      | before the row that evacuates zone "z2"        | a full read without the row            |
+      | after a full read that evacuates zone "z2"     | a full read without the row            |
+      | after a full read that evacuates zone "z2"     | a full read in which the row is empty  |
+
+  # Guards against an evacuation that is lost beside rows that cannot be read.
+  Scenario: A zone is evacuated by any value of the row and beside odd rows
+    Given runners in the zones "z1,z2,z2", read before the row that evacuates zone "z1"
+    When odd operator rows and one that evacuates zone "z2" with the value "?" are read
+    Then no runner is used
+
+  # Guards against a misspelt zone that stops the others or hides that it is so.
+  Scenario: An unknown zone causes a log line and nothing else
+    Given runners in the zones "z1,z2,z2", read before the row that evacuates zone "z9"
+    Then the runners of the zones "z1,z2,z2" are used
+    And a log line states that zone "z9" is evacuated with 0 runners
+
+  # Guards against an unproven version that gets all the traffic because the
+  # runners of the version in use are evacuated.
+  Scenario: An unproven version does not replace evacuated runners
+    Given 2 runners of version "v1" and 2 of version "v2"
+    When the operator orders version "v2"
+    And the operator evacuates the zone of version "v1"
+    Then no runner is used
+
   Scenario: The duration of an order is decoded
     When an order for 12.5 s is decoded
     Then its duration is 12,500 ms
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -171,6 +171,8 @@
     'rows-feed',
     'op/config',
     'op/rollout',
+    'op/evacuate',
+    'x-cold-ms',
     '/-/readyz',
     'teaseldale_node_file',
 )
@@ -179,6 +181,8 @@
     'ApiKeys',
     'BudgetExtraTries',
     'ColdLeftMs',
+    'ColdPerS',
+    'ColdStartS',
     'GapTargetMs',
     'GoalMs',
     'KvCapacityTokens',
--- a/teaseldale/platform/tests/steps_orders.py
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+import logbook
 import msgspec
 from behave import given, then, when
 
@@ -230,6 +232,134 @@
     )
 
 
+def evacuation_row(zone, value=b'{}'):
+    return Row(table='op', key=f'evacuate/{zone}', revision=1, value=value)
+
+
+def runners_in(zones):
+    return [
+        attrs.evolve(make_runner(number, 'v1'), availability_zone=zone)
+        for number, zone in enumerate(zones)
+    ]
+
+
+def order_of(text):
+    """Returns whether runners are read last, the read, and the zone."""
+    return text.startswith('after'), 'full read' in text, text.split('"')[1]
+
+
+@given('runners in the zones "{zones}", read {order}')
+def zoned_runners(context, zones, order):
+    is_last, is_full, zone = order_of(order)
+    context.directory = RunnerDirectory()
+    context.watch = make_watch(context.directory)
+    runners = runners_in(zones.split(','))
+    if not is_last:
+        context.directory.replace_all(runners)
+    with logbook.TestHandler() as handler:
+        if is_full:
+            context.watch._apply_all_operator_rows((evacuation_row(zone),))
+        else:
+            context.watch._apply_operator_rows((evacuation_row(zone),))
+    context.records = handler.records
+    if is_last:
+        context.directory.replace_all(runners)
+    context.evacuated_zone = zone
+
+
+def used_zones(context):
+    return sorted(
+        runner.availability_zone for runner in context.directory.usable('s')
+    )
+
+
+@then('the runners of the zones "{zones}" are used, also after a full read')
+def zones_used_after_read(context, zones):
+    zones_used(context, zones)
+    context.watch._apply_all_operator_rows(
+        (evacuation_row(context.evacuated_zone),),
+    )
+    zones_used(context, zones)
+
+
+@then('the runners of the zones "{zones}" are used')
+def zones_used(context, zones):
+    assert used_zones(context) == zones.split(','), used_zones(context)
+
+
+@then('no runner is used')
+def none_used(context):
+    assert not context.directory.usable('s'), used_versions(context)
+
+
+@then('only runners of the zones "{zones}" get an objection to a send')
+@then('only runners of the zones "" get an objection to a send')
+def objections(context, zones=''):
+    announcements = context.watch._state.announcements
+    found = {
+        runner.availability_zone: announcements.find_objection(runner)
+        for runner in context.directory.all_runners()
+    }
+    expected = dict.fromkeys(filter(None, zones.split(',')), 'zone_evacuated')
+    assert {
+        zone: reason for zone, reason in found.items() if reason
+    } == expected, found
+
+
+@when('the evacuation of zone "{zone}" ends by {end}')
+def end_evacuation(context, zone, end):
+    removal = evacuation_row(zone, None)
+    if end == 'a removal of the row':
+        context.watch._apply_operator_rows((removal,))
+    elif 'empty' in end:
+        context.watch._apply_all_operator_rows((removal,))
+    else:
+        context.watch._apply_all_operator_rows(())
+
+
+@when(
+    'odd operator rows and one that evacuates zone "{zone}" with the value '
+    '"{value}" are read'
+)
+def odd_operator_rows(context, zone, value):
+    odd = (
+        order_row(b'?'),
+        Row(table='op', key='config', revision=1, value=b'?'),
+        Row(table='op', key='evacuate', revision=1, value=b'{}'),
+    )
+    context.watch._apply_operator_rows(
+        (*odd, evacuation_row(zone, value.encode())),
+    )
+
+
+@then(
+    'a log line states that zone "{zone}" is evacuated with {count:d} runners'
+)
+def zone_logged(context, zone, count):
+    (fields,) = (
+        record.extra
+        for record in context.records
+        if record.message == 'zone_evacuation_changed'
+    )
+    assert (fields['zone'], fields['runners']) == (zone, count), fields
+    assert fields['is_evacuated']
+    assert fields['are_runners_known']
+
+
+@when('the operator evacuates the zone of version "{version}"')
+def evacuate_version(context, version):
+    context.directory.apply_changes(
+        {
+            runner.runner_id: attrs.evolve(
+                runner,
+                availability_zone=runner.version,
+            )
+            for runner in context.directory.all_runners()
+        }
+    )
+    context.watch._apply_operator_rows((evacuation_row(version),))
+
+
 @then('{count:d} runners are used')
 def count_used(context, count):
     used = context.directory.usable('s')
