--- /dev/null
+++ b/teaseldale/platform/tests/node_process.py
@@ -0,0 +1,196 @@
+"""A VM on loopback: a ``node`` process with a stand-in store and a runner."""
+
+import contextlib
+import http.client
+import os
+import pathlib
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from teaseldale.platform import SETTINGS_VARIABLE
+from teaseldale.platform._settings_file import METRICS_PORT
+from teaseldale.platform.tests.store_process import (
+    ROUTE_HOST,
+    ROUTE_PREFIX,
+)
+
+_START_TIMEOUT_SECONDS = 20
+_STOP_TIMEOUT_SECONDS = 5
+_ANSWER_TIMEOUT_SECONDS = 15
+_CALL_TIMEOUT_SECONDS = 5
+_POLL_SECONDS = 0.05
+_BYTES_PER_KB = 1024
+_ORDINARY_BYTES = 72_000
+
+
+class NodeProcess:
+    """A VM with limits on memory and descriptors, and what it depends on."""
+
+    def __init__(self, *, memory_mb, descriptor_count, settings=''):
+        # The port of the metrics is fixed, so each VM needs an address of its
+        # own.
+        numbers = [random.randint(1, 250) for _ in range(3)]
+        self.ip = '.'.join(map(str, (127, *numbers)))
+        self.callers = self._free_address()
+        self.readiness = self._free_address()
+        self.metrics = (self.ip, METRICS_PORT)
+        self._store = self._free_address()
+        self._runner = self._free_address()
+        self._memory_mb = memory_mb
+        self._descriptor_count = descriptor_count
+        self._settings = settings
+        self._folder = pathlib.Path(tempfile.mkdtemp(prefix='teaseldale-'))
+        self._processes = []
+        self._request_count = 0
+
+    @property
+    def pid(self):
+        """Process id of the VM."""
+        return self._processes[-1].pid
+
+    @property
+    def is_alive(self):
+        """Whether the VM has not ended."""
+        return self._processes[-1].poll() is None
+
+    @property
+    def peak_memory_bytes(self):
+        """Most resident memory since the start of the process."""
+        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
+        (line,) = (
+            line for line in status.splitlines() if line.startswith('VmHWM')
+        )
+        return int(line.split()[1]) * _BYTES_PER_KB
+
+    @property
+    def descriptor_count(self):
+        """Descriptors that the process has open now."""
+        return len(os.listdir(f'/proc/{self.pid}/fd'))
+
+    @property
+    def log(self):
+        """Text that the VM has written."""
+        return (self._folder / 'node.log').read_text()
+
+    def start(self):
+        """Starts all processes and waits until the VM is ready."""
+        self._spawn(
+            'store',
+            '-m',
+            'teaseldale.platform.tests.store_process',
+            _text(self._store),
+            _text(self._runner),
+        )
+        settings = self._folder / 'node.toml'
+        settings.write_text(self._settings_text())
+        self._spawn(
+            'node',
+            '-m',
+            'teaseldale',
+            'node',
+            environment={SETTINGS_VARIABLE: str(settings)},
+        )
+        deadline = time.monotonic() + _START_TIMEOUT_SECONDS
+        while self._status(self.readiness, 'GET', '/-/readyz') != 200:
+            if time.monotonic() > deadline or not self.is_alive:
+                raise TimeoutError(self.log[-2000:])
+            time.sleep(_POLL_SECONDS)
+
+    def stop(self):
+        """Ends all processes."""
+        for process in reversed(self._processes):
+            process.kill()
+            process.wait(_STOP_TIMEOUT_SECONDS)
+
+    def answers_route(self):
+        """Whether one ordinary request is served; refusals are retried."""
+        return self._answers(self.callers, 'POST', f'{ROUTE_PREFIX}a')
+
+    def answers_readiness(self):
+        """Whether the balancer's check is answered."""
+        return self._answers(self.readiness, 'GET', '/-/readyz')
+
+    def answers_metrics(self):
+        """Whether the metrics are answered."""
+        return self._answers(self.metrics, 'GET', '/metrics')
+
+    def _answers(self, address, method, path):
+        deadline = time.monotonic() + _ANSWER_TIMEOUT_SECONDS
+        while time.monotonic() < deadline:
+            if self._status(address, method, path) == 200:
+                return True
+            time.sleep(_POLL_SECONDS)
+        return False
+
+    def _status(self, address, method, path):
+        self._request_count += 1
+        body = b'x' * _ORDINARY_BYTES if method == 'POST' else None
+        headers = {
+            'host': ROUTE_HOST,
+            'x-request-id': f'ordinary-{self._request_count}',
+        }
+        connection = http.client.HTTPConnection(
+            *address,
+            timeout=_CALL_TIMEOUT_SECONDS,
+        )
+        try:
+            with contextlib.closing(connection):
+                connection.request(method, path, body=body, headers=headers)
+                answer = connection.getresponse()
+                answer.read()
+                return answer.status
+        except (OSError, http.client.HTTPException):
+            return 0
+
+    def _spawn(self, name, *arguments, environment=()):
+        with (self._folder / f'{name}.log').open('wb') as log:
+            self._processes.append(
+                subprocess.Popen(
+                    [sys.executable, *arguments],
+                    stdout=log,
+                    stderr=subprocess.STDOUT,
+                    env={**os.environ, **dict(environment)},
+                ),
+            )
+
+    def _settings_text(self):
+        first_port = _free_port(self.ip)
+        return f"""
+NodeName = "edge-1"
+Ip = "{self.ip}"
+Zone = "mill"
+PortRange = [{first_port}, {first_port + 1}]
+Bootstrap = true
+
+[Listen]
+Frontend = "{_text(self.callers)}"
+Ready = "{_text(self.readiness)}"
+
+[Bounds]
+GraceS = 5
+
+[Platform]
+Address = "{_text(self._store)}"
+
+[Limits]
+MemoryMb = {self._memory_mb}
+MaxFds = {self._descriptor_count}
+{self._settings}
+"""
+
+    def _free_address(self):
+        return (self.ip, _free_port(self.ip))
+
+
+def _text(address):
+    ip, port = address
+    return f'{ip}:{port}'
+
+
+def _free_port(ip):
+    with socket.create_server((ip, 0)) as server:
+        return server.getsockname()[1]
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -10,14 +10,14 @@
     (b'authorization', b'Bearer key'),
     (b'x-token-usage', b'1000,500'),
 )
-_REQUEST_ID = b'x-request-id'
+REQUEST_ID = b'x-request-id'
 
 
 def unbilled_headers(request_id, deadline_ms):
     """Returns the headers of a caller's request without token counts."""
     headers = {
         **dict(CALLER_HEADERS),
-        _REQUEST_ID: request_id,
+        REQUEST_ID: request_id,
         b'x-deadline-ms': b'%d' % deadline_ms,
     }
     headers.pop(b'x-token-usage')
@@ -26,7 +26,7 @@
 
 def request_id_of(message):
     """Returns the id of a request that was sent to a runner."""
-    return dict(message.headers)[_REQUEST_ID]
+    return dict(message.headers)[REQUEST_ID]
 
 
 def limit_header(limit_per_s):
