--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -49,6 +49,7 @@
         SharedPart,
     )
     from teaseldale.routing._runner_limits import LimitPermit, RunnerLimits
+    from teaseldale.routing._runner_pace import RunnerPace, RunnerPaces
     from teaseldale.routing._runner_permits import Permit, RunnerPermits
     from teaseldale.routing._runner_rooms import RunnerRooms
     from teaseldale.routing._runner_table import RunnerTable
@@ -93,6 +94,7 @@
         'teaseldale.routing._retry_window': ('RetryWindow',),
         'teaseldale.routing._limit_holders': ('BaseLimitHolders',),
         'teaseldale.routing._runner_limits': ('LimitPermit', 'RunnerLimits'),
+        'teaseldale.routing._runner_pace': ('RunnerPace', 'RunnerPaces'),
         'teaseldale.routing._runner_permits': ('Permit', 'RunnerPermits'),
         'teaseldale.routing._runner_rooms': ('RunnerRooms',),
         'teaseldale.routing._router': (
@@ -139,6 +141,8 @@
     'RetryBudget',
     'RetryWindow',
     'RunnerLimits',
+    'RunnerPace',
+    'RunnerPaces',
     'RunnerPermits',
     'RunnerRooms',
     'RoundRobinChoice',
--- /dev/null
+++ b/teaseldale/routing/_runner_pace.py
@@ -0,0 +1,337 @@
+"""Learned pace of runners: how fast each reads prompts and answers.
+
+Every VM learns from the answers that it receives and from the runners' own
+reports. Durations are filtered with a time constant of about a second.
+"""
+
+import math
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.routing._knee_estimate import KneeEstimate
+from teaseldale.routing._pace_filter import PaceFilter
+
+_PACE_TIME_CONSTANT_MS = 1000
+# A report changes many times per second; a request takes longer than that.
+_SLOWDOWN_TIME_CONSTANT_MS = 300
+_ERROR_TIME_CONSTANT_MS = 5000
+_MIN_SLOWDOWN = 0.1
+_MAX_SLOWDOWN = 10.0  # more is a stall, and its end is not reported
+_SLOWDOWN_VALID_MS = 2000  # an older report no longer applies
+# The time to the first event of a shorter prompt is mostly that of a decoding
+# step and of the network.
+_MIN_UNREAD_TOKENS = 200
+_TYPICAL_UNREAD_TOKENS = 2000  # weigh as one sample
+_MAX_SAMPLE_WEIGHT = 3.0
+# Values of runners that are not known yet.
+_UNKNOWN_PREFILL_TOKENS_PER_MS = 64.0
+_UNKNOWN_PLAIN_MS = 20.0
+# Differences within this factor are noise: equal runners count as equal.
+_EQUAL_FACTOR = 1.2
+_MAX_RELATIVE = 20.0
+# A runner without samples for the first time is taken for average again within
+# about the second one, so that it is tried again.
+_FRESH_MS = 3000
+_FORGET_MS = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class RunnerPace:
+    """Pace of one runner; the values of an unknown one are typical."""
+
+    prefill_tokens_per_ms: float  # up to the knee
+    plain_ms: float  # of a request without a prompt, up to the knee
+    # Requests in work beyond which latency grows faster than throughput;
+    # infinite if no such growth has been seen.
+    knee: float
+    slowdown: float  # filtered report, included in the paces; 1 if unknown
+
+
+@attrs.frozen(kw_only=True)
+class _Sample:
+    duration: float  # ms, or ms per token
+    in_work: int
+    weight: float = 1
+
+
+@attrs.define(kw_only=True)
+class _WorkPace:
+    """Durations of one kind of work, with and without reported slowdowns."""
+
+    knee: KneeEstimate = attrs.field(factory=KneeEstimate)
+    measured: PaceFilter = attrs.field(
+        factory=lambda: PaceFilter(time_constant_ms=_PACE_TIME_CONSTANT_MS),
+    )
+    usual: PaceFilter = attrs.field(
+        factory=lambda: PaceFilter(time_constant_ms=_PACE_TIME_CONSTANT_MS),
+    )
+    # How much less the reports predict than the durations alone.
+    _report_error: float = attrs.field(default=0, init=False)
+
+    @property
+    def noted_ms(self) -> int | None:
+        return self.measured.noted_ms
+
+    @property
+    def trusts_reports(self) -> bool:
+        return self._report_error <= 0
+
+    def current(self, slowdown: float) -> float | None:
+        """Returns the duration, or None if unknown."""
+        usual = self.usual.filtered
+        if usual is None or not self.trusts_reports:
+            return self.measured.filtered
+        return usual * slowdown
+
+    def note(
+        self,
+        sample: _Sample,
+        slowdown: float,
+        now_ms: int,
+    ) -> None:
+        unstretched = sample.duration / self.knee.stretch(sample.in_work)
+        usual = unstretched / slowdown
+        silence_ms = now_ms - (self.noted_ms or now_ms)
+        error = self.usual.distance(usual)
+        error -= self.measured.distance(unstretched)
+        gain = 1 - math.exp(-silence_ms / _ERROR_TIME_CONSTANT_MS)
+        self._report_error += gain * (error - self._report_error)
+        self.measured.note(unstretched, now_ms, sample.weight)
+        self.usual.note(usual, now_ms, sample.weight)
+        duration = sample.duration
+        if self.trusts_reports:
+            duration /= slowdown
+        self.knee.note(duration, max(sample.in_work, 1), now_ms)
+
+
+@attrs.define(kw_only=True)
+class _RunnerState:
+    incarnation: int | None = None
+    prefill: _WorkPace = attrs.field(factory=_WorkPace)  # ms per token
+    plain: _WorkPace = attrs.field(factory=_WorkPace)  # ms
+    slowdown_log: float = 0
+    slowdown_ms: int | None = None  # monotonic, of the latest report
+
+    @property
+    def knee(self) -> float:
+        if self.prefill.noted_ms is None:
+            return self.plain.knee.knee
+        return self.prefill.knee.knee
+
+    def slowdown(self, now_ms: int) -> float:
+        if self.slowdown_ms is None:
+            return 1
+        if now_ms - self.slowdown_ms > _SLOWDOWN_VALID_MS:
+            return 1
+        return math.exp(self.slowdown_log)
+
+
+class RunnerPaces:
+    """Paces of all runners that this VM has used, by runner id."""
+
+    def __init__(self, *, clock: BaseClock) -> None:
+        """Knows no runner."""
+        self._clock = clock
+        self._states: dict[str, _RunnerState] = {}
+
+    def note_incarnation(self, runner: str, started_wall_ms: int) -> bool:
+        """Returns whether figures of an incarnation are current ones.
+
+        A later incarnation replaces what is known of earlier ones.
+        """
+        state = self._state(runner)
+        if state.incarnation is not None:
+            if started_wall_ms < state.incarnation:
+                return False
+            if started_wall_ms > state.incarnation:
+                state = _RunnerState()
+                self._states[runner] = state
+        state.incarnation = started_wall_ms
+        return True
+
+    def note_first_event(
+        self,
+        runner: str,
+        unread_tokens: int,
+        elapsed_ms: float,
+        in_work: int,
+    ) -> None:
+        """Records the time from a send to the first event of a stream.
+
+        ``unread_tokens`` are the prompt tokens that the runner had to read
+        until then, queued prompts of other requests included. ``in_work``
+        are the requests at the runner at the send, this one included.
+        """
+        if unread_tokens < _MIN_UNREAD_TOKENS or not elapsed_ms > 0:
+            return
+        weight = min(unread_tokens / _TYPICAL_UNREAD_TOKENS, _MAX_SAMPLE_WEIGHT)
+        state = self._state(runner)
+        now_ms = self._clock.monotonic_ms()
+        state.prefill.note(
+            _Sample(
+                duration=elapsed_ms / unread_tokens,
+                in_work=in_work,
+                weight=weight,
+            ),
+            state.slowdown(now_ms),
+            now_ms,
+        )
+
+    def note_plain_answer(
+        self,
+        runner: str,
+        elapsed_ms: float,
+        in_work: int,
+    ) -> None:
+        """Records the service time of a request without prompt tokens.
+
+        ``in_work`` as in ``note_first_event``.
+        """
+        if elapsed_ms > 0:
+            state = self._state(runner)
+            now_ms = self._clock.monotonic_ms()
+            state.plain.note(
+                _Sample(duration=elapsed_ms, in_work=in_work),
+                state.slowdown(now_ms),
+                now_ms,
+            )
+
+    def note_slowdown(self, runner: str, slowdown: float) -> None:
+        """Records a runner's report; ignores impossible ones."""
+        if not math.isfinite(slowdown) or slowdown <= 0:
+            return
+        now_ms = self._clock.monotonic_ms()
+        bounded = max(_MIN_SLOWDOWN, min(_MAX_SLOWDOWN, slowdown))
+        state = self._state(runner)
+        gain = 1.0
+        if state.slowdown_ms is not None:
+            silence_ms = max(1, now_ms - state.slowdown_ms)
+            gain -= math.exp(-silence_ms / _SLOWDOWN_TIME_CONSTANT_MS)
+        state.slowdown_log += gain * (math.log(bounded) - state.slowdown_log)
+        state.slowdown_ms = now_ms
+
+    def keep_only(self, runners: frozenset[str]) -> None:
+        """Forgets all other runners."""
+        for runner in tuple(self._states):
+            if runner not in runners:
+                self._states.pop(runner)
+
+    def pace(self, runner: str) -> RunnerPace:
+        """Returns the pace of a runner, with typical values if unknown."""
+        state = self._states.get(runner) or _RunnerState()
+        slowdown = state.slowdown(self._clock.monotonic_ms())
+        prefill_ms = state.prefill.current(slowdown)
+        plain_ms = state.plain.current(slowdown)
+        return RunnerPace(
+            prefill_tokens_per_ms=(
+                _UNKNOWN_PREFILL_TOKENS_PER_MS / slowdown
+                if prefill_ms is None
+                else 1 / prefill_ms
+            ),
+            plain_ms=(
+                _UNKNOWN_PLAIN_MS * slowdown if plain_ms is None else plain_ms
+            ),
+            knee=state.knee,
+            slowdown=slowdown,
+        )
+
+    def known_runners(self) -> tuple[str, ...]:
+        """Returns the runners with a known pace."""
+        return tuple(
+            runner
+            for runner, state in self._states.items()
+            if state.prefill.current(1) or state.plain.current(1)
+        )
+
+    def first_event_ms(
+        self,
+        runner: str,
+        queued_tokens: int,
+        own_tokens: int,
+        in_work: int,
+    ) -> float | None:
+        """Returns the expected time to the first event, or None if unknown.
+
+        Without tokens it is the service time of a plain request. ``in_work``
+        are the requests at the runner, this one included.
+        """
+        state = self._states.get(runner)
+        if state is None:
+            return None
+        slowdown = state.slowdown(self._clock.monotonic_ms())
+        unread_tokens = queued_tokens + own_tokens
+        kind = state.prefill if unread_tokens else state.plain
+        duration = kind.current(slowdown)
+        if duration is None:
+            return None
+        return duration * max(unread_tokens, 1) * kind.knee.stretch(in_work)
+
+    def relative_durations(
+        self,
+        runners: Iterable[str],
+        *,
+        has_prompt: bool,
+    ) -> dict[str, float]:
+        """Returns how many times longer than typical work takes at runners.
+
+        Typical is the median of these runners. The factor is 1 for those that
+        are unknown and for those that differ no more than equal ones do; it
+        approaches 1 if there have been no samples for some seconds.
+        """
+        now_ms = self._clock.monotonic_ms()
+        durations = {
+            runner: self._duration(runner, now_ms, has_prompt=has_prompt)
+            for runner in runners
+        }
+        known = [known for known in durations.values() if known is not None]
+        if not known:
+            return dict.fromkeys(durations, 1.0)
+        typical = statistics.median(known)
+        return {
+            runner: (
+                1.0
+                if duration is None
+                else self._relative(
+                    runner,
+                    duration / typical,
+                    now_ms,
+                    has_prompt=has_prompt,
+                )
+            )
+            for runner, duration in durations.items()
+        }
+
+    def _relative(
+        self,
+        runner: str,
+        factor: float,
+        now_ms: int,
+        *,
+        has_prompt: bool,
+    ) -> float:
+        if 1 / _EQUAL_FACTOR <= factor <= _EQUAL_FACTOR:
+            return 1
+        state = self._states[runner]
+        kind = state.prefill if has_prompt else state.plain
+        stale_ms = max(0, now_ms - (kind.noted_ms or 0) - _FRESH_MS)
+        bounded = max(1 / _MAX_RELATIVE, min(_MAX_RELATIVE, factor))
+        return float(bounded ** math.exp(-stale_ms / _FORGET_MS))
+
+    def _duration(
+        self,
+        runner: str,
+        now_ms: int,
+        *,
+        has_prompt: bool,
+    ) -> float | None:
+        state = self._states.get(runner)
+        if state is None:
+            return None
+        kind = state.prefill if has_prompt else state.plain
+        return kind.current(state.slowdown(now_ms))
+
+    def _state(self, runner: str) -> _RunnerState:
+        return self._states.setdefault(runner, _RunnerState())
