--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -97,6 +97,7 @@
     kernel.register(
         VmLoadReporter(
             runners_age_ms=lambda: watch.runners_age_ms,
+            room=parts.room,
             clock=clock,
             metrics=metrics,
         ),
@@ -257,6 +258,7 @@
         random_source=random_source,
         log=StateLog(channel='entry'),
         held_bytes=links.held_bytes,
+        link_bytes_per_s=settings.link_bytes_per_s,
     )
 
 
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -1,5 +1,6 @@
 """Dependencies shared by all requests of a VM."""
 
+import functools
 import random
 
 import attrs
@@ -9,6 +10,7 @@
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._crash_reports import CrashReports
+from teaseldale.forwarding._link_totals import read_link_totals
 from teaseldale.forwarding._process_end import ProcessEnd
 from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import RunnerDirectory
@@ -20,10 +22,12 @@
 from teaseldale.metrics import Metrics
 from teaseldale.routing import (
     BacklogChoice,
+    LinkWindow,
     RetryWindow,
     RunnerLimits,
     RunnerPermits,
     RunnerRooms,
+    VmRoom,
 )
 
 
@@ -50,4 +54,19 @@
     random_source: random.Random
     log: StateLog
     held_bytes: ByteBudget
+    link_bytes_per_s: int = 0  # rate of the VM's link; 0 if it is not known
     process_end: ProcessEnd = attrs.field(factory=ProcessEnd)
+    room: VmRoom = attrs.field(init=False)
+
+    @room.default
+    def _make_room(self) -> VmRoom:
+        return VmRoom(
+            link=LinkWindow(
+                link_bytes_per_s=self.link_bytes_per_s,
+                read_totals=functools.partial(read_link_totals, self.metrics),
+                clock=self.clock,
+            ),
+            clock=self.clock,
+            metrics=self.metrics,
+            random_source=self.random_source,
+        )
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -84,6 +84,7 @@
             address=str(settings.callers_address),
             respond=self._respond,
             metrics=parts.metrics,
+            peer='caller',
             limits=self._head_limits,
         )
         self._readiness = EmbeddedServer(
--- a/teaseldale/forwarding/_node.py
+++ b/teaseldale/forwarding/_node.py
@@ -55,4 +55,6 @@
     grace_ms: int  # from the stop request until the process is killed
     exposure: ExposureLimits | None  # of version moves; None if they are off
     memory_bytes: int  # the process is killed above it
+    # Rate of the VM's link, in each direction; 0 if it is not known.
+    link_bytes_per_s: int = 0
     is_first_start: bool = False  # no VM of the fleet has run before
--- a/teaseldale/forwarding/_vm_load.py
+++ b/teaseldale/forwarding/_vm_load.py
@@ -11,9 +11,11 @@
 from anyio.abc import TaskGroup
 
 from teaseldale.clock import BaseClock
+from teaseldale.forwarding._link_totals import TRAFFIC_PEERS
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
+from teaseldale.routing import LinkLoad, VmRoom
 
 _REPORT_INTERVAL_MS = 1000
 # Sleep interval whose overrun is the event loop lag. It is short compared with
@@ -29,7 +31,21 @@
     'datagrams_received',
     'datagram_bytes_received',
     'grant_conflicts',
+    'notices_sent',
+    'notice_bytes_sent',
 )
+# Counters of the work for requests.
+TRAFFIC_COUNTERS = (
+    'caller_connections',
+    *(
+        f'{peer}_bytes_{direction}'
+        for peer in TRAFFIC_PEERS
+        for direction in ('received', 'sent')
+    ),
+    'runner_connections_opened',
+)
+_REPORTED_COUNTERS = CONTROL_COUNTERS + TRAFFIC_COUNTERS
+_PERCENT = 100
 
 
 @attrs.define(kw_only=True)
@@ -41,20 +57,23 @@
 
 
 class VmLoadReporter(BaseService):
-    """Logs loop lag, CPU time and control traffic once per second."""
+    """Logs loop lag, CPU time and traffic once per second."""
 
     def __init__(
         self,
         *,
         runners_age_ms: Callable[[], int],
+        room: VmRoom,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         """Reports the counters in ``metrics`` and the age of the runners.
 
         The age is the time since the store last confirmed the list of runners.
+        The figures of ``room`` are updated at each sample.
         """
         self._runners_age_ms = runners_age_ms
+        self._room = room
         self._clock = clock
         self._metrics = metrics
         self._log = StateLog(channel='load')
@@ -76,8 +95,9 @@
             now_ms = self._clock.monotonic_ms()
             lag_ms = now_ms - before_ms - _SAMPLE_INTERVAL_MS
             window.longest_lag_ms = max(window.longest_lag_ms, lag_ms)
+            load = self._room.update()
             if now_ms - window.started_ms >= _REPORT_INTERVAL_MS:
-                self._write(window, now_ms)
+                self._write(window, now_ms, load)
                 window = self._window()
 
     def _window(self) -> _Window:
@@ -86,11 +106,15 @@
             cpu_ms=_cpu_ms(),
             counts={
                 name: self._metrics.counter_value(name)
-                for name in CONTROL_COUNTERS
+                for name in _REPORTED_COUNTERS
             },
         )
 
-    def _write(self, window: _Window, now_ms: int) -> None:
+    def _write(self, window: _Window, now_ms: int, load: LinkLoad) -> None:
+        received_percent = round(load.received_share * _PERCENT)
+        sent_percent = round(load.sent_share * _PERCENT)
+        self._metrics.set_gauge('link_received_percent', received_percent)
+        self._metrics.set_gauge('link_sent_percent', sent_percent)
         self._metrics.set_gauge('loop_lag_ms', window.longest_lag_ms)
         self._metrics.record_ms('loop_lag', window.longest_lag_ms)
         self._log.routine(
@@ -99,6 +123,9 @@
             loop_lag_ms=window.longest_lag_ms,
             runners_age_ms=self._runners_age_ms(),
             cpu_ms=int(_cpu_ms() - window.cpu_ms),
+            link_received_percent=received_percent,
+            link_sent_percent=sent_percent,
+            link_age_ms=load.age_ms,
             **{
                 name: self._metrics.counter_value(name) - before
                 for name, before in window.counts.items()
--- a/teaseldale/platform/_settings_file.py
+++ b/teaseldale/platform/_settings_file.py
@@ -23,6 +23,7 @@
 
 _MS_PER_SECOND = 1000
 _BYTES_PER_MB = 1_000_000
+_BYTES_PER_MBIT = 125_000
 # Memory that a VM may use at the target size.
 _DEFAULT_MEMORY_MB = 256
 _MAX_PORT = 65_535
@@ -69,6 +70,8 @@
 class _Limits(msgspec.Struct):
     # 0 if there is no limit.
     memory_mb: float = msgspec.field(name='MemoryMb', default=0)
+    # 0 if the rate is not known.
+    link_mbps: float = msgspec.field(name='LinkMbps', default=0)
 
 
 class _SettingsFile(msgspec.Struct):
@@ -130,6 +133,7 @@
         store_address=decode_address(decoded.platform.address),
         retry_bounds=_retry_limits_of(bounds),
         memory_bytes=_memory_bytes_of(decoded.limits),
+        link_bytes_per_s=_link_bytes_per_s_of(decoded.limits),
         grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
         exposure=_exposure_limits_of(bounds),
     )
@@ -159,6 +163,10 @@
     return int(memory_mb * _BYTES_PER_MB)
 
 
+def _link_bytes_per_s_of(limits: _Limits) -> int:
+    return max(0, int(limits.link_mbps * _BYTES_PER_MBIT))
+
+
 def _missing_bounds(document: Mapping[str, object]) -> list[str]:
     """Returns one message for each bound that a listed contract lacks."""
     contracts = document.get('Contracts')
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -18,6 +18,19 @@
       | 0             | 256,000,000 |
       | no MemoryMb   | 256,000,000 |
 
+  # Guards against a VM that refuses requests by a rate that nobody has stated.
+  Scenario Outline: A link of <rate> carries <bytes> bytes per second
+    Given a settings file whose link rate is <rate>
+    Then the settings state a link of <bytes> bytes per second
+
+    Examples:
+      | rate        | bytes   |
+      | 5           | 625,000 |
+      | 0.5         | 62,500  |
+      | 0           | 0       |
+      | -1          | 0       |
+      | no LinkMbps | 0       |
+
   # Guards against a process that does not start where a bound is left out
   # because the contract that it belongs to is not in force.
   Scenario: Settings need the bounds of each set of contracts and no others
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -208,6 +208,12 @@
     context.settings_text = f'{_SETTINGS}\n[Limits]\n{field}'
 
 
+@given('a settings file whose link rate is {rate}')
+def link_rate(context, rate):
+    field = '' if rate == 'no LinkMbps' else f'LinkMbps = {rate}\n'
+    context.settings_text = f'{_SETTINGS}\n[Limits]\n{field}'
+
+
 # Bounds that the platform leaves out where a contract is not in force.
 _CONTRACT_BOUNDS = {
     'retry': ('RetryBudgetRatio', 'BudgetWindowS', 'BudgetExtraTries'),
@@ -276,6 +282,12 @@
     assert settings.memory_bytes == int(size.replace(',', '')), settings
 
 
+@then('the settings state a link of {size} bytes per second')
+def stated_link(context, size):
+    settings = load_settings(context.settings_text)
+    assert settings.link_bytes_per_s == int(size.replace(',', '')), settings
+
+
 def load_settings(text):
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'settings.toml'
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -17,6 +17,11 @@
     )
     from teaseldale.routing._fleet_router import FleetRouter
     from teaseldale.routing._limit_holders import BaseLimitHolders
+    from teaseldale.routing._link_window import (
+        LinkLoad,
+        LinkTotals,
+        LinkWindow,
+    )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
         PlacementExchange,
@@ -55,6 +60,11 @@
     from teaseldale.routing._runner_watch import RunnerWatch
     from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
     from teaseldale.routing._start_need import StartNeed, need_of
+    from teaseldale.routing._vm_room import (
+        RoomRefusal,
+        RoomRequest,
+        VmRoom,
+    )
 
 __getattr__ = LazyExports(  # noqa: WPS413
     __name__,
@@ -70,6 +80,11 @@
             'RoundRobinChoice',
         ),
         'teaseldale.routing._fleet_router': ('FleetRouter',),
+        'teaseldale.routing._link_window': (
+            'LinkLoad',
+            'LinkTotals',
+            'LinkWindow',
+        ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
             'PlacementExchange',
@@ -109,6 +124,11 @@
         'teaseldale.routing._runner_watch': ('RunnerWatch',),
         'teaseldale.routing._slot_owner': ('LEASE_VALIDITY_MS',),
         'teaseldale.routing._start_need': ('StartNeed', 'need_of'),
+        'teaseldale.routing._vm_room': (
+            'RoomRefusal',
+            'RoomRequest',
+            'VmRoom',
+        ),
     },
 )
 
@@ -127,6 +147,9 @@
     'FleetRouter',
     'LeastInFlightChoice',
     'LeastReportedChoice',
+    'LinkLoad',
+    'LinkTotals',
+    'LinkWindow',
     'LocalRouter',
     'Permit',
     'PlacedWork',
@@ -138,6 +161,8 @@
     'RandomChoice',
     'RetryBudget',
     'RetryWindow',
+    'RoomRefusal',
+    'RoomRequest',
     'RunnerLimits',
     'RunnerPermits',
     'RunnerRooms',
@@ -150,6 +175,7 @@
     'SharedPart',
     'StartNeed',
     'UpstreamPool',
+    'VmRoom',
     'need_of',
     'prefix_hashes',
 )
--- a/teaseldale/tunnels/_pipe.py
+++ b/teaseldale/tunnels/_pipe.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from teaseldale.metrics import PeerTraffic
+
 # Linger for no time: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -21,6 +23,8 @@
         self._is_lost = False
         self._has_eof = False
         self.ended = anyio.Event()  # set once the connection is lost
+        # Counts the bytes of the connection, if set.
+        self.traffic: PeerTraffic | None = None
 
     @property
     def has_eof(self) -> bool:
@@ -42,6 +46,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Forwards received bytes."""
+        if self.traffic is not None:
+            self.traffic.note_received(len(received))
         if self._other is not None:
             self._other.write(received)
 
@@ -84,6 +90,8 @@
         """Sends bytes unless the connection is lost."""
         if self._transport is not None and not self._is_lost:
             self._transport.write(content)
+            if self.traffic is not None:
+                self.traffic.note_sent(len(content))
 
     def pause_reading(self) -> None:
         """Lets received bytes wait in the socket."""
--- a/teaseldale/tunnels/_tunnel_server.py
+++ b/teaseldale/tunnels/_tunnel_server.py
@@ -11,7 +11,7 @@
 
 from teaseldale.kernel import BaseService
 from teaseldale.memory import ByteBudget
-from teaseldale.metrics import Metrics
+from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.tunnels._entrance import Entrance
 from teaseldale.tunnels._handshake import (
     TunnelReply,
@@ -53,6 +53,7 @@
         self._paths = paths
         self._held_bytes = held_bytes
         self._metrics = metrics
+        self._traffic = PeerTraffic(metrics=metrics, peer='tunnel')
         self._tasks: TaskGroup | None = None
         self._listener: Listener | None = None
         self._open_count = 0
@@ -90,6 +91,8 @@
 
     def _accept(self) -> Entrance:
         entrance = Entrance()
+        entrance.traffic = self._traffic
+        self._traffic.note_connection()
         if self._tasks is not None:
             self._tasks.start_soon(self._serve, entrance)
         return entrance
@@ -156,4 +159,5 @@
         except OSError:
             return TunnelStatus.UNANSWERED, None
         self._paths.note_heard(address)
+        runner_end.traffic = self._traffic
         return TunnelStatus.OPEN, runner_end
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -8,6 +8,7 @@
 import httpcore
 import httptools
 
+from teaseldale.metrics import PeerTraffic
 from teaseldale.upstreams._body_framing import BodyFraming, framing_of
 from teaseldale.upstreams._connection_end import (
     SURVIVAL_MS,
@@ -50,6 +51,8 @@
         """
         # Another connection to the same process, if there is one.
         self.witness: BaseProcessWitness | None = None
+        # Counts the bytes that are received, if set.
+        self.traffic: PeerTraffic | None = None
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.has_head = False
@@ -131,6 +134,8 @@
         Bytes on an idle connection, malformed ones and parts that exceed their
         limits make it unusable.
         """
+        if self.traffic is not None:
+            self.traffic.note_received(len(received))
         if self.is_complete:
             self.has_unsolicited_bytes = True
         elif self._error is None:
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -8,7 +8,7 @@
 import httpcore
 
 from teaseldale.clock import BaseClock
-from teaseldale.metrics import Metrics
+from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._body_framing import BodyFraming
 from teaseldale.upstreams._clients import FailureKind, UpstreamError
@@ -160,6 +160,8 @@
         self._metrics = metrics
         self._idle: list[_Connection] = []
         self._is_closed = False
+        self._runner_traffic = PeerTraffic(metrics=metrics, peer='runner')
+        self._tunnel_traffic = PeerTraffic(metrics=metrics, peer='tunnel')
         self._witness = ProcessWitness(
             address=address,
             connector=connector,
@@ -290,6 +292,11 @@
             connection.transport.abort()
         return None
 
+    def _traffic_of(self, channel: RunnerChannel) -> PeerTraffic:
+        if channel.is_tunnel:
+            return self._tunnel_traffic
+        return self._runner_traffic
+
     async def _open(self, timeout_ms: float) -> _Connection:
         try:
             channel = await self._connector.connect(
@@ -300,6 +307,7 @@
             raise self.count_failure(error, FailureKind.REFUSED) from error
         self._metrics.increment('runner_connections_opened')
         channel.protocol.witness = self._witness
+        channel.protocol.traffic = self._traffic_of(channel)
         return _Connection(channel=channel)
 
 
@@ -325,6 +333,8 @@
     if message.request_id:
         connection.request_ids.add(message.request_id)
     connection.protocol.expect(belongs, has_body=message.method != _HEAD)
+    if connection.protocol.traffic is not None:
+        connection.protocol.traffic.note_sent(len(head) + len(message.body))
     if len(message.body) <= _JOINED_BODY_BYTES:
         connection.transport.write(head + message.body)
     else:
--- a/teaseldale/web/_protocol.py
+++ b/teaseldale/web/_protocol.py
@@ -7,7 +7,9 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.outcomes import Refusal, RefusalCode, Step
+from teaseldale.web._counting_transport import CountingTransport
 from teaseldale.web._exchange import (
     ABORT_KEY,
     RECEIVED_KEY,
@@ -86,15 +88,21 @@
         *arguments: Any,
         on_refused: Callable[[Refusal], None],
         limits: HeadLimitsSource,
+        traffic: PeerTraffic | None = None,
         **options: Any,
     ) -> None:
         """Creates a protocol for one connection.
 
         ``on_refused`` is called for each request that the protocol refuses;
-        ``limits`` is called again for each request.
+        ``limits`` is called again for each request, and ``traffic`` counts the
+        bytes of the connection.
         """
         super().__init__(*arguments, **options)
         self._on_refused = on_refused
+        self._traffic = traffic or PeerTraffic(
+            metrics=Metrics(),
+            peer='client',
+        )
         self._limits_source = limits
         self._limits = HeadLimits()
         self._head_bytes = 0  # of the parts that the parser reported
@@ -106,7 +114,12 @@
 
     def connection_made(self, transport: Any) -> None:
         """Limits the buffer for a slow reader and starts the idle timer."""
-        super().connection_made(transport)
+        self._traffic.note_connection()
+        counting: Any = CountingTransport(
+            transport=transport,
+            traffic=self._traffic,
+        )
+        super().connection_made(counting)
         transport.set_write_buffer_limits(high=_WRITE_LIMIT_BYTES)
         self._update_limits()
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -162,6 +175,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; drops those after a refused head."""
+        self._traffic.note_received(len(data))
         if self._refusal is not None:
             return
         was_in_head = self._is_in_head
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -12,7 +12,7 @@
 from anyio.abc import TaskGroup
 
 from teaseldale.logs import StateLog
-from teaseldale.metrics import Metrics
+from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.web._exchange import CallerGoneError, Exchange
 from teaseldale.web._head_limits import HeadLimits, HeadLimitsSource
@@ -47,12 +47,14 @@
         respond: Callable[[Exchange], Awaitable[None]],
         metrics: Metrics | None = None,
         refusals_counter: str = 'refusals',
+        peer: str = 'client',
         limits: HeadLimitsSource = HeadLimits,
     ) -> None:
         """Creates a server for ``address``, given as "ip:port".
 
         Requests refused before ``respond`` is called are counted in
-        ``refusals_counter`` of ``metrics``.
+        ``refusals_counter`` of ``metrics``, and the bytes of connections in
+        counters whose names start with ``peer``.
         """
         self._address = address
         self._respond = respond
@@ -69,6 +71,7 @@
                     GuardedProtocol,
                     on_refused=self._count_refused,
                     limits=limits,
+                    traffic=PeerTraffic(metrics=self._metrics, peer=peer),
                 ),
                 interface='asgi3',
                 proxy_headers=False,
