--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -20,6 +20,10 @@
     from teaseldale.routing._part_directory import (
         BasePartOwners,
         PartDirectory,
+    from teaseldale.routing._link_window import (
+        LinkLoad,
+        LinkTotals,
+        LinkWindow,
     )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
@@ -60,6 +64,11 @@
     from teaseldale.routing._runner_watch import RunnerWatch
     from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
     from teaseldale.routing._start_need import StartNeed, need_of
+    from teaseldale.routing._vm_room import (
+        RoomRefusal,
+        RoomRequest,
+        VmRoom,
+    )
 
 __getattr__ = LazyExports(  # noqa: WPS413
     __name__,
@@ -78,6 +87,10 @@
         'teaseldale.routing._part_directory': (
             'BasePartOwners',
             'PartDirectory',
+        'teaseldale.routing._link_window': (
+            'LinkLoad',
+            'LinkTotals',
+            'LinkWindow',
         ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
@@ -119,6 +132,11 @@
         'teaseldale.routing._runner_watch': ('RunnerWatch',),
         'teaseldale.routing._slot_owner': ('LEASE_VALIDITY_MS',),
         'teaseldale.routing._start_need': ('StartNeed', 'need_of'),
+        'teaseldale.routing._vm_room': (
+            'RoomRefusal',
+            'RoomRequest',
+            'VmRoom',
+        ),
     },
 )
 
@@ -138,6 +156,9 @@
     'FleetRouter',
     'LeastInFlightChoice',
     'LeastReportedChoice',
+    'LinkLoad',
+    'LinkTotals',
+    'LinkWindow',
     'LocalRouter',
     'PartDirectory',
     'Permit',
@@ -150,6 +171,8 @@
     'RandomChoice',
     'RetryBudget',
     'RetryWindow',
+    'RoomRefusal',
+    'RoomRequest',
     'RunnerLimits',
     'RunnerPace',
     'RunnerPaces',
@@ -164,6 +187,7 @@
     'SharedPart',
     'StartNeed',
     'UpstreamPool',
+    'VmRoom',
     'need_of',
     'prefix_hashes',
 )
