--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -17,14 +17,15 @@
     )
     from teaseldale.routing._fleet_router import FleetRouter
     from teaseldale.routing._limit_holders import BaseLimitHolders
-    from teaseldale.routing._part_directory import (
-        BasePartOwners,
-        PartDirectory,
     from teaseldale.routing._link_window import (
         LinkLoad,
         LinkTotals,
         LinkWindow,
     )
+    from teaseldale.routing._part_directory import (
+        BasePartOwners,
+        PartDirectory,
+    )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
         PlacementExchange,
@@ -87,6 +88,7 @@
         'teaseldale.routing._part_directory': (
             'BasePartOwners',
             'PartDirectory',
+        ),
         'teaseldale.routing._link_window': (
             'LinkLoad',
             'LinkTotals',
