--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -227,6 +227,12 @@
         objection = self._parts.announcements.find_objection(self.runner)
         if objection is not None:
             raise WithheldError(objection)
+        name = self.runner.incarnation_name
+        if self._parts.limits.cold.is_cold(name) and not (
+            self._permit.is_scheduled
+        ):
+            # The runner was warm when it was selected.
+            raise WithheldError('runner_cold')
         return RunnerMessage(
             method=request.method,
             target=request.target,
--- a/teaseldale/forwarding/_configuration.py
+++ b/teaseldale/forwarding/_configuration.py
@@ -64,6 +64,9 @@
     name: str
     connection_limit: int  # maximum connections per runner, fleet-wide
     engine: EngineLimits | None = None  # set for model runners
+    # Requests per second that a cold runner tolerates; 0 if none is ever cold.
+    cold_limit_per_s: float = 0
+    cold_start_ms: float = 0  # for which a runner stays cold after its start
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/forwarding/_fleet_watch.py
+++ b/teaseldale/forwarding/_fleet_watch.py
@@ -1,7 +1,7 @@
 """Applies configuration, runner and order changes from the store."""
 
 import abc
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from anyio.abc import TaskGroup
@@ -227,6 +227,7 @@
                     if account.prepaid_tokens is not None
                 },
             )
+            self._note_entries(self._state.directory.all_runners())
             self._metrics.set_gauge('configuration_version', offered.version)
             self._log.changed(
                 'configuration_in_force',
@@ -240,6 +241,7 @@
         self._state.directory.replace_all(
             runner for runner in decoded if runner is not None
         )
+        self._note_entries(self._state.directory.all_runners())
         self._log.changed(
             'runners_read',
             count=len(self._state.directory.all_runners()),
@@ -249,6 +251,9 @@
     def _apply_changed_runners(self, rows: tuple[Row, ...]) -> None:
         changed = {row.key: self._runner_of(row) for row in rows}
         self._state.directory.apply_changes(changed)
+        self._note_entries(
+            runner for runner in changed.values() if runner is not None
+        )
         for runner_id, runner in changed.items():
             self._log.changed(
                 'runner_changed',
@@ -259,6 +264,14 @@
             )
         self._discard_unregistered()
 
+    def _note_entries(self, runners: Iterable[ForwardingRunner]) -> None:
+        configuration = self._state.configuration.current
+        if configuration is not None:
+            self._state.announcements.note_entries(
+                runners,
+                configuration.services,
+            )
+
     def _runner_of(self, row: Row) -> ForwardingRunner | None:
         if row.value is None:
             return None
--- a/teaseldale/forwarding/_limit_holders.py
+++ b/teaseldale/forwarding/_limit_holders.py
@@ -18,6 +18,7 @@
     revision: int = 0  # of the member list
     users: tuple[str, ...] = ()
     holder: str = ''
+    deputy: str = ''
 
     def is_valid(
         self,
@@ -51,6 +52,10 @@
         """Returns the VM that holds the limit of a runner; empty if none."""
         return self._assignment_of(runner).holder
 
+    def deputy_of(self, runner: str) -> str:
+        """Returns the VM that states what the holder does; empty if none."""
+        return self._assignment_of(runner).deputy
+
     def users_of(self, runner: str) -> Collection[str]:
         """Returns the VMs of the cell that uses a runner."""
         return self._assignment_of(runner).users
@@ -69,11 +74,14 @@
                 known.runner_id,
                 (other.runner_id for other in usable),
             )
+            holder = rendezvous(runner, users)
+            others = tuple(name for name in users if name != holder)
             assignment = _Assignment(
                 usable=usable,
                 revision=revision,
                 users=users,
-                holder=rendezvous(runner, users),
+                holder=holder,
+                deputy=rendezvous(runner, others) if others else '',
             )
             if len(self._assignments) >= _MAX_ASSIGNMENTS:
                 self._assignments.clear()
--- a/teaseldale/forwarding/_runner_announcements.py
+++ b/teaseldale/forwarding/_runner_announcements.py
@@ -1,8 +1,10 @@
 """What runners have announced of themselves in their answers."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from teaseldale.clock import BaseClock
+from teaseldale.forwarding._cold_entries import ColdEntries
+from teaseldale.forwarding._configuration import ForwardingService
 from teaseldale.forwarding._runner_pauses import RunnerPauses
 from teaseldale.forwarding._runners import ForwardingRunner, RunnerDirectory
 from teaseldale.forwarding._wire import Announcement
@@ -31,6 +33,11 @@
         self._limits = limits
         self._rooms = rooms
         self._pauses = RunnerPauses(clock=clock)
+        self._cold = ColdEntries(
+            cold=limits.cold,
+            clock=clock,
+            metrics=metrics,
+        )
         self._metrics = metrics
         self._log = StateLog(channel='announcements')
 
@@ -49,6 +56,14 @@
             self._mark_leaving(name, _FROM_ANSWER)
         self._rooms.note_answer(name, announcement.tolerated_rejections)
 
+    def note_entries(
+        self,
+        runners: Iterable[ForwardingRunner],
+        services: Mapping[str, ForwardingService],
+    ) -> None:
+        """Applies what runners state of themselves in their entries."""
+        self._cold.apply(runners, services)
+
     def note_leaving(self, names: Iterable[str]) -> None:
         """Applies what another VM has read in answers of runners."""
         for name in names:
--- a/teaseldale/forwarding/_runners.py
+++ b/teaseldale/forwarding/_runners.py
@@ -23,6 +23,9 @@
     version: str  # software version of the runner
     slot_count: int  # requests processed concurrently
     is_leaving: bool = False  # is draining; gets no new requests
+    # Time left when the runner wrote its entry; None if it is not stated.
+    cold_left_ms: float | None = attrs.field(default=None, eq=False)
+    revision: int = attrs.field(default=0, eq=False)  # of the entry
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/teaseldale/forwarding/tests/fleet_world.py
+++ b/teaseldale/forwarding/tests/fleet_world.py
@@ -61,7 +61,7 @@
                 runners=tuple(
                     runner.entry for runner in fleet.runners.values()
                 ),
-                members=fleet.members,
+                members=fleet.members_of(number),
                 vm_name=f'vm-{number}',
                 table=self.table,
                 seed=number,
@@ -119,6 +119,10 @@
         """Returns the runner connections of a VM."""
         raise AssertionError(vm_number)
 
+    def members_of(self, vm_number):
+        """Returns the member list that a VM reads."""
+        return self.members
+
     def headers_of(self, request_id):
         """Returns the headers of a request beside those of each."""
         return ()
--- a/teaseldale/platform/_fleet_rows.py
+++ b/teaseldale/platform/_fleet_rows.py
@@ -18,6 +18,10 @@
     VersionOrder,
     WeightedService,
 )
+from teaseldale.platform._raw_numbers import (
+    MISSING_NUMBER,
+    decode_non_negative,
+)
 from teaseldale.platform._settings_file import decode_address
 from teaseldale.tables import Row
 
@@ -74,6 +78,16 @@
     name: str = msgspec.field(name='Name')
     connection_limit: int = msgspec.field(name='MaxConns', default=0)
     engine: _EngineRecord | None = msgspec.field(name='Engine', default=None)
+    # Seconds for which a runner is cold after its start, and the requests per
+    # second that it tolerates until then.
+    cold_start_seconds: msgspec.Raw = msgspec.field(
+        name='ColdStartS',
+        default=MISSING_NUMBER,
+    )
+    cold_limit_per_s: msgspec.Raw = msgspec.field(
+        name='ColdPerS',
+        default=MISSING_NUMBER,
+    )
 
 
 class _TenantRecord(msgspec.Struct):
@@ -116,6 +130,11 @@
     state: str = msgspec.field(name='State')
     # Start time of the runner in Unix milliseconds.
     started_wall_ms: int = msgspec.field(name='born', default=0)
+    # Not typed: a runner is used as a warm one whatever is written here.
+    cold_left_ms: msgspec.Raw = msgspec.field(
+        name='ColdLeftMs',
+        default=MISSING_NUMBER,
+    )
 
 
 class _OrderRecord(msgspec.Struct):
@@ -203,6 +222,8 @@
             version=record.version,
             slot_count=record.slots,
             is_leaving=_IS_LEAVING_BY_STATE[record.state],
+            cold_left_ms=decode_non_negative(record.cold_left_ms),
+            revision=row.revision,
         )
 
 
@@ -275,6 +296,9 @@
     return ForwardingService(
         name=record.name,
         connection_limit=record.connection_limit,
+        cold_limit_per_s=decode_non_negative(record.cold_limit_per_s) or 0,
+        cold_start_ms=_MS_PER_SECOND
+        * (decode_non_negative(record.cold_start_seconds) or 0),
         engine=None
         if engine is None
         else EngineLimits(
--- a/teaseldale/platform/tests/steps_orders.py
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -47,8 +47,8 @@
         return 0
 
 
-def make_watch(directory):
-    clock, metrics = _StillClock(), Metrics()
+def make_watch(directory, clock=None):
+    clock, metrics = clock or _StillClock(), Metrics()
     table = FakeTableService(
         state=InMemoryTable(),
         random_source=random.Random(1),
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -15,6 +15,7 @@
         RandomChoice,
         RoundRobinChoice,
     )
+    from teaseldale.routing._cold_limits import ColdLimits, ColdStatement
     from teaseldale.routing._fleet_router import FleetRouter
     from teaseldale.routing._limit_holders import BaseLimitHolders
     from teaseldale.routing._placement_notices import (
@@ -92,6 +93,7 @@
         'teaseldale.routing._retries': ('RetryBudget',),
         'teaseldale.routing._retry_window': ('RetryWindow',),
         'teaseldale.routing._limit_holders': ('BaseLimitHolders',),
+        'teaseldale.routing._cold_limits': ('ColdLimits', 'ColdStatement'),
         'teaseldale.routing._runner_limits': ('LimitPermit', 'RunnerLimits'),
         'teaseldale.routing._runner_permits': ('Permit', 'RunnerPermits'),
         'teaseldale.routing._runner_rooms': ('RunnerRooms',),
@@ -139,6 +141,8 @@
     'RetryBudget',
     'RetryWindow',
     'RunnerLimits',
+    'ColdLimits',
+    'ColdStatement',
     'RunnerPermits',
     'RunnerRooms',
     'RoundRobinChoice',
--- a/teaseldale/routing/_limit_holders.py
+++ b/teaseldale/routing/_limit_holders.py
@@ -11,6 +11,13 @@
     def holder_of(self, runner: str) -> str:
         """Returns the VM that holds the limit of a runner; empty if none."""
 
+    @abc.abstractmethod
+    def deputy_of(self, runner: str) -> str:
+        """Returns the VM that states what the holder does; empty if none.
+
+        It allows no requests.
+        """
+
     @abc.abstractmethod
     def users_of(self, runner: str) -> Collection[str]:
         """Returns the VMs that regularly use a runner."""
--- a/teaseldale/routing/_limit_messages.py
+++ b/teaseldale/routing/_limit_messages.py
@@ -18,6 +18,9 @@
     age_ms: int  # since the runner or the holder told the sender
     permit_id: int = 0
     max_wait_ms: float = 0  # longest wait that a permit may require
+    cold_left_ms: float = 0  # 0 if the runner is warm, as far as is known
+    cold_limit_per_s: float = 0
+    cold_revision: int = 0  # of the entry that states it
 
 
 class LimitState(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -29,3 +32,6 @@
     permit_id: int = 0
     is_granted: bool = False
     wait_ms: float = 0  # until the start if granted, else until a free one
+    cold_left_ms: float = 0  # 0 if the runner is warm, as far as is known
+    cold_limit_per_s: float = 0
+    cold_revision: int = 0  # of the entry that states it
--- a/teaseldale/routing/_runner_limits.py
+++ b/teaseldale/routing/_runner_limits.py
@@ -1,5 +1,8 @@
 """Request rates to which runners limit all VMs together.
 
+A runner names its limit in its answers; a cold runner has that of its service
+until it is warm. If both apply, the lower one is kept.
+
 Each limited runner has one VM that holds its limit. The holder schedules the
 requests of all VMs: its own start when the schedule has room, the others ask
 for permits by datagram, when no other runner has room. The fleet therefore
@@ -18,6 +21,7 @@
 from teaseldale.clock import BaseClock
 from teaseldale.kernel import BaseService
 from teaseldale.metrics import Metrics
+from teaseldale.routing._cold_limits import ColdLimits, ColdStatement
 from teaseldale.routing._limit_book import KnownLimit, LimitBook
 from teaseldale.routing._limit_holders import BaseLimitHolders
 from teaseldale.routing._limit_messages import (
@@ -26,6 +30,8 @@
     LimitRequest,
     LimitState,
 )
+from teaseldale.routing._limit_post import LimitPost
+from teaseldale.routing._limit_schedule import LimitSchedule
 
 _MS_PER_SECOND = 1000
 # A round trip takes a few ms, and longer if a link or VM is busy.
@@ -37,6 +43,7 @@
 _UNCONFIRMED_MS = 5000
 # A limit that nobody confirms, as no request is sent to its runner, is dropped.
 _LIFETIME_MS = 60_000
+_WARM = ColdStatement(limit_per_s=0, left_ms=0, revision=0)
 
 
 @attrs.frozen(kw_only=True)
@@ -45,6 +52,7 @@
 
     is_granted: bool
     wait_ms: float  # until the start if granted, else until a free one
+    is_scheduled: bool = False  # whether it counts for a limit
 
 
 @attrs.define(kw_only=True)
@@ -53,8 +61,16 @@
     answered: anyio.Event = attrs.field(factory=anyio.Event)
 
 
+@attrs.frozen(kw_only=True)
+class _Terms:
+    """The limit that applies to a runner now."""
+
+    limit_per_s: float
+    schedule: LimitSchedule  # used by the holder
+
+
 class RunnerLimits(BaseService):
-    """Limits that runners name in their answers, by incarnation."""
+    """Limits that runners name and limits of cold ones, by incarnation."""
 
     def __init__(
         self,
@@ -70,10 +86,12 @@
         self._clock = clock
         self._metrics = metrics
         self._book = LimitBook(clock=clock)
+        self.cold = ColdLimits(clock=clock, metrics=metrics)
+        self.cold.set_change_listener(self._handle_cold)
+        self._post = LimitPost(holders=holders, metrics=metrics)
         self._open: dict[int, _OpenRequest] = {}
         self._ids: Iterator[int] = itertools.count(1)
         self._has_limits = anyio.Event()
-        self._send: Callable[[str, bytes], None] | None = None
         self._report_due_ms = 0  # monotonic; next unchanged limit to the holder
         self.handlers: Mapping[bytes, Callable[[bytes], None]] = {
             LIMIT_REQUEST: self._handle_request,
@@ -87,18 +105,23 @@
 
     def set_datagram_sender(self, send: Callable[[str, bytes], None]) -> None:
         """Sets the function that sends a datagram to a VM's address."""
-        self._send = send
+        self._post.send_datagram = send
 
     async def start(self, tasks: TaskGroup) -> None:
         """Starts the task that keeps VMs informed of limits."""
         tasks.start_soon(self._keep_informed)
 
     def is_limited(self, runner: str) -> bool:
-        """Returns whether a runner names a limit."""
-        return self._book.find(runner) is not None
+        """Returns whether a runner names a limit or is cold."""
+        return _terms_of(self._book, self.cold, runner) is not None
 
     def may_start(self, runner: str) -> bool:
-        """Returns whether ``take`` grants a permit without waiting."""
+        """Returns whether ``take`` grants a permit without waiting.
+
+        A cold runner is asked for a permit only if no other one has room.
+        """
+        if self.cold.is_cold(runner):
+            return False
         known = self._book.find(runner)
         if known is None:
             return True
@@ -109,17 +132,21 @@
 
     async def take(self, runner: str, *, max_wait_ms: float) -> LimitPermit:
         """Asks for a permit; the caller must wait as long as it says."""
-        known = self._book.find(runner)
-        if known is None:
+        terms = _terms_of(self._book, self.cold, runner)
+        if terms is None:
             return LimitPermit(is_granted=True, wait_ms=0)
         holder = self._holders.holder_of(runner)
         if holder == self._vm_name:
-            return self._schedule(known, max_wait_ms)
-        state = await self._ask(runner, known, holder, max_wait_ms)
+            return self._schedule(terms, max_wait_ms)
+        state = await self._ask(runner, holder, max_wait_ms)
         if state is None:
             self._metrics.increment('limit_requests_unanswered')
             return LimitPermit(is_granted=False, wait_ms=_HOLDER_RETRY_MS)
-        return LimitPermit(is_granted=state.is_granted, wait_ms=state.wait_ms)
+        return LimitPermit(
+            is_granted=state.is_granted,
+            wait_ms=state.wait_ms,
+            is_scheduled=True,
+        )
 
     def note_answer(self, runner: str, limit_per_s: float | None) -> None:
         """Records the limit of an answer; None if the answer names none."""
@@ -137,11 +164,12 @@
     def keep_only(self, runners: Collection[str]) -> None:
         """Drops the limits of incarnations that have ended."""
         self._book.keep_only(runners)
+        self.cold.keep_only(runners)
 
-    def _schedule(self, known: KnownLimit, max_wait_ms: float) -> LimitPermit:
+    def _schedule(self, terms: _Terms, max_wait_ms: float) -> LimitPermit:
         now_ms = self._clock.monotonic_ms()
-        wait_ms = known.schedule.book(
-            known.limit_per_s,
+        wait_ms = terms.schedule.book(
+            terms.limit_per_s,
             now_ms=now_ms,
             max_wait_ms=max_wait_ms,
         )
@@ -149,10 +177,14 @@
             self._metrics.increment('limit_permits_refused')
             return LimitPermit(
                 is_granted=False,
-                wait_ms=known.schedule.wait_ms(now_ms),
+                wait_ms=terms.schedule.wait_ms(now_ms),
             )
         self._metrics.increment('limit_permits')
-        return LimitPermit(is_granted=True, wait_ms=wait_ms)
+        return LimitPermit(
+            is_granted=True,
+            wait_ms=wait_ms,
+            is_scheduled=True,
+        )
 
     def _set(self, runner: str, limit_per_s: float | None) -> bool:
         """Returns whether the limit has changed."""
@@ -163,7 +195,6 @@
     async def _ask(
         self,
         runner: str,
-        known: KnownLimit,
         holder: str,
         max_wait_ms: float,
     ) -> LimitState | None:
@@ -171,23 +202,34 @@
         permit_id = next(self._ids)
         request = _OpenRequest()
         self._open[permit_id] = request
-        self._send_to(
-            holder,
-            LIMIT_REQUEST,
-            LimitRequest(
-                vm_name=self._vm_name,
-                runner=runner,
-                limit_per_s=known.limit_per_s,
-                age_ms=self._clock.monotonic_ms() - known.confirmed_ms,
-                permit_id=permit_id,
-                max_wait_ms=max_wait_ms,
-            ),
+        known = self._book.find(runner)
+        cold = self.cold.statement_of(runner) or _WARM
+        # Without a named limit the age says that the holder knows better.
+        heard_ms = -_LIFETIME_MS if known is None else known.confirmed_ms
+        message = LimitRequest(
+            vm_name=self._vm_name,
+            runner=runner,
+            limit_per_s=None if known is None else known.limit_per_s,
+            age_ms=self._clock.monotonic_ms() - heard_ms,
+            permit_id=permit_id,
+            max_wait_ms=max_wait_ms,
+            cold_left_ms=cold.left_ms,
+            cold_limit_per_s=cold.limit_per_s,
+            cold_revision=cold.revision,
         )
+        self._post.send(holder, LIMIT_REQUEST, message)
         try:
             with anyio.move_on_after(_ANSWER_TIMEOUT_MS / _MS_PER_SECOND):
                 await request.answered.wait()
         finally:
             self._open.pop(permit_id)
+        if request.state is None and cold.left_ms:
+            # The deputy states that the runner is cold, and may not know it.
+            self._post.send(
+                self._holders.deputy_of(runner),
+                LIMIT_REQUEST,
+                msgspec.structs.replace(message, permit_id=0),
+            )
         return request.state
 
     def _send_request(
@@ -200,7 +242,7 @@
         known = self._book.find(runner)
         if known is not None:
             known.asked_ms = self._clock.monotonic_ms()
-        self._send_to(
+        self._post.send(
             self._holders.holder_of(runner),
             LIMIT_REQUEST,
             LimitRequest(
@@ -215,6 +257,7 @@
         """Answers another VM; raises ``msgspec.DecodeError``."""
         request = msgspec.msgpack.decode(content, type=LimitRequest)
         runner = request.runner
+        self.cold.note_message(runner, _cold_statement_of(request))
         if self._holders.holder_of(runner) != self._vm_name:
             self._metrics.increment('limit_requests_misdirected')
             return
@@ -225,10 +268,10 @@
         )
         if is_newer and self._set(runner, request.limit_per_s):
             self._tell_users(runner)
-        known = self._book.find(runner)
+        terms = _terms_of(self._book, self.cold, runner)
         permit = LimitPermit(is_granted=True, wait_ms=0)
-        if known is not None and request.permit_id:
-            permit = self._schedule(known, request.max_wait_ms)
+        if terms is not None and request.permit_id:
+            permit = self._schedule(terms, request.max_wait_ms)
         self._send_state(
             request.vm_name,
             runner,
@@ -239,10 +282,12 @@
     def _handle_state(self, content: bytes) -> None:
         """Applies the holder's view; raises ``msgspec.DecodeError``."""
         state = msgspec.msgpack.decode(content, type=LimitState)
+        self.cold.note_message(state.runner, _cold_statement_of(state))
         if self._holders.holder_of(state.runner) != state.vm_name:
             self._metrics.increment('limit_states_not_taken')
             return
-        if state.limit_per_s is not None or self.is_limited(state.runner):
+        is_named = self._book.find(state.runner) is not None
+        if state.limit_per_s is not None or is_named:
             self._set(state.runner, state.limit_per_s)
         request = self._open.get(state.permit_id)
         if request is not None:
@@ -255,9 +300,27 @@
             await self._clock.sleep_ms(_TELL_INTERVAL_MS)
             for runner, known in self._book.all_limits():
                 self._refresh(runner, known)
-            if self._book.is_empty:
+            cold = self.cold.cold_runners()
+            self._metrics.set_gauge('runners_cold', len(cold))
+            for runner in cold:
+                self._handle_cold(runner)
+            if self._book.is_empty and not cold:
                 self._has_limits = anyio.Event()
 
+    def _handle_cold(self, runner: str) -> None:
+        """Tells users of a cold runner, as the holder or its deputy.
+
+        Users without the store would otherwise send all their requests to the
+        one runner whose holder has ended.
+        """
+        self._has_limits.set()
+        holders = self._holders
+        if self._vm_name in {
+            holders.holder_of(runner),
+            holders.deputy_of(runner),
+        }:
+            self._tell_users(runner)
+
     def _refresh(self, runner: str, known: KnownLimit) -> None:
         age_ms = self._clock.monotonic_ms() - known.confirmed_ms
         if age_ms >= _LIFETIME_MS:
@@ -281,7 +344,8 @@
         permit: LimitPermit | None = None,
     ) -> None:
         known = self._book.find(runner)
-        self._send_to(
+        cold = self.cold.statement_of(runner) or _WARM
+        self._post.send(
             vm_name,
             LIMIT_STATE,
             LimitState(
@@ -291,17 +355,35 @@
                 permit_id=permit_id,
                 is_granted=permit is not None and permit.is_granted,
                 wait_ms=0 if permit is None else permit.wait_ms,
+                cold_left_ms=cold.left_ms,
+                cold_limit_per_s=cold.limit_per_s,
+                cold_revision=cold.revision,
             ),
         )
 
-    def _send_to(
-        self,
-        vm_name: str,
-        kind: bytes,
-        message: LimitRequest | LimitState,
-    ) -> None:
-        address = self._holders.address_of(vm_name)
-        if self._send is None or address is None:
-            self._metrics.increment('limit_messages_not_sent')
-            return
-        self._send(address, kind + msgspec.msgpack.encode(message))
+
+def _cold_statement_of(message: LimitRequest | LimitState) -> ColdStatement:
+    return ColdStatement(
+        limit_per_s=message.cold_limit_per_s,
+        left_ms=message.cold_left_ms,
+        revision=message.cold_revision,
+    )
+
+
+def _terms_of(
+    book: LimitBook,
+    cold: ColdLimits,
+    runner: str,
+) -> _Terms | None:
+    """Returns the lower of the limits that apply; None if there is none."""
+    known = book.find(runner)
+    statement = cold.statement_of(runner)
+    schedule = cold.schedule_of(runner)
+    if statement is not None and schedule is not None:
+        limit_per_s = statement.limit_per_s
+        if known is not None:
+            limit_per_s = min(limit_per_s, known.limit_per_s)
+        return _Terms(limit_per_s=limit_per_s, schedule=schedule)
+    if known is None:
+        return None
+    return _Terms(limit_per_s=known.limit_per_s, schedule=known.schedule)
--- a/teaseldale/routing/_runner_permits.py
+++ b/teaseldale/routing/_runner_permits.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from teaseldale.routing._runner_limits import RunnerLimits
+from teaseldale.routing._runner_limits import LimitPermit, RunnerLimits
 from teaseldale.routing._runner_rooms import RoomPermit, RunnerRooms
 from teaseldale.routing._start_need import UNKNOWN_NEED, StartNeed
 
@@ -13,6 +13,7 @@
 
     wait_ms: float  # until the start if granted, else until there may be one
     room: RoomPermit | None = None  # set if the permit is granted
+    is_scheduled: bool = False  # whether it counts for a limit of the runner
 
     @property
     def is_granted(self) -> bool:
@@ -60,7 +61,7 @@
             max_wait_ms=max_wait_ms,
             need=need,
         )
-        return _permit_of(room, limit.wait_ms)
+        return _permit_of(room, limit.wait_ms, limit)
 
     async def take_now(
         self,
@@ -72,9 +73,9 @@
 
         The limit may just have been used up; the request is sent all the same.
         """
-        await self._limits.take(runner, max_wait_ms=0)
+        limit = await self._limits.take(runner, max_wait_ms=0)
         room = await self._rooms.take(runner, max_wait_ms=0, need=need)
-        return _permit_of(room, 0)
+        return _permit_of(room, 0, limit)
 
     def release(self, permit: Permit) -> None:
         """Ends a permit, as its request has ended or is not sent."""
@@ -82,7 +83,15 @@
             self._rooms.release(permit.room)
 
 
-def _permit_of(room: RoomPermit, start_ms: float) -> Permit:
+def _permit_of(
+    room: RoomPermit,
+    start_ms: float,
+    limit: LimitPermit,
+) -> Permit:
     if room.is_granted:
-        return Permit(wait_ms=start_ms, room=room)
+        return Permit(
+            wait_ms=start_ms,
+            room=room,
+            is_scheduled=limit.is_granted and limit.is_scheduled,
+        )
     return Permit(wait_ms=room.wait_ms)
