--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -5,8 +5,12 @@
 from teaseldale._lazy_exports import LazyExports
 
 if TYPE_CHECKING:
-    from teaseldale.routing._affinity import AffinityChoice
-    from teaseldale.routing._backlog_choice import BacklogChoice
+    from teaseldale.routing._affinity import (
+        AffinityChoice,
+    )
+    from teaseldale.routing._backlog_choice import (
+        BacklogChoice,
+    )
     from teaseldale.routing._choice import (
         BaseUpstreamChoice,
         LeastInFlightChoice,
@@ -15,8 +19,16 @@
         RandomChoice,
         RoundRobinChoice,
     )
-    from teaseldale.routing._fleet_router import FleetRouter
-    from teaseldale.routing._limit_holders import BaseLimitHolders
+    from teaseldale.routing._cold_limits import (
+        ColdLimits,
+        ColdStatement,
+    )
+    from teaseldale.routing._fleet_router import (
+        FleetRouter,
+    )
+    from teaseldale.routing._limit_holders import (
+        BaseLimitHolders,
+    )
     from teaseldale.routing._link_window import (
         LinkLoad,
         LinkTotals,
@@ -45,8 +57,12 @@
         Placement,
         RoutingRequest,
     )
-    from teaseldale.routing._retries import RetryBudget
-    from teaseldale.routing._retry_window import RetryWindow
+    from teaseldale.routing._retries import (
+        RetryBudget,
+    )
+    from teaseldale.routing._retry_window import (
+        RetryWindow,
+    )
     from teaseldale.routing._router import (
         BaseRouter,
         LocalRouter,
@@ -57,14 +73,34 @@
         RunnerBacklog,
         SharedPart,
     )
-    from teaseldale.routing._runner_limits import LimitPermit, RunnerLimits
-    from teaseldale.routing._runner_pace import RunnerPace, RunnerPaces
-    from teaseldale.routing._runner_permits import Permit, RunnerPermits
-    from teaseldale.routing._runner_rooms import RunnerRooms
-    from teaseldale.routing._runner_table import RunnerTable
-    from teaseldale.routing._runner_watch import RunnerWatch
-    from teaseldale.routing._slot_owner import LEASE_VALIDITY_MS
-    from teaseldale.routing._start_need import StartNeed, need_of
+    from teaseldale.routing._runner_limits import (
+        LimitPermit,
+        RunnerLimits,
+    )
+    from teaseldale.routing._runner_pace import (
+        RunnerPace,
+        RunnerPaces,
+    )
+    from teaseldale.routing._runner_permits import (
+        Permit,
+        RunnerPermits,
+    )
+    from teaseldale.routing._runner_rooms import (
+        RunnerRooms,
+    )
+    from teaseldale.routing._runner_table import (
+        RunnerTable,
+    )
+    from teaseldale.routing._runner_watch import (
+        RunnerWatch,
+    )
+    from teaseldale.routing._slot_owner import (
+        LEASE_VALIDITY_MS,
+    )
+    from teaseldale.routing._start_need import (
+        StartNeed,
+        need_of,
+    )
     from teaseldale.routing._vm_room import (
         RoomRefusal,
         RoomRequest,
@@ -84,16 +120,21 @@
             'RandomChoice',
             'RoundRobinChoice',
         ),
-        'teaseldale.routing._fleet_router': ('FleetRouter',),
-        'teaseldale.routing._part_directory': (
-            'BasePartOwners',
-            'PartDirectory',
+        'teaseldale.routing._cold_limits': (
+            'ColdLimits',
+            'ColdStatement',
         ),
+        'teaseldale.routing._fleet_router': ('FleetRouter',),
+        'teaseldale.routing._limit_holders': ('BaseLimitHolders',),
         'teaseldale.routing._link_window': (
             'LinkLoad',
             'LinkTotals',
             'LinkWindow',
         ),
+        'teaseldale.routing._part_directory': (
+            'BasePartOwners',
+            'PartDirectory',
+        ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
             'PlacementExchange',
@@ -115,11 +156,6 @@
         ),
         'teaseldale.routing._retries': ('RetryBudget',),
         'teaseldale.routing._retry_window': ('RetryWindow',),
-        'teaseldale.routing._limit_holders': ('BaseLimitHolders',),
-        'teaseldale.routing._runner_limits': ('LimitPermit', 'RunnerLimits'),
-        'teaseldale.routing._runner_pace': ('RunnerPace', 'RunnerPaces'),
-        'teaseldale.routing._runner_permits': ('Permit', 'RunnerPermits'),
-        'teaseldale.routing._runner_rooms': ('RunnerRooms',),
         'teaseldale.routing._router': (
             'BaseRouter',
             'LocalRouter',
@@ -130,10 +166,26 @@
             'RunnerBacklog',
             'SharedPart',
         ),
+        'teaseldale.routing._runner_limits': (
+            'LimitPermit',
+            'RunnerLimits',
+        ),
+        'teaseldale.routing._runner_pace': (
+            'RunnerPace',
+            'RunnerPaces',
+        ),
+        'teaseldale.routing._runner_permits': (
+            'Permit',
+            'RunnerPermits',
+        ),
+        'teaseldale.routing._runner_rooms': ('RunnerRooms',),
         'teaseldale.routing._runner_table': ('RunnerTable',),
         'teaseldale.routing._runner_watch': ('RunnerWatch',),
         'teaseldale.routing._slot_owner': ('LEASE_VALIDITY_MS',),
-        'teaseldale.routing._start_need': ('StartNeed', 'need_of'),
+        'teaseldale.routing._start_need': (
+            'StartNeed',
+            'need_of',
+        ),
         'teaseldale.routing._vm_room': (
             'RoomRefusal',
             'RoomRequest',
@@ -143,10 +195,8 @@
 )
 
 __all__ = (
-    'LimitPermit',
-    'BLOCK_CHARACTERS',
-    'LEASE_VALIDITY_MS',
     'AffinityChoice',
+    'BLOCK_CHARACTERS',
     'BacklogChoice',
     'BaseLeavingRunners',
     'BaseLimitHolders',
@@ -155,9 +205,13 @@
     'BaseUpstreamChoice',
     'CacheAction',
     'CacheEvent',
+    'ColdLimits',
+    'ColdStatement',
     'FleetRouter',
+    'LEASE_VALIDITY_MS',
     'LeastInFlightChoice',
     'LeastReportedChoice',
+    'LimitPermit',
     'LinkLoad',
     'LinkTotals',
     'LinkWindow',
@@ -175,15 +229,15 @@
     'RetryWindow',
     'RoomRefusal',
     'RoomRequest',
+    'RoundRobinChoice',
+    'RoutingRequest',
+    'Runner',
+    'RunnerBacklog',
     'RunnerLimits',
     'RunnerPace',
     'RunnerPaces',
     'RunnerPermits',
     'RunnerRooms',
-    'RoundRobinChoice',
-    'RoutingRequest',
-    'Runner',
-    'RunnerBacklog',
     'RunnerTable',
     'RunnerWatch',
     'SharedPart',
