--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -7,6 +7,7 @@
 
 from teaseldale.forwarding._dependencies import ForwardingDependencies
 from teaseldale.forwarding._node import Address
+from teaseldale.forwarding._pace_sample import PaceSample
 from teaseldale.forwarding._runner_selection import SelectedRunner
 from teaseldale.forwarding._wire import (
     ClientRequest,
@@ -77,9 +78,19 @@
         self._evidence = parts.moves.begin_attempt(runner, route=route)
         self.runner = runner
         self._permit = selected.permit
-        self._placed: PlacedWork = parts.choice.place(
+        backlog = parts.choice.backlog(runner.runner_id, runner.slot_count)
+        self._placed: PlacedWork = parts.choice.place(work, backlog)
+        self._pace_sample = PaceSample(
+            runner=runner,
+            choice=parts.choice,
+            reports=parts.pace_reports,
+            metrics=parts.metrics,
+        )
+        self._pace_sample.note_placed(
             work,
-            parts.choice.backlog(runner.runner_id, runner.slot_count),
+            self._placed,
+            backlog,
+            self._sent_ms,
         )
         self._has_read = False
         self._answer_began_ms: int | None = None  # monotonic
@@ -126,6 +137,8 @@
         else:
             self._note_load(reply)
             self._note_announcement(reply)
+            now_ms = self._parts.clock.monotonic_ms()
+            self._pace_sample.note_reply(reply, now_ms)
         if reply.is_not_run:
             if not reply.is_misdirected:
                 self._parts.announcements.note_rejection(self.runner)
@@ -180,6 +193,7 @@
     def note_head(self) -> None:
         """Records the head of an answer that is not an event stream."""
         self._note_answer()
+        self._pace_sample.note_plain_answer(self._parts.clock.monotonic_ms())
         if self._evidence is not None:
             self._evidence.note_output(0)
 
@@ -187,6 +201,7 @@
         """Records events of a stream."""
         self.note_first_output()
         self._note_answer()
+        self._pace_sample.note_first_event(self._parts.clock.monotonic_ms())
         if self._evidence is not None:
             self._evidence.note_output(event_count)
 
@@ -227,6 +242,10 @@
         objection = self._parts.announcements.find_objection(self.runner)
         if objection is not None:
             raise WithheldError(objection)
+        self._pace_sample.note_sent(
+            self._parts.clock.monotonic_ms(),
+            is_resumed=dispatched.last_event_id is not None,
+        )
         return RunnerMessage(
             method=request.method,
             target=request.target,
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -9,6 +9,7 @@
 from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._crash_reports import CrashReports
+from teaseldale.forwarding._pace_reports import PaceReports
 from teaseldale.forwarding._process_end import ProcessEnd
 from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import RunnerDirectory
@@ -50,4 +51,5 @@
     random_source: random.Random
     log: StateLog
     held_bytes: ByteBudget
+    pace_reports: PaceReports = attrs.field(factory=PaceReports)
     process_end: ProcessEnd = attrs.field(factory=ProcessEnd)
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -89,6 +89,7 @@
     is_not_run: bool  # whether the runner states that it did not run it
     is_misdirected: bool = False  # whether it is not the intended runner
     load: RunnerLoad | None = None
+    is_load_unreadable: bool = False  # whether it reports a malformed load
     announcement: Announcement = Announcement()
 
 
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -41,6 +41,7 @@
 _FIRST_ERROR_STATUS = 400
 _HIGHEST_PRIORITY, _LOWEST_PRIORITY = 0, 9
 _MS_PER_SECOND = 1000
+_INSTANCE_LOAD = b'x-instance-load'
 _LOAD_COUNTS = 3  # running, waiting and slots, at the start of a load report
 _USUAL_PERCENT = 100
 _INTEGER = re.compile('[0-9]{1,18}')
@@ -166,11 +167,14 @@
     def read_reply(self, status: int, headers: WireHeaders) -> RunnerReply:
         """Decodes the status and headers of a runner's response."""
         is_not_run = header_of(headers, _NOT_EXECUTED) is not None
+        load_text = _header_text(headers, _INSTANCE_LOAD)
+        load = _load_of(load_text)
         return RunnerReply(
             status=status,
             is_not_run=is_not_run or status == _STATUS_MISDIRECTED,
             is_misdirected=status == _STATUS_MISDIRECTED,
-            load=_load_of(_header_text(headers, b'x-instance-load')),
+            load=load,
+            is_load_unreadable=bool(load_text) and load is None,
             announcement=Announcement(
                 limit_per_s=_non_negative_of(_header_text(headers, _LIMIT)),
                 is_leaving=_header_text(headers, _LEAVING).strip() == _IS_SET,
--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -1,12 +1,13 @@
-"""Upstream choice by the prefill work that is queued at each runner.
+"""Upstream choice by the work at each runner and the runner's pace.
 
 Runners prefill prompts in order, and each prefill delays the tokens of all
 other streams at the runner. The choice therefore estimates the prompt tokens
-that a runner has yet to prefill, excluding parts that its cache holds already.
+that a runner has yet to prefill, excluding parts that its cache holds already,
+and scales them by the time that the runner takes for each.
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -17,6 +18,7 @@
     PlannedWork,
     RunnerBacklog,
 )
+from teaseldale.routing._runner_pace import RunnerPaces
 
 # Cost of one more concurrent stream, in prompt tokens: a decoding step takes
 # as long as prefilling some hundred prompt tokens, and all streams share it.
@@ -59,6 +61,10 @@
     now_ms: int  # monotonic
     stall_share: float = _STALL_SHARE
     reserved_runner: str | None = None  # runner reserved for longer prompts
+    # How many times longer than typical work takes at each runner.
+    durations: Mapping[str, float] = attrs.field(factory=dict)
+    shortest_duration: float = 1
+    knees: Mapping[str, float] = attrs.field(factory=dict)
 
 
 class BacklogChoice:
@@ -69,9 +75,11 @@
         *,
         clock: BaseClock,
         random_source: random.Random,
+        paces: RunnerPaces | None = None,
     ) -> None:
-        """Breaks ties with ``random_source``."""
+        """Breaks ties with ``random_source``; begins with unknown paces."""
         self._clock = clock
+        self.paces = paces or RunnerPaces(clock=clock)
         self._random = random_source
         self._backlogs: dict[str, RunnerBacklog] = {}
         self._new_parts: dict[tuple[str, str], None] = {}
@@ -121,7 +129,11 @@
             backlog.note_part(part_id)
 
     def keep_only(self, runners: frozenset[str]) -> None:
-        """Drops the backlogs of other runners unless this VM uses them."""
+        """Drops the backlogs of other runners unless this VM uses them.
+
+        The paces of other runners are dropped in any case.
+        """
+        self.paces.keep_only(runners)
         for name in tuple(self._backlogs):
             if name not in runners and not self._backlogs[name].running_count:
                 self._backlogs.pop(name)
@@ -137,7 +149,12 @@
         """
         if not candidates:
             return None
-        view = self._view_of(work, candidates)
+        view = _with_paces(
+            self._view_of(work, candidates),
+            self.paces,
+            has_prompt=bool(work.prompt_tokens),
+            names=tuple(backlog.runner for backlog in candidates),
+        )
         scored = [
             (_score(work, backlog, view), backlog) for backlog in candidates
         ]
@@ -279,6 +296,22 @@
         return best if saved >= _MIN_FETCH_TOKENS else None
 
 
+def _with_paces(
+    view: _ScoreView,
+    paces: RunnerPaces,
+    *,
+    has_prompt: bool,
+    names: tuple[str, ...],
+) -> _ScoreView:
+    durations = paces.relative_durations(names, has_prompt=has_prompt)
+    return attrs.evolve(
+        view,
+        durations=durations,
+        shortest_duration=min(durations.values()),
+        knees=paces.knees(names, has_prompt=has_prompt),
+    )
+
+
 def _score(
     work: PlannedWork,
     backlog: RunnerBacklog,
@@ -286,17 +319,11 @@
 ) -> float:
     load = backlog.load_count(view.now_ms)
     excess = max(0, load + 1 - backlog.slot_count)
-    queued_tokens = backlog.unread_tokens + backlog.remote_unread_tokens
-    own_tokens = backlog.unread_tokens_of(work)
-    tokens_per_request = float(_UNKNOWN_PROMPT_TOKENS)
     if work.prompt_tokens:
-        tokens_per_request = _STREAM_TOKENS + own_tokens * view.stall_share
-    score = float(
-        queued_tokens
-        + own_tokens
-        + load * tokens_per_request
-        + excess * _FULL_PENALTY_TOKENS
-    )
+        score = _prompt_score(work, backlog, view, load)
+    else:
+        score = _plain_score(backlog, view, load)
+    score += excess * _FULL_PENALTY_TOKENS
     score += backlog.failure_share * _FAILURE_PENALTY_TOKENS
     if backlog.runner == view.reserved_runner:
         score += work.output_limit_tokens * _RESERVED_RUNNER_TOKENS
@@ -305,5 +332,34 @@
     return score
 
 
+def _prompt_score(
+    work: PlannedWork,
+    backlog: RunnerBacklog,
+    view: _ScoreView,
+    load: int,
+) -> float:
+    """Returns the time to the first event, in tokens at the typical pace."""
+    own_tokens = backlog.unread_tokens_of(work)
+    tokens_per_request = _STREAM_TOKENS + own_tokens * view.stall_share
+    queued_tokens = backlog.unread_tokens + backlog.remote_unread_tokens
+    duration = view.durations[backlog.runner]
+    duration *= max(1, (load + 1) / view.knees[backlog.runner])
+    return duration * (queued_tokens + own_tokens + load * tokens_per_request)
+
+
+def _plain_score(backlog: RunnerBacklog, view: _ScoreView, load: int) -> float:
+    """Returns the load and the duration beyond that of the fastest runner.
+
+    The whole duration of typical work costs as much as the requests that a
+    runner handles up to its knee, so a fast runner is filled up to there before
+    a slower one gets more than its share.
+    """
+    knee = view.knees[backlog.runner]
+    duration = view.durations[backlog.runner] * max(1, (load + 1) / knee)
+    excess_duration = duration - view.shortest_duration
+    capacity = max(1, min(knee, backlog.slot_count))
+    return _UNKNOWN_PROMPT_TOKENS * (load + capacity * excess_duration)
+
+
 def _runner_name(backlog: RunnerBacklog) -> str:
     return backlog.runner
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -117,9 +117,11 @@
 
     @property
     def knee(self) -> float:
-        if self.prefill.noted_ms is None:
-            return self.plain.knee.knee
-        return self.prefill.knee.knee
+        has_prompt = self.prefill.noted_ms is not None
+        return self.work(has_prompt=has_prompt).knee.knee
+
+    def work(self, *, has_prompt: bool) -> _WorkPace:
+        return self.prefill if has_prompt else self.plain
 
     def slowdown(self, now_ms: int) -> float:
         if self.slowdown_ms is None:
@@ -263,11 +265,11 @@
             return None
         slowdown = state.slowdown(self._clock.monotonic_ms())
         unread_tokens = queued_tokens + own_tokens
-        kind = state.prefill if unread_tokens else state.plain
-        duration = kind.current(slowdown)
+        work = state.work(has_prompt=bool(unread_tokens))
+        duration = work.current(slowdown)
         if duration is None:
             return None
-        return duration * max(unread_tokens, 1) * kind.knee.stretch(in_work)
+        return duration * max(unread_tokens, 1) * work.knee.stretch(in_work)
 
     def relative_durations(
         self,
@@ -277,46 +279,66 @@
     ) -> dict[str, float]:
         """Returns how many times longer than typical work takes at runners.
 
-        Typical is the median of these runners. The factor is 1 for those that
-        are unknown and for those that differ no more than equal ones do; it
-        approaches 1 if there have been no samples for some seconds.
+        Typical is the median of these runners. The factor of unknown ones is
+        their reported slowdown. It is 1 for those that differ no more than
+        equal ones do, and approaches 1 if there have been no samples for some
+        seconds.
         """
         now_ms = self._clock.monotonic_ms()
         durations = {
             runner: self._duration(runner, now_ms, has_prompt=has_prompt)
             for runner in runners
         }
-        known = [known for known in durations.values() if known is not None]
-        if not known:
-            return dict.fromkeys(durations, 1.0)
-        typical = statistics.median(known)
+        typical = statistics.median(
+            [known for known in durations.values() if known is not None] or [1],
+        )
         return {
-            runner: (
-                1.0
-                if duration is None
-                else self._relative(
-                    runner,
-                    duration / typical,
-                    now_ms,
-                    has_prompt=has_prompt,
-                )
+            runner: self._relative(
+                runner,
+                None if duration is None else duration / typical,
+                now_ms,
+                has_prompt=has_prompt,
             )
             for runner, duration in durations.items()
         }
 
+    def knees(
+        self,
+        runners: Iterable[str],
+        *,
+        has_prompt: bool,
+    ) -> dict[str, float]:
+        """Returns the knee of each runner; infinite if unknown."""
+        return {
+            runner: self._knee(runner, has_prompt=has_prompt)
+            for runner in runners
+        }
+
+    def _knee(self, runner: str, *, has_prompt: bool) -> float:
+        state = self._states.get(runner)
+        if state is None:
+            return math.inf
+        return state.work(has_prompt=has_prompt).knee.knee
+
     def _relative(
         self,
         runner: str,
-        factor: float,
+        factor: float | None,
         now_ms: int,
         *,
         has_prompt: bool,
     ) -> float:
+        state = self._states.get(runner)
+        if state is None:
+            return 1
+        noted_ms: int | None = now_ms
+        if factor is None:
+            factor = state.slowdown(now_ms)
+        else:
+            noted_ms = state.work(has_prompt=has_prompt).noted_ms
         if 1 / _EQUAL_FACTOR <= factor <= _EQUAL_FACTOR:
             return 1
-        state = self._states[runner]
-        kind = state.prefill if has_prompt else state.plain
-        stale_ms = max(0, now_ms - (kind.noted_ms or 0) - _FRESH_MS)
+        stale_ms = max(0, now_ms - (noted_ms or 0) - _FRESH_MS)
         bounded = max(1 / _MAX_RELATIVE, min(_MAX_RELATIVE, factor))
         return float(bounded ** math.exp(-stale_ms / _FORGET_MS))
 
@@ -330,8 +352,8 @@
         state = self._states.get(runner)
         if state is None:
             return None
-        kind = state.prefill if has_prompt else state.plain
-        return kind.current(state.slowdown(now_ms))
+        work = state.work(has_prompt=has_prompt)
+        return work.current(state.slowdown(now_ms))
 
     def _state(self, runner: str) -> _RunnerState:
         return self._states.setdefault(runner, _RunnerState())
