--- a/teaseldale/routing/tests/modelled_engine.py
+++ b/teaseldale/routing/tests/modelled_engine.py
@@ -65,3 +65,42 @@
         if rng.random() < 0.15:
             tokens = 6000 + int(rng.expovariate(1 / 4000))
         yield now_ms, tokens
+
+
+class PacedRunner:
+    """Reads prompts in order at its own pace, more slowly beyond its knee."""
+
+    def __init__(self, *, tokens_per_ms, slots, knee):
+        self.tokens_per_ms = tokens_per_ms
+        self.slots = slots
+        self.knee = knee
+        self.free_ms = 0.0  # end of the last prompt that has been placed
+        self.ends_ms = []  # end of each stream
+        self.request_count = 0
+
+    def first_event_at(self, now_ms, tokens):
+        """Returns when a prompt that is placed now would be read."""
+        stretch = max(1, (self.in_work(now_ms) + 1) / self.knee)
+        started_ms = max(now_ms, self.free_ms)
+        return started_ms + tokens / self.tokens_per_ms * stretch
+
+    def add(self, now_ms, tokens):
+        """Adds a request and returns the time of its first event."""
+        self.free_ms = self.first_event_at(now_ms, tokens)
+        self.ends_ms.append(self.free_ms + _STREAM_MS)
+        self.request_count += 1
+        return self.free_ms
+
+    def in_work(self, now_ms):
+        """Returns the number of requests that have not ended."""
+        self.ends_ms = [end_ms for end_ms in self.ends_ms if end_ms > now_ms]
+        return len(self.ends_ms)
+
+
+def steady_arrivals(duration_ms, seed, per_second):
+    """Yields arrival times and prompt tokens of a constant mean rate."""
+    rng = random.Random(seed)
+    now_ms = 0.0
+    while now_ms < duration_ms:
+        now_ms += rng.expovariate(per_second / 1000)
+        yield now_ms, int(rng.lognormvariate(math.log(2500), 0.7))
