--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -11,6 +11,7 @@
 from teaseldale.forwarding._connection_pools import RunnerConnectionPools
 from teaseldale.forwarding._crash_reports import CrashReports
 from teaseldale.forwarding._link_totals import read_link_totals
+from teaseldale.forwarding._pace_reports import PaceReports
 from teaseldale.forwarding._process_end import ProcessEnd
 from teaseldale.forwarding._runner_announcements import RunnerAnnouncements
 from teaseldale.forwarding._runners import RunnerDirectory
@@ -57,6 +58,7 @@
     log: StateLog
     held_bytes: ByteBudget
     link_bytes_per_s: int = 0  # rate of the VM's link; 0 if it is not known
+    pace_reports: PaceReports = attrs.field(factory=PaceReports)
     process_end: ProcessEnd = attrs.field(factory=ProcessEnd)
     room: VmRoom = attrs.field(init=False)
 
