--- a/teaseldale/forwarding/_node.py
+++ b/teaseldale/forwarding/_node.py
@@ -2,6 +2,13 @@
 
 import attrs
 
+from teaseldale.web import ClientLimits, connection_count_of
+
+
+def default_client_limits() -> ClientLimits:
+    """Returns the limits of a process that only the system limits."""
+    return ClientLimits(connection_count=connection_count_of(0))
+
 
 @attrs.frozen(kw_only=True)
 class Address:
@@ -57,4 +64,5 @@
     memory_bytes: int  # the process is killed above it
     # Rate of the VM's link, in each direction; 0 if it is not known.
     link_bytes_per_s: int = 0
+    client_limits: ClientLimits = attrs.field(factory=default_client_limits)
     is_first_start: bool = False  # no VM of the fleet has run before
--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -58,7 +58,9 @@
         A runner of another cell can be the source of a fetch.
         """
         choice = self._parts.choice
-        if choice.is_prefix_cached(self._work):
+        if any(
+            backlog.caches_prefix(self._work) for backlog in choice.backlogs()
+        ):
             return
         runner_id = await self._parts.part_directory.find(self._work)
         runner = runner_id and self._parts.directory.find(runner_id)
--- a/teaseldale/platform/_settings_file.py
+++ b/teaseldale/platform/_settings_file.py
@@ -15,6 +15,12 @@
     NodeSettings,
     RetryLimits,
 )
+from teaseldale.platform._vm_limits import (
+    VmLimits,
+    client_limits_of,
+    link_bytes_per_s_of,
+    memory_bytes_of,
+)
 from teaseldale.settings import SettingsError
 
 SETTINGS_VARIABLE = 'TEASELDALE_NODE_FILE'
@@ -22,10 +28,6 @@
 METRICS_PORT = 9464
 
 _MS_PER_SECOND = 1000
-_BYTES_PER_MB = 1_000_000
-_BYTES_PER_MBIT = 125_000
-# Memory that a VM may use at the target size.
-_DEFAULT_MEMORY_MB = 256
 _MAX_PORT = 65_535
 # Bounds that a contract requires. Without the contract they may be missing, and
 # the feature that they limit is off.
@@ -67,13 +69,6 @@
     address: str = msgspec.field(name='Address')
 
 
-class _Limits(msgspec.Struct):
-    # 0 if there is no limit.
-    memory_mb: float = msgspec.field(name='MemoryMb', default=0)
-    # 0 if the rate is not known.
-    link_mbps: float = msgspec.field(name='LinkMbps', default=0)
-
-
 class _SettingsFile(msgspec.Struct):
     name: str = msgspec.field(name='NodeName')
     ip: str = msgspec.field(name='Ip')
@@ -83,7 +78,7 @@
     listen: _Listen = msgspec.field(name='Listen')
     bounds: _Bounds = msgspec.field(name='Bounds')
     platform: _Platform = msgspec.field(name='Platform')
-    limits: _Limits = msgspec.field(name='Limits', default_factory=_Limits)
+    limits: VmLimits = msgspec.field(name='Limits', default_factory=VmLimits)
     # Whether the whole system is started for the first time.
     is_first_start: bool = msgspec.field(name='Bootstrap', default=False)
     # Parts of the rules in force; each requires some of the bounds.
@@ -132,8 +127,9 @@
         peer_address=Address(ip=decoded.ip, port=decoded.port_range[0]),
         store_address=decode_address(decoded.platform.address),
         retry_bounds=_retry_limits_of(bounds),
-        memory_bytes=_memory_bytes_of(decoded.limits),
-        link_bytes_per_s=_link_bytes_per_s_of(decoded.limits),
+        memory_bytes=memory_bytes_of(decoded.limits),
+        link_bytes_per_s=link_bytes_per_s_of(decoded.limits),
+        client_limits=client_limits_of(decoded.limits),
         grace_ms=int(bounds.grace_s * _MS_PER_SECOND),
         exposure=_exposure_limits_of(bounds),
     )
@@ -158,15 +154,6 @@
     )
 
 
-def _memory_bytes_of(limits: _Limits) -> int:
-    memory_mb = limits.memory_mb if limits.memory_mb > 0 else _DEFAULT_MEMORY_MB
-    return int(memory_mb * _BYTES_PER_MB)
-
-
-def _link_bytes_per_s_of(limits: _Limits) -> int:
-    return max(0, int(limits.link_mbps * _BYTES_PER_MBIT))
-
-
 def _missing_bounds(document: Mapping[str, object]) -> list[str]:
     """Returns one message for each bound that a listed contract lacks."""
     contracts = document.get('Contracts')
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Routing of requests to upstreams."""
+"""Routing of requests to upstreams."""  # noqa: WPS201
 
 from typing import TYPE_CHECKING
 
--- a/teaseldale/routing/_runner_backlog.py
+++ b/teaseldale/routing/_runner_backlog.py
@@ -61,6 +61,13 @@
             unread -= part.token_count
         return max(unread, 0)
 
+    def caches_prefix(self, work: PlannedWork) -> bool:
+        """Returns whether all shared parts of a prompt are cached here.
+
+        The last part is specific to the request.
+        """
+        return all(part.part_id in self.parts for part in work.parts[:-1])
+
     def note_parts(self, work: PlannedWork) -> None:
         """Records that the runner caches all parts of ``work``."""
         for part in work.parts:
