--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -49,6 +49,7 @@
 )
 from teaseldale.routing import (
     BacklogChoice,
+    OverloadAdmission,
     PlacementExchange,
     RetryWindow,
     RunnerPermits,
@@ -212,6 +213,12 @@
         directory=directory,
         connections=connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
+        overload=OverloadAdmission(
+            clock=clock,
+            metrics=metrics,
+            random_source=random_source,
+            vm_count=lambda: members.vm_count,
+        ),
         cells=links.cells,
         retries=RetryWindow(
             clock=clock,
--- a/teaseldale/forwarding/_attempt.py
+++ b/teaseldale/forwarding/_attempt.py
@@ -129,6 +129,7 @@
         if reply.is_not_run:
             if not reply.is_misdirected:
                 self._parts.announcements.note_rejection(self.runner)
+                self._parts.overload.note_rejection(self.runner.service)
             answer.release()
             return NotRun(
                 reason=f'status {reply.status}',
@@ -204,6 +205,11 @@
             self.note_first_output()
             self._parts.choice.mark_completed(self._placed)
             self._parts.permits.release(self._permit)
+            if self._answer_began_ms is not None:
+                self._parts.overload.note_end(
+                    self.runner.service,
+                    self.running_ms,
+                )
 
     def note_broken_answer(self) -> None:
         """Records that the answer ended before it was complete."""
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -20,6 +20,7 @@
 from teaseldale.metrics import Metrics
 from teaseldale.routing import (
     BacklogChoice,
+    OverloadAdmission,
     RetryWindow,
     RunnerLimits,
     RunnerPermits,
@@ -36,6 +37,7 @@
     directory: RunnerDirectory
     connections: RunnerConnectionPools
     choice: BacklogChoice
+    overload: OverloadAdmission
     cells: FleetCells
     retries: RetryWindow
     crashes: CrashReports
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -273,6 +273,22 @@
         admitted: AdmittedRequest,
         answer: CallerAnswer,
     ) -> None:
+        try:
+            await self._run_in_turn(run, admitted, answer)
+        finally:
+            run.turn.end()
+
+    async def _run_in_turn(
+        self,
+        run: RequestRun,
+        admitted: AdmittedRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        # Before the reservation, so that waiting requests hold no tokens.
+        refusal = await run.turn.take()
+        if refusal is not None:
+            await answer.refuse(refusal, admitted.request)
+            return
         reserved = await self._admission.reserve(admitted)
         if isinstance(reserved, Refusal):
             await answer.refuse(reserved, admitted.request)
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -138,6 +138,17 @@
     )
 
 
+def runners_full(service: str, reason: str, retry_after_ms: float) -> Refusal:
+    """Returns the refusal of a request that would wait too long for a slot."""
+    return Refusal(
+        code=RefusalCode.RUNNERS_FULL,
+        message=f'The runners of {service!r} have no free slot ({reason}).',
+        not_run=True,
+        step=Step.ADMIT,
+        retry_after_ms=max(1, int(retry_after_ms)),
+    )
+
+
 def answer_broke_off(reason: str, peer: str) -> Refusal:
     """Returns the refusal after a broken answer; the request may have run."""
     return Refusal(
--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -60,6 +60,7 @@
             used_tokens=record.used_tokens,
             first_event_ms=record.first_event_ms,
             longest_gap_ms=record.longest_gap_ms,
+            turn_wait_ms=run.turn.waited_ms,
             duration_ms=duration_ms,
             left_ms=int(admitted.deadline_at_ms - now_ms),
         )
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -24,6 +24,7 @@
     runners_limited,
     timed_out,
 )
+from teaseldale.forwarding._request_turn import RequestTurn
 from teaseldale.forwarding._runner_selection import RunnerSelection
 from teaseldale.forwarding._wire import Dispatch
 from teaseldale.outcomes import Refusal, Step
@@ -102,6 +103,12 @@
             admitted=admitted,
             work=self._work,
         )
+        self.turn = RequestTurn(  # to be ended by the caller of ``run``
+            parts=parts,
+            admitted=admitted,
+            work=self._work,
+            answer=answer,
+        )
         self._crash_guard = CrashGuard(
             crashes=parts.crashes,
             clock=parts.clock,
@@ -141,6 +148,8 @@
     async def _next_attempt(self) -> Attempt | None:
         if not self._may_attempt() or self._crash_guard.is_quarantined:
             return None
+        if await self.turn.take() is not None:
+            return None
         selected = await self._selection.select()
         if selected is None:
             return None
@@ -153,12 +162,14 @@
             self._parts.permits.release(selected.permit)
             return None
         self.record.runners.append(selected.runner.runner_id)
-        return Attempt(
+        attempt = Attempt(
             parts=self._parts,
             selected=selected,
             work=self._work,
             route=self._route.name,
         )
+        self.turn.end()
+        return attempt
 
     def _may_retry(self) -> bool:
         """Takes a retry from the window unless this is the first attempt."""
@@ -381,7 +392,7 @@
             return draining()
         limited_for_ms = self._selection.limited_for_ms
         if limited_for_ms is None:
-            return no_runner(self._admitted.service)
+            return self.turn.refusal or no_runner(self._admitted.service)
         return runners_limited(
             self._admitted.service,
             self._parts.random_source.uniform(1, _MAX_SPREAD) * limited_for_ms,
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -49,6 +49,7 @@
 from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
 from teaseldale.routing import (
     BacklogChoice,
+    OverloadAdmission,
     RetryWindow,
     RunnerLimits,
     RunnerPermits,
@@ -206,6 +207,12 @@
         directory=directory,
         connections=options.connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
+        overload=OverloadAdmission(
+            clock=clock,
+            metrics=metrics,
+            random_source=random_source,
+            vm_count=lambda: len(members.entries()),
+        ),
         cells=cells,
         retries=RetryWindow(
             clock=clock,
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -23,6 +23,7 @@
     IN_DOUBT = 'in_doubt'
     REQUEST_RUNNING = 'request_running'
     OVERLOADED = 'overloaded'
+    RUNNERS_FULL = 'runners_full'
     MEMORY_FULL = 'memory_full'
     QUARANTINED = 'quarantined'
     CRASHES_RUNNERS = 'crashes_runners'
@@ -51,6 +52,7 @@
     RefusalCode.IN_DOUBT: 409,
     RefusalCode.REQUEST_RUNNING: 409,
     RefusalCode.OVERLOADED: 429,
+    RefusalCode.RUNNERS_FULL: 503,
     RefusalCode.MEMORY_FULL: 503,
     RefusalCode.QUARANTINED: 409,
     RefusalCode.CRASHES_RUNNERS: 503,
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -17,6 +17,14 @@
     )
     from teaseldale.routing._fleet_router import FleetRouter
     from teaseldale.routing._limit_holders import BaseLimitHolders
+    from teaseldale.routing._overload_admission import OverloadAdmission
+    from teaseldale.routing._overload_request import (
+        OverloadAction,
+        OverloadDecision,
+        OverloadReason,
+        OverloadRequest,
+        WaitingTurn,
+    )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
         PlacementExchange,
@@ -70,6 +78,14 @@
             'RoundRobinChoice',
         ),
         'teaseldale.routing._fleet_router': ('FleetRouter',),
+        'teaseldale.routing._overload_admission': ('OverloadAdmission',),
+        'teaseldale.routing._overload_request': (
+            'OverloadAction',
+            'OverloadDecision',
+            'OverloadReason',
+            'OverloadRequest',
+            'WaitingTurn',
+        ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
             'PlacementExchange',
@@ -128,6 +144,11 @@
     'LeastInFlightChoice',
     'LeastReportedChoice',
     'LocalRouter',
+    'OverloadAction',
+    'OverloadAdmission',
+    'OverloadDecision',
+    'OverloadReason',
+    'OverloadRequest',
     'Permit',
     'PlacedWork',
     'Placement',
@@ -150,6 +171,7 @@
     'SharedPart',
     'StartNeed',
     'UpstreamPool',
+    'WaitingTurn',
     'need_of',
     'prefix_hashes',
 )
--- /dev/null
+++ b/teaseldale/routing/_overload_admission.py
@@ -0,0 +1,384 @@
+"""Admission of requests while the runners of a service are short.
+
+With a free slot a request starts at once. Otherwise it waits in the VM, from
+where it can go to whichever runner is free first, or is refused early.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from teaseldale.clock import BaseClock
+from teaseldale.logs import StateLog
+from teaseldale.metrics import Metrics
+from teaseldale.routing._overload_credit import StartCredit
+from teaseldale.routing._overload_estimate import (
+    BaseStartEstimate,
+    UnknownStart,
+)
+from teaseldale.routing._overload_load import PoolLoad, load_of
+from teaseldale.routing._overload_queue import OverloadQueue
+from teaseldale.routing._overload_request import (
+    OverloadAction,
+    OverloadDecision,
+    OverloadReason,
+    OverloadRequest,
+    WaitingTurn,
+)
+from teaseldale.routing._overload_returns import ReturnSchedule
+from teaseldale.routing._runner_backlog import RunnerBacklog
+
+_QUEUE_LIMIT_COUNT = 256  # per service and VM
+# A refusal is due within an eighth of the goal, less the time to send it.
+_REFUSAL_GOAL_SHARE = 0.1
+# A request stays longer only if it is expected to start in this part of the
+# time that its goal leaves, as estimates of the start rate vary.
+_SURE_SHARE = 0.5
+# Below this share of taken slots runners are not short, whatever is estimated.
+_SHORT_SHARE = 0.5
+# First events of prompts that take longer than the goal by themselves may take
+# this many times as long as on an idle runner.
+_LONG_PROMPT_FACTOR = 1.5
+_MIN_CHECK_MS = 2.0
+_LOG_INTERVAL_MS = 1000
+
+_Views = Callable[[], tuple[RunnerBacklog, ...]]
+
+
+def _one_vm() -> int:
+    return 1
+
+
+@attrs.define(kw_only=True)
+class _Pool:
+    name: str
+    views: _Views
+    credit: StartCredit
+    returns: ReturnSchedule
+    queue: OverloadQueue = attrs.field(
+        factory=lambda: OverloadQueue(limit_count=_QUEUE_LIMIT_COUNT),
+    )
+    starting_count: int = 0  # started, but not yet placed at a runner
+    refused_count: int = 0  # since the last log line
+    longest_wait_ms: float = 0
+    logged_ms: float = 0
+
+
+class OverloadAdmission:
+    """Decides whether requests start, wait or are refused."""
+
+    def __init__(
+        self,
+        *,
+        clock: BaseClock,
+        metrics: Metrics,
+        random_source: random.Random,
+        estimate: BaseStartEstimate | None = None,
+        vm_count: Callable[[], int] = _one_vm,
+    ) -> None:
+        """Uses ``estimate`` for times to the first event.
+
+        ``vm_count`` returns the number of VMs that use the same runners.
+        """
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random_source
+        self._estimate = estimate or UnknownStart()
+        self._vm_count = vm_count
+        self._pools: dict[str, _Pool] = {}
+        self._log = StateLog(channel='overload')
+
+    def decide(
+        self,
+        request: OverloadRequest,
+        views: _Views,
+        on_settled: Callable[[], None],
+    ) -> tuple[WaitingTurn, OverloadDecision]:
+        """Returns the turn of a new request and what to do with it.
+
+        ``views`` returns the backlogs of the runners of the request's pool; it
+        is called again whenever a turn may have come. A turn that starts must
+        be passed to ``end_start`` once its request is placed or given up. One
+        that waits must be passed to ``check`` after the decision's wait and
+        after ``on_settled`` was called, or to ``cancel``.
+        """
+        pool = self._pool(request, views)
+        now_ms = self._clock.monotonic_ms()
+        turn = WaitingTurn(
+            request=request,
+            on_settled=on_settled,
+            is_returning=pool.returns.take_return(
+                (request.account, request.route),
+                now_ms,
+            ),
+        )
+        load = self._load(pool)
+        if not pool.queue and load.free_count > pool.starting_count:
+            pool.queue.usual.note(request.account, now_ms, request.cost_tokens)
+        removed = pool.queue.add(turn)
+        if removed is turn:
+            return turn, self._refuse(pool, turn, OverloadReason.QUEUE_FULL)
+        if removed is not None:
+            removed.settle()
+        self._serve(pool, load)
+        return turn, self._decide_on(pool, turn, load)
+
+    def check(self, turn: WaitingTurn) -> OverloadDecision:
+        """Returns what to do with a request that has waited."""
+        pool = self._pools[turn.request.pool]
+        load = self._load(pool)
+        if not turn.is_settled:
+            self._serve(pool, load)
+        return self._decide_on(pool, turn, load)
+
+    def _decide_on(
+        self,
+        pool: _Pool,
+        turn: WaitingTurn,
+        load: PoolLoad,
+    ) -> OverloadDecision:
+        if turn.is_started:
+            return OverloadDecision(action=OverloadAction.START)
+        if turn.is_settled:
+            return self._refuse(pool, turn, OverloadReason.QUEUE_FULL)
+        reason = self._find_objection(pool, turn, load)
+        if turn.is_started:
+            return OverloadDecision(action=OverloadAction.START)
+        if reason is not None:
+            pool.queue.remove(turn)
+            return self._refuse(pool, turn, reason)
+        return OverloadDecision(
+            action=OverloadAction.WAIT,
+            wait_ms=self._next_check_ms(pool, turn, load),
+        )
+
+    def cancel(self, turn: WaitingTurn) -> None:
+        """Gives up a turn that waits or has started."""
+        pool = self._pools[turn.request.pool]
+        if turn.is_started:
+            self.end_start(turn)
+        elif not turn.is_settled:
+            turn.is_settled = True
+            pool.queue.remove(turn)
+
+    def end_start(self, turn: WaitingTurn) -> None:
+        """Ends a start, as its request now counts at its runner; idempotent."""
+        if turn.is_started:
+            turn.is_started = False
+            self._pools[turn.request.pool].starting_count -= 1
+
+    def note_end(self, name: str, held_ms: float) -> None:
+        """Records that a request of a pool has left its runner."""
+        pool = self._pools.get(name)
+        if pool is None:
+            return
+        pool.credit.note_work(held_ms)
+        if not pool.queue:
+            pool.credit.note_end(load_share=1)
+            return
+        load = self._load(pool)
+        self._serve(pool, load)
+        if load.free_count <= pool.starting_count:
+            pool.credit.note_end(load.share)
+            self._serve(pool, load)
+
+    def note_rejection(self, name: str) -> None:
+        """Records that a full runner of a pool has rejected a request."""
+        pool = self._pools.get(name)
+        if pool is not None:
+            pool.credit.note_rejection()
+
+    def _pool(self, request: OverloadRequest, views: _Views) -> _Pool:
+        pool = self._pools.get(request.pool)
+        if pool is None:
+            pool = _Pool(
+                name=request.pool,
+                views=views,
+                credit=StartCredit(
+                    work_ms=request.goal_ms,
+                    goal_ms=request.goal_ms,
+                ),
+                returns=ReturnSchedule(random_source=self._random),
+            )
+            self._pools[request.pool] = pool
+        pool.views = views
+        return pool
+
+    def _load(self, pool: _Pool) -> PoolLoad:
+        return load_of(pool.views(), self._clock.monotonic_ms())
+
+    def _serve(self, pool: _Pool, load: PoolLoad) -> None:
+        """Starts waiting requests in order while there is room or credit."""
+        if not pool.queue:
+            return
+        now_ms = self._clock.monotonic_ms()
+        pool.credit.refill(now_ms, load.slot_count, self._vm_count())
+        while True:
+            turn = pool.queue.first()
+            if turn is None or not self._may_start(pool, turn, load):
+                break
+            self._start(pool, turn)
+        self._metrics.set_gauge('overload_waiting', self._waiting_count)
+
+    def _start(self, pool: _Pool, turn: WaitingTurn) -> None:
+        now_ms = self._clock.monotonic_ms()
+        pool.queue.start(turn)
+        pool.starting_count += 1
+        pool.credit.note_start(now_ms)
+        turn.is_started = True
+        turn.settle()
+        waited_ms = now_ms - turn.request.arrival_ms
+        pool.longest_wait_ms = max(pool.longest_wait_ms, waited_ms)
+        self._metrics.record_ms('overload_wait', int(waited_ms))
+
+    @property
+    def _waiting_count(self) -> int:
+        return sum(len(pool.queue) for pool in self._pools.values())
+
+    def _may_start(
+        self, pool: _Pool, turn: WaitingTurn, load: PoolLoad
+    ) -> bool:
+        if not load.runners:
+            return True
+        if load.free_count > pool.starting_count:
+            return self._fits(turn.request, load) or pool.credit.take()
+        return pool.credit.take()
+
+    def _fits(self, request: OverloadRequest, load: PoolLoad) -> bool:
+        """Returns whether a first event is expected in time at some runner."""
+        if load.share < _SHORT_SHARE:
+            return True
+        first_ms = load.first_event_ms(self._estimate, request.work)
+        if first_ms is None:
+            return True
+        left_ms = request.goal_at_ms - self._clock.monotonic_ms()
+        alone_ms = load.idle_event_ms(self._estimate, request.work) or 0
+        return first_ms <= max(left_ms, _LONG_PROMPT_FACTOR * alone_ms)
+
+    def _find_objection(
+        self,
+        pool: _Pool,
+        turn: WaitingTurn,
+        load: PoolLoad,
+    ) -> OverloadReason | None:
+        """Returns why a request is not to wait any longer, or None.
+
+        Starts a request that was to be kept and cannot wait any longer.
+        """
+        request = turn.request
+        now_ms = self._clock.monotonic_ms()
+        # Time at a runner; an unknown one may take half of the goal.
+        first_ms = load.idle_event_ms(self._estimate, request.work)
+        if first_ms is None:
+            first_ms = min(pool.credit.work_ms, request.goal_ms / 2)
+        # Prompts that take longer than the goal by themselves are late anyway.
+        latest_ms = max(
+            request.goal_at_ms,
+            request.arrival_ms + first_ms * _LONG_PROMPT_FACTOR,
+        )
+        spare_ms = min(latest_ms, request.deadline_at_ms) - first_ms - now_ms
+        if turn.is_kept:
+            if spare_ms <= _refusal_time_ms(request):
+                pool.credit.take_ahead()
+                self._start(pool, turn)
+            return None
+        interval_ms = self._interval_ms(pool, load)
+        wait_ms = (pool.queue.count_ahead(turn) + 0.5) * interval_ms
+        if now_ms + wait_ms + first_ms > request.deadline_at_ms:
+            return OverloadReason.DEADLINE
+        if wait_ms > max(spare_ms, 0):
+            return OverloadReason.GOAL
+        refuse_at_ms = _refuse_at_ms(request)
+        if now_ms < refuse_at_ms:
+            return None
+        if wait_ms + interval_ms > spare_ms * _SURE_SHARE:
+            return OverloadReason.WAITED
+        turn.is_kept = True
+        return None
+
+    def _interval_ms(self, pool: _Pool, load: PoolLoad) -> float:
+        """Returns the expected time between two starts."""
+        now_ms = self._clock.monotonic_ms()
+        vm_count = self._vm_count()
+        rate = max(
+            pool.credit.start_rate_per_ms(now_ms),
+            pool.credit.floor_per_ms(load.slot_count, vm_count),
+        )
+        return 1 / rate if rate else 0
+
+    def _next_check_ms(
+        self,
+        pool: _Pool,
+        turn: WaitingTurn,
+        load: PoolLoad,
+    ) -> float:
+        now_ms = self._clock.monotonic_ms()
+        left_ms = _refuse_at_ms(turn.request) - now_ms
+        if left_ms <= 0:
+            left_ms = _refusal_time_ms(turn.request)
+        # The first one starts as soon as there is credit.
+        floor = pool.credit.floor_per_ms(load.slot_count, self._vm_count())
+        if floor and pool.queue.first() is turn:
+            missing = max(0, 1 - pool.credit.credit)
+            left_ms = min(left_ms, missing / floor)
+        return max(_MIN_CHECK_MS, left_ms)
+
+    def _refuse(
+        self,
+        pool: _Pool,
+        turn: WaitingTurn,
+        reason: OverloadReason,
+    ) -> OverloadDecision:
+        request = turn.request
+        turn.is_settled = True
+        now_ms = self._clock.monotonic_ms()
+        load = self._load(pool)
+        self._metrics.increment('overload_refusals', reason)
+        pool.refused_count += 1
+        self._log_state(pool, load, reason)
+        return OverloadDecision(
+            action=OverloadAction.REFUSE,
+            wait_ms=pool.returns.assign_ms(
+                (request.account, request.route),
+                now_ms=now_ms,
+                left_ms=request.deadline_at_ms - now_ms,
+                useful_ms=(request.goal_at_ms - now_ms) * _SURE_SHARE,
+                interval_ms=self._interval_ms(pool, load),
+            ),
+            reason=reason,
+        )
+
+    def _log_state(
+        self,
+        pool: _Pool,
+        load: PoolLoad,
+        reason: OverloadReason,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - pool.logged_ms < _LOG_INTERVAL_MS and pool.logged_ms:
+            return
+        self._log.changed(
+            'overload',
+            service=pool.name,
+            refused=pool.refused_count,
+            reason=reason,
+            waiting=len(pool.queue),
+            longest_wait_ms=int(pool.longest_wait_ms),
+            taken=sum(load.counts),
+            slots=load.slot_count,
+            work_ms=int(pool.credit.work_ms),
+        )
+        pool.logged_ms = now_ms
+        pool.refused_count = 0
+        pool.longest_wait_ms = 0
+
+
+def _refuse_at_ms(request: OverloadRequest) -> float:
+    return request.arrival_ms + _refusal_time_ms(request)
+
+
+def _refusal_time_ms(request: OverloadRequest) -> float:
+    """Returns the time within which a refusal is decided."""
+    time_ms = request.goal_at_ms - request.arrival_ms
+    return time_ms * _REFUSAL_GOAL_SHARE
