--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -41,6 +41,11 @@
 # this many times as long as on an idle runner.
 _LONG_PROMPT_FACTOR = 1.5
 _MIN_CHECK_MS = 2.0
+# Reports that are older than this many mean times of a request at a runner do
+# not justify a refusal.
+_REPORT_WORK_FACTOR = 2
+# Debt up to which a start may be taken ahead to get a new report.
+_LEAST_PROBE_CREDIT = -1
 _LOG_INTERVAL_MS = 1000
 
 _Views = Callable[[], tuple[RunnerBacklog, ...]]
@@ -145,6 +150,10 @@
         reason = self._find_objection(pool, turn, load)
         if turn.is_started:
             return OverloadDecision(action=OverloadAction.START)
+        if reason is not None and self._may_probe(pool, turn, load):
+            pool.credit.take_ahead()
+            self._start(pool, turn)
+            return OverloadDecision(action=OverloadAction.START)
         if reason is not None:
             pool.queue.remove(turn)
             return self._refuse(pool, turn, reason)
@@ -256,6 +265,28 @@
         alone_ms = load.idle_event_ms(self._estimate, request.work) or 0
         return first_ms <= max(left_ms, _LONG_PROMPT_FACTOR * alone_ms)
 
+    def _may_probe(
+        self,
+        pool: _Pool,
+        turn: WaitingTurn,
+        load: PoolLoad,
+    ) -> bool:
+        """Returns whether to start a request in order to get a new report.
+
+        The shortage may have ended since the reports were made. Credit is taken
+        ahead, so that there are no more starts than without probes.
+        """
+        now_ms = self._clock.monotonic_ms()
+        valid_ms = _REPORT_WORK_FACTOR * pool.credit.work_ms
+        is_old = any(
+            now_ms - backlog.reported_ms > valid_ms for backlog in load.runners
+        )
+        return (
+            is_old
+            and pool.queue.first() is turn
+            and pool.credit.credit > _LEAST_PROBE_CREDIT
+        )
+
     def _find_objection(
         self,
         pool: _Pool,
--- a/teaseldale/routing/_overload_credit.py
+++ b/teaseldale/routing/_overload_credit.py
@@ -13,7 +13,7 @@
 
 _MAX_CREDIT = 2.0
 # Part of a VM's even share of the runners that it may use without free slots.
-_FLOOR_SHARE = 0.5
+_FLOOR_SHARE = 0.6
 _WORK_WEIGHT = 0.1  # of the newest sample in the moving average
 _RATE_MS = 500  # time constant of the start rate
 # Queue at runners, in relation to their slots, that keeps slots of short work
