--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -51,6 +51,7 @@
 )
 from teaseldale.routing import (
     BacklogChoice,
+    OverloadAdmission,
     PartDirectory,
     PlacementExchange,
     RetryWindow,
@@ -221,6 +222,12 @@
         directory=directory,
         connections=connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
+        overload=OverloadAdmission(
+            clock=clock,
+            metrics=metrics,
+            random_source=random_source,
+            vm_count=lambda: members.vm_count,
+        ),
         cells=links.cells,
         part_directory=PartDirectory(
             vm_name=settings.name,
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -24,6 +24,7 @@
 from teaseldale.routing import (
     BacklogChoice,
     LinkWindow,
+    OverloadAdmission,
     PartDirectory,
     RetryWindow,
     RunnerLimits,
@@ -42,6 +43,7 @@
     directory: RunnerDirectory
     connections: RunnerConnectionPools
     choice: BacklogChoice
+    overload: OverloadAdmission
     cells: FleetCells
     part_directory: PartDirectory
     retries: RetryWindow
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -51,6 +51,7 @@
 from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
 from teaseldale.routing import (
     BacklogChoice,
+    OverloadAdmission,
     PartDirectory,
     RetryWindow,
     RunnerLimits,
@@ -209,6 +210,12 @@
         directory=directory,
         connections=options.connections,
         choice=BacklogChoice(clock=clock, random_source=random_source),
+        overload=OverloadAdmission(
+            clock=clock,
+            metrics=metrics,
+            random_source=random_source,
+            vm_count=lambda: len(members.entries()),
+        ),
         cells=cells,
         part_directory=PartDirectory(
             vm_name=options.vm_name,
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Routing of requests to upstreams."""  # noqa: WPS201
+"""Routing of requests to upstreams."""
 
 from typing import TYPE_CHECKING
 
@@ -34,6 +34,16 @@
         LinkTotals,
         LinkWindow,
     )
+    from teaseldale.routing._overload_admission import (
+        OverloadAdmission,
+    )
+    from teaseldale.routing._overload_request import (
+        OverloadAction,
+        OverloadDecision,
+        OverloadReason,
+        OverloadRequest,
+        WaitingTurn,
+    )
     from teaseldale.routing._part_directory import (
         BasePartOwners,
         PartDirectory,
@@ -131,6 +141,14 @@
             'LinkTotals',
             'LinkWindow',
         ),
+        'teaseldale.routing._overload_admission': ('OverloadAdmission',),
+        'teaseldale.routing._overload_request': (
+            'OverloadAction',
+            'OverloadDecision',
+            'OverloadReason',
+            'OverloadRequest',
+            'WaitingTurn',
+        ),
         'teaseldale.routing._part_directory': (
             'BasePartOwners',
             'PartDirectory',
@@ -216,6 +234,11 @@
     'LinkTotals',
     'LinkWindow',
     'LocalRouter',
+    'OverloadAction',
+    'OverloadAdmission',
+    'OverloadDecision',
+    'OverloadReason',
+    'OverloadRequest',
     'PartDirectory',
     'Permit',
     'PlacedWork',
@@ -244,6 +267,7 @@
     'StartNeed',
     'UpstreamPool',
     'VmRoom',
+    'WaitingTurn',
     'need_of',
     'prefix_hashes',
 )
