--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -240,14 +240,6 @@
             slowdown=slowdown,
         )
 
-    def known_runners(self) -> tuple[str, ...]:
-        """Returns the runners with a known pace."""
-        return tuple(
-            runner
-            for runner, state in self._states.items()
-            if state.prefill.current(1) or state.plain.current(1)
-        )
-
     def first_event_ms(
         self,
         runner: str,
