--- a/teaseldale/forwarding/_vm_datagrams.py
+++ b/teaseldale/forwarding/_vm_datagrams.py
@@ -1,8 +1,8 @@
 """Service that exchanges datagrams with other VMs.
 
-Delivery is best effort: each placement notice carries counts that replace those
-of the previous one, and a VM that is short of tokens retries. Placement notices
-are sent only within the cell, so a VM's traffic does not grow with the fleet.
+Delivery is best effort: placements are sent repeatedly as totals, and a VM that
+is short of tokens retries. Placements are sent only within the cell and within
+a byte budget, so a VM's traffic grows neither with the fleet nor with its work.
 """
 
 import asyncio
@@ -16,18 +16,21 @@
 from teaseldale.forwarding._node import Address
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
-from teaseldale.members import FleetCells, MemberList
+from teaseldale.members import FleetCells, MemberList, VmEntry
 from teaseldale.metrics import Metrics
-from teaseldale.routing import PlacementExchange, RunnerLimits, RunnerRooms
+from teaseldale.routing import (
+    PlacementDatagram,
+    PlacementExchange,
+    RunnerLimits,
+    RunnerRooms,
+)
 
 # Coalescing interval of changed counts. Reading a prompt takes tens to hundreds
 # of ms, so that older counts would often miss the latest request.
 _COALESCE_MS = 15
-# The interval grows with the cell: each VM sends up to 300 datagrams a second,
-# which leaves the slowest links of current deployments to requests.
+# The interval grows with the cell, as each datagram goes to all VMs of it. The
+# exchange itself limits the bytes.
 _COALESCE_MS_PER_PEER = 3
-# First byte of a placement datagram; other kinds have handlers of their own.
-_PLACEMENT_KIND = b'p'
 # A VM of the cell that is silent for this long is removed from the list. Link
 # outages and process pauses on current deployments are shorter.
 _SILENCE_TIMEOUT_MS = 30_000
@@ -73,8 +76,8 @@
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: _Receiver(
-                exchange=self._exchange,
                 handlers={
+                    **self._exchange.handlers,
                     **self._grants.handlers,
                     **self._limits.handlers,
                     **self._rooms.handlers,
@@ -101,13 +104,22 @@
             pause_ms = len(self._cells.peers) * _COALESCE_MS_PER_PEER
             await self._clock.sleep_ms(max(_COALESCE_MS, pause_ms))
             self._exchange.remove_expired()
-            notice = self._exchange.next_notice()
-            if notice is not None:
-                self._send_to_cell(_PLACEMENT_KIND + notice)
+            peers = self._cells.peers
+            for datagram in self._exchange.next_datagrams(tuple(peers)):
+                self._send_placements(datagram, peers)
 
-    def _send_to_cell(self, datagram: bytes) -> None:
-        for entry in self._cells.peers.values():
-            self._send_datagram(entry.address, datagram)
+    def _send_placements(
+        self,
+        datagram: PlacementDatagram,
+        peers: Mapping[str, VmEntry],
+    ) -> None:
+        for name in datagram.vm_names:
+            self._send_datagram(peers[name].address, datagram.content)
+            self._metrics.increment('notices_sent')
+            self._metrics.increment(
+                'notice_bytes_sent',
+                amount=len(datagram.content),
+            )
 
     async def _remove_silent_vms(self) -> None:
         """Removes silent VMs of the cell from the member list."""
@@ -132,11 +144,9 @@
     def __init__(
         self,
         *,
-        exchange: PlacementExchange,
         handlers: Mapping[bytes, Callable[[bytes], None]],
         metrics: Metrics,
     ) -> None:
-        self._exchange = exchange
         self._handlers = handlers
         self._metrics = metrics
 
@@ -149,9 +159,6 @@
             self._metrics.increment('datagrams_unreadable')
 
     def _dispatch(self, kind: bytes, content: bytes) -> None:
-        if kind == _PLACEMENT_KIND:
-            self._exchange.apply_notice(content)
-            return
         handler = self._handlers.get(kind)
         if handler is None:
             self._metrics.increment('datagrams_unreadable')
--- a/teaseldale/forwarding/tests/fleet_world.py
+++ b/teaseldale/forwarding/tests/fleet_world.py
@@ -236,11 +236,12 @@
             await vm.exchange.wait_for_change()
             await anyio.sleep(_COALESCE_MS / 1000)
             vm.exchange.remove_expired()
-            notice = vm.exchange.next_notice()
-            if notice is None:
-                continue
-            for entry in vm.parts.cells.peers.values():
-                self._send_datagram(vm, entry.address, b'p' + notice)
+            peers = vm.parts.cells.peers
+            for datagram in vm.exchange.next_datagrams(tuple(peers)):
+                for name in datagram.vm_names:
+                    self._send_datagram(
+                        vm, peers[name].address, datagram.content
+                    )
 
     def _send_datagram(self, sender, address, datagram):
         if sender.has_ended:
@@ -260,10 +261,8 @@
         for vm in self.vms:
             entry = self.members.entries().get(f'vm-{vm.number}')
             if entry is not None and entry.address == address:
-                if datagram[:1] == b'p':
-                    vm.exchange.apply_notice(datagram[1:])
-                else:
-                    vm.handlers[datagram[:1]](datagram[1:])
+                handlers = {**vm.exchange.handlers, **vm.handlers}
+                handlers[datagram[:1]](datagram[1:])
 
 
 def now_ms():
--- a/teaseldale/forwarding/tests/leaving_fleet.py
+++ b/teaseldale/forwarding/tests/leaving_fleet.py
@@ -151,15 +151,24 @@
         while True:
             await exchange.wait_for_change()
             await anyio.sleep(_COALESCE_MS / 1000)
-            notice = exchange.next_notice()
-            if notice is not None:
-                await self._deliver(number, notice)
-
-    async def _deliver(self, sender, notice):
+            exchange.remove_expired()
+            peers = {
+                f'vm-{other}': other
+                for other in self.exchanges
+                if other != number
+            }
+            for datagram in exchange.next_datagrams(peers):
+                await self._deliver(
+                    [peers[name] for name in datagram.vm_names],
+                    datagram.content,
+                )
+
+    async def _deliver(self, receivers, content):
         await anyio.sleep(_DATAGRAM_MS / 1000)
-        for number, exchange in self.exchanges.items():
-            if number != sender and self.random.random() >= self.loss_share:
-                exchange.apply_notice(notice)
+        for number in receivers:
+            if self.random.random() >= self.loss_share:
+                handlers = self.exchanges[number].handlers
+                handlers[content[:1]](content[1:])
 
     def connections_of(self, vm_number):
         """Returns the runner connections of a VM."""
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -24,6 +24,7 @@
     )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
+        PlacementDatagram,
         PlacementExchange,
     )
     from teaseldale.routing._pool import (
@@ -87,6 +88,7 @@
         ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
+            'PlacementDatagram',
             'PlacementExchange',
         ),
         'teaseldale.routing._pool': (
@@ -154,6 +156,7 @@
     'Permit',
     'PlacedWork',
     'Placement',
+    'PlacementDatagram',
     'PlacementExchange',
     'PlannedWork',
     'PrefixHashChoice',
--- a/teaseldale/routing/tests/steps_backlog.py
+++ b/teaseldale/routing/tests/steps_backlog.py
@@ -168,7 +168,7 @@
 @when('the other VM places a prompt of {tokens} tokens and broadcasts it')
 def other_broadcasts(context, tokens):
     place_other(context, tokens)
-    context.exchange.apply_notice(context.other_exchange.next_notice())
+    deliver(context, send(context))
 
 
 @when(
@@ -176,7 +176,18 @@
 )
 def other_datagram_lost(context, tokens):
     place_other(context, tokens)
-    assert context.other_exchange.next_notice()
+    assert send(context)
+
+
+def send(context):
+    return context.other_exchange.next_datagrams(('vm-1',))
+
+
+def deliver(context, datagrams):
+    assert datagrams
+    for datagram in datagrams:
+        content = datagram.content
+        context.exchange.handlers[content[:1]](content[1:])
 
 
 def place_other(context, tokens):
@@ -186,9 +197,9 @@
 
 @when('{delay:d} ms later it sends its next notice')
 def sends_next_notice(context, delay):
-    assert context.other_exchange.next_notice() is None
+    assert not send(context)
     context.clock.now_ms += delay
-    context.exchange.apply_notice(context.other_exchange.next_notice())
+    deliver(context, send(context))
 
 
 @then('this VM places its own prompt at another runner')
