--- a/teaseldale/forwarding/_caller_answer.py
+++ b/teaseldale/forwarding/_caller_answer.py
@@ -126,6 +126,22 @@
         )
         self.is_whole = True
 
+    async def refuse_unread(
+        self,
+        refusal: Refusal,
+        request: ClientRequest,
+    ) -> None:
+        """Sends a refusal before the body was read; closes the connection."""
+        self.status = refusal.status
+        self.refusal = refusal
+        headers = self._wire.refusal_headers(request, refusal)
+        await self._exchange.answer_unread(
+            refusal.status,
+            refusal_body(refusal),
+            (*headers, _CLOSE),
+        )
+        self.is_whole = True
+
     async def _wait_until_sent(self, unsent_bytes: int) -> None:
         copied_bytes = _COPIES * min(unsent_bytes, _PIECE_BYTES)
         held_bytes = unsent_bytes + copied_bytes + _READ_AHEAD_BYTES
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -20,6 +20,7 @@
     body_too_slow,
     draining,
     internal_error,
+    link_full,
     memory_full,
     process_ended,
     timed_out,
@@ -30,6 +31,7 @@
 from teaseldale.kernel import BaseService
 from teaseldale.memory import Holding
 from teaseldale.outcomes import Refusal
+from teaseldale.routing import RoomRequest
 from teaseldale.web import (
     BodyTooLargeError,
     EmbeddedServer,
@@ -101,12 +103,13 @@
     @property
     def is_ready(self) -> bool:
         """Returns whether the load balancer may send new connections."""
-        return (
-            not self._is_draining
-            and self._parts.configuration.current is not None
-            and self._parts.directory.is_known
-            and self._parts.grants.is_known
+        parts = self._parts
+        knows_fleet = (
+            parts.configuration.current is not None
+            and parts.directory.is_known
+            and parts.grants.is_known
         )
+        return not self._is_draining and knows_fleet and parts.room.is_ready
 
     async def start(self, tasks: TaskGroup) -> None:
         """Opens the readiness and the callers' listening sockets."""
@@ -156,7 +159,9 @@
             exchange=exchange,
             wire=self._parts.wire,
             held_bytes=self._parts.held_bytes,
-            closes_connection=self._is_draining,
+            closes_connection=(
+                self._is_draining or self._parts.room.closes_connection
+            ),
         )
         try:
             request = self._parts.wire.read_request(
@@ -177,6 +182,11 @@
         if isinstance(admitted, Refusal):
             await self._refuse(answer, request, admitted)
             return
+        no_room = self._find_no_room(exchange, admitted)
+        if no_room is not None:
+            self._request_log.log_refusal(request, no_room)
+            await answer.refuse_unread(no_room, request)
+            return
         self._running_count += 1
         try:
             with self._parts.held_bytes.hold() as holding:
@@ -184,6 +194,21 @@
         finally:
             self._running_count -= 1
 
+    def _find_no_room(
+        self,
+        exchange: Exchange,
+        admitted: AdmittedRequest,
+    ) -> Refusal | None:
+        """Returns a refusal if the link has no capacity for the request."""
+        refused = self._parts.room.decide(
+            RoomRequest(
+                body_bytes=exchange.declared_bytes,
+                priority=admitted.priority,
+                left_ms=admitted.left_ms(self._parts.clock),
+            ),
+        )
+        return None if refused is None else link_full(refused.retry_after_ms)
+
     async def _serve(
         self,
         exchange: Exchange,
--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -92,6 +92,17 @@
     )
 
 
+def link_full(retry_after_ms: int) -> Refusal:
+    """Returns the refusal of a request for which the link has no capacity."""
+    return Refusal(
+        code=RefusalCode.LINK_FULL,
+        message="The VM's link is full; another one takes the request.",
+        not_run=True,
+        step=Step.ADMIT,
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def body_too_slow() -> Refusal:
     """Returns the refusal of a body that missed the request's deadline."""
     return Refusal(
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -24,6 +24,7 @@
     REQUEST_RUNNING = 'request_running'
     OVERLOADED = 'overloaded'
     MEMORY_FULL = 'memory_full'
+    LINK_FULL = 'link_full'
     QUARANTINED = 'quarantined'
     CRASHES_RUNNERS = 'crashes_runners'
     NO_UPSTREAM = 'no_upstream'
@@ -52,6 +53,7 @@
     RefusalCode.REQUEST_RUNNING: 409,
     RefusalCode.OVERLOADED: 429,
     RefusalCode.MEMORY_FULL: 503,
+    RefusalCode.LINK_FULL: 503,
     RefusalCode.QUARANTINED: 409,
     RefusalCode.CRASHES_RUNNERS: 503,
     RefusalCode.NO_UPSTREAM: 503,
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -29,6 +30,9 @@
 # Scope key of the connection's ``BaseSendBuffer``.
 SEND_BUFFER_KEY = 'teaseldale.send_buffer'
 _MS_PER_SECOND = 1000
+# Limits of the request body that is dropped after a response.
+_DISCARDED_BYTES = 65_536
+_DISCARD_SECONDS = 1
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 
 
@@ -161,6 +165,14 @@
             _grow(holding, 0 if declared_bytes else len(part))
         return b''.join(parts)
 
+    @property
+    def declared_bytes(self) -> int | None:
+        """Length of the request body; None if it is not stated."""
+        length = self.header(b'content-length')
+        if length is not None:
+            return int(length)
+        return None if self.header(b'transfer-encoding') else 0
+
     async def wait_for_disconnect(self) -> None:
         """Returns when the caller has closed the connection."""
         while True:
@@ -234,6 +246,26 @@
             (*_JSON_HEADERS, *refusal_headers(refusal), *headers),
         )
 
+    async def answer_unread(
+        self,
+        status: int,
+        body: bytes,
+        headers: Headers,
+    ) -> None:
+        """Sends a complete response before the request body was read.
+
+        Closing the connection with unread bytes would make the caller lose the
+        response, so the rest of the body is dropped first, for a limited time.
+        ``headers`` must close the connection.
+        """
+        length = str(len(body)).encode()
+        await self.start(status, (*headers, (b'content-length', length)))
+        await self.write(body)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_DISCARD_SECONDS):
+                await _discard_body(self._receive)
+        await self.write(b'', last=True)
+
     async def answer(
         self,
         status: int,
@@ -246,6 +278,21 @@
         await self.write(body, last=True)
 
 
+async def _discard_body(receive: Receive) -> None:
+    """Reads and drops the rest of a request body, up to a limit."""
+    left_bytes = _DISCARDED_BYTES
+    more = True
+    while more and left_bytes > 0:
+        try:
+            part, more = _part_of(await receive())
+        except CallerGoneError:
+            return
+        left_bytes -= len(part)
+    if more:
+        # The caller reads the response while its further bytes wait.
+        await asyncio.sleep(_DISCARD_SECONDS)
+
+
 def _grow(holding: Holding | None, added_bytes: int) -> None:
     if holding is not None and not holding.try_grow(added_bytes):
         raise NoRoomError
