--- a/teaseldale/forwarding/_refusals.py
+++ b/teaseldale/forwarding/_refusals.py
@@ -81,17 +81,6 @@
     )
 
 
-def memory_full() -> Refusal:
-    """Returns the refusal of a request whose bytes cannot be held now."""
-    return Refusal(
-        code=RefusalCode.MEMORY_FULL,
-        message='The VM holds as many bytes for others as it can.',
-        not_run=True,
-        step=Step.PARSE,
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
-
-
 def body_too_slow() -> Refusal:
     """Returns the refusal of a body that missed the request's deadline."""
     return Refusal(
@@ -138,17 +127,6 @@
     )
 
 
-def runners_full(service: str, reason: str, retry_after_ms: float) -> Refusal:
-    """Returns the refusal of a request that would wait too long for a slot."""
-    return Refusal(
-        code=RefusalCode.RUNNERS_FULL,
-        message=f'The runners of {service!r} have no free slot ({reason}).',
-        not_run=True,
-        step=Step.ADMIT,
-        retry_after_ms=max(1, int(retry_after_ms)),
-    )
-
-
 def answer_broke_off(reason: str, peer: str) -> Refusal:
     """Returns the refusal after a broken answer; the request may have run."""
     return Refusal(
--- a/teaseldale/forwarding/_request_turn.py
+++ b/teaseldale/forwarding/_request_turn.py
@@ -6,8 +6,10 @@
 
 from teaseldale.forwarding._admission import AdmittedRequest
 from teaseldale.forwarding._caller_answer import CallerAnswer
+from teaseldale.forwarding._capacity_refusals import (
+    runners_full,
+)
 from teaseldale.forwarding._dependencies import ForwardingDependencies
-from teaseldale.forwarding._refusals import runners_full
 from teaseldale.outcomes import Refusal
 from teaseldale.routing import (
     OverloadAction,
--- a/teaseldale/forwarding/tests/leaving_fleet.py
+++ b/teaseldale/forwarding/tests/leaving_fleet.py
@@ -144,22 +144,31 @@
             clock=vm.parts.clock,
         )
         self.exchanges[number] = exchange
-        self.tasks.start_soon(self._broadcast, number, exchange)
+        self.tasks.start_soon(self._broadcast, vm.parts.cells, exchange)
         return vm
 
-    async def _broadcast(self, number, exchange):
+    async def _broadcast(self, cells, exchange):
         while True:
             await exchange.wait_for_change()
             await anyio.sleep(_COALESCE_MS / 1000)
-            notice = exchange.next_notice()
-            if notice is not None:
-                await self._deliver(number, notice)
-
-    async def _deliver(self, sender, notice):
+            exchange.remove_expired()
+            # As in the product, placements go to the VMs of the cell.
+            peers = {
+                name: int(name.removeprefix('vm-')) for name in cells.peers
+            }
+            for datagram in exchange.next_datagrams(peers):
+                await self._deliver(
+                    [peers[name] for name in datagram.vm_names],
+                    datagram.content,
+                )
+
+    async def _deliver(self, receivers, content):
         await anyio.sleep(_DATAGRAM_MS / 1000)
-        for number, exchange in self.exchanges.items():
-            if number != sender and self.random.random() >= self.loss_share:
-                exchange.apply_notice(notice)
+        for number in receivers:
+            is_lost = self.random.random() < self.loss_share
+            if number in self.exchanges and not is_lost:
+                handlers = self.exchanges[number].handlers
+                handlers[content[:1]](content[1:])
 
     def connections_of(self, vm_number):
         """Returns the runner connections of a VM."""
--- a/teaseldale/outcomes/_refusal.py
+++ b/teaseldale/outcomes/_refusal.py
@@ -25,6 +25,7 @@
     OVERLOADED = 'overloaded'
     RUNNERS_FULL = 'runners_full'
     MEMORY_FULL = 'memory_full'
+    LINK_FULL = 'link_full'
     QUARANTINED = 'quarantined'
     CRASHES_RUNNERS = 'crashes_runners'
     NO_UPSTREAM = 'no_upstream'
@@ -54,6 +55,7 @@
     RefusalCode.OVERLOADED: 429,
     RefusalCode.RUNNERS_FULL: 503,
     RefusalCode.MEMORY_FULL: 503,
+    RefusalCode.LINK_FULL: 503,
     RefusalCode.QUARANTINED: 409,
     RefusalCode.CRASHES_RUNNERS: 503,
     RefusalCode.NO_UPSTREAM: 503,
--- a/teaseldale/web/_exchange.py
+++ b/teaseldale/web/_exchange.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import parse_qs
@@ -32,6 +33,9 @@
 # Scope key of the connection's ``BaseSendBuffer``.
 SEND_BUFFER_KEY = 'teaseldale.send_buffer'
 _MS_PER_SECOND = 1000
+# Limits of the request body that is dropped after a response.
+_DISCARDED_BYTES = 65_536
+_DISCARD_SECONDS = 1
 _JSON_HEADERS = ((b'content-type', b'application/json'),)
 
 
@@ -151,7 +155,7 @@
         declared_bytes = int(self.header(b'content-length') or 0)
         if declared_bytes > limit_bytes:
             raise BodyTooLargeError
-        self._reserve(declared_bytes, holding)
+        _reserve_body(self._scope, declared_bytes, holding)
         parts: list[bytes] = []
         received_bytes = 0
         more = True
@@ -161,25 +165,20 @@
             received_bytes += len(part)
             if received_bytes > limit_bytes:
                 raise BodyTooLargeError
-            self._take(0 if declared_bytes else len(part), holding)
+            _take_bytes(
+                self._scope,
+                0 if declared_bytes else len(part),
+                holding,
+            )
         return b''.join(parts)
 
-    def _reserve(self, declared_bytes: int, holding: Holding | None) -> None:
-        intake: RequestIntake | None = self._scope.get(INTAKE_KEY)
-        if intake is None:
-            self._take(declared_bytes, holding)
-        elif not intake.try_reserve(declared_bytes, holding):
-            raise NoRoomError
-
-    def _take(self, size_bytes: int, holding: Holding | None) -> None:
-        """Raises ``NoRoomError`` if the bytes may not be held."""
-        intake: RequestIntake | None = self._scope.get(INTAKE_KEY)
-        if intake is None:
-            fits = holding is None or holding.try_grow(size_bytes)
-        else:
-            fits = intake.try_take(size_bytes)
-        if not fits:
-            raise NoRoomError
+    @property
+    def declared_bytes(self) -> int | None:
+        """Length of the request body; None if it is not stated."""
+        length = self.header(b'content-length')
+        if length is not None:
+            return int(length)
+        return None if self.header(b'transfer-encoding') else 0
 
     async def wait_for_disconnect(self) -> None:
         """Returns when the caller has closed the connection."""
@@ -254,6 +253,26 @@
             (*_JSON_HEADERS, *refusal_headers(refusal), *headers),
         )
 
+    async def answer_unread(
+        self,
+        status: int,
+        body: bytes,
+        headers: Headers,
+    ) -> None:
+        """Sends a complete response before the request body was read.
+
+        Closing the connection with unread bytes would make the caller lose the
+        response, so the rest of the body is dropped first, for a limited time.
+        ``headers`` must close the connection.
+        """
+        length = str(len(body)).encode()
+        await self.start(status, (*headers, (b'content-length', length)))
+        await self.write(body)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_DISCARD_SECONDS):
+                await _discard_body(self._receive)
+        await self.write(b'', last=True)
+
     async def answer(
         self,
         status: int,
@@ -266,6 +285,49 @@
         await self.write(body, last=True)
 
 
+async def _discard_body(receive: Receive) -> None:
+    """Reads and drops the rest of a request body, up to a limit."""
+    left_bytes = _DISCARDED_BYTES
+    more = True
+    while more and left_bytes > 0:
+        try:
+            part, more = _part_of(await receive())
+        except CallerGoneError:
+            return
+        left_bytes -= len(part)
+    if more:
+        # The caller reads the response while its further bytes wait.
+        await asyncio.sleep(_DISCARD_SECONDS)
+
+
+def _reserve_body(
+    scope: Scope,
+    declared_bytes: int,
+    holding: Holding | None,
+) -> None:
+    """Raises ``NoRoomError`` if a body of this length may not be held."""
+    intake: RequestIntake | None = scope.get(INTAKE_KEY)
+    if intake is None:
+        _take_bytes(scope, declared_bytes, holding)
+    elif not intake.try_reserve(declared_bytes, holding):
+        raise NoRoomError
+
+
+def _take_bytes(
+    scope: Scope,
+    size_bytes: int,
+    holding: Holding | None,
+) -> None:
+    """Raises ``NoRoomError`` if the bytes may not be held."""
+    intake: RequestIntake | None = scope.get(INTAKE_KEY)
+    if intake is None:
+        fits = holding is None or holding.try_grow(size_bytes)
+    else:
+        fits = intake.try_take(size_bytes)
+    if not fits:
+        raise NoRoomError
+
+
 def _part_of(message: dict[str, Any]) -> tuple[bytes, bool]:
     """Returns a part of the request body and whether more follow."""
     if message['type'] == 'http.disconnect':
