--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -189,8 +189,11 @@
         """Returns the runners to ask, first the best of those with room."""
         now_ms = self._parts.clock.monotonic_ms()
         likely = [item for item in limited if self._is_likely(item)]
+        candidates = likely or list(limited)
+        # VMs with the same view would otherwise all ask for the same runners.
+        self._parts.random_source.shuffle(candidates)
         by_load = sorted(
-            likely or limited,
+            candidates,
             key=lambda backlog: backlog.load_count(now_ms),
         )
         roomy = tuple(item for item in by_load if item.has_room(now_ms))
--- a/teaseldale/forwarding/tests/cold_fleet.py
+++ b/teaseldale/forwarding/tests/cold_fleet.py
@@ -4,11 +4,12 @@
 import attrs
 
 from teaseldale.forwarding.tests.entry_world import fixed_members
-from teaseldale.forwarding.tests.fleet_world import CONTACT_MS, now_ms
+from teaseldale.forwarding.tests.fleet_world import now_ms
 from teaseldale.forwarding.tests.limited_fleet import LimitedFleet
 
 COLD_PER_S = 7.7
 COLD_START_MS = 3000
+_SILENT_S = 30  # until VMs remove one that is silent from the member list
 _FEED_MS = (5, 60)  # from a runner's entry until a VM has read it
 
 
@@ -93,5 +94,5 @@
 
     async def _drop_silent(self, vm_name):
         """Removes a VM from the list once others have noticed its end."""
-        await anyio.sleep(CONTACT_MS / 1000)
+        await anyio.sleep(_SILENT_S)
         self.members.remove({vm_name})
--- a/teaseldale/routing/_cold_limits.py
+++ b/teaseldale/routing/_cold_limits.py
@@ -12,6 +12,9 @@
 _MS_PER_SECOND = 1000
 # Bounds what one malformed entry can do.
 _MAX_COLD_MS = 3_600_000
+# Makes up for starts that no request asked for in time. One second holds no
+# more starts for it: 8 at a limit of 7.7.
+_CREDIT_SHARE = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -118,7 +121,7 @@
         # The first start is one interval away, as requests that were sent
         # before the state was known are still on their way.
         first_ms = now_ms + _MS_PER_SECOND / statement.limit_per_s
-        schedule = LimitSchedule(next_ms=first_ms)
+        schedule = LimitSchedule(next_ms=first_ms, credit_share=_CREDIT_SHARE)
         if known is not None and was_cold:
             schedule = known.schedule
         self._states[runner] = _KnownState(
--- a/teaseldale/routing/_limit_schedule.py
+++ b/teaseldale/routing/_limit_schedule.py
@@ -10,6 +10,8 @@
     """Starts requests one interval apart."""
 
     next_ms: float  # monotonic time of the earliest next start
+    # Share of an interval by which a late start may precede the next one.
+    credit_share: float = 0
 
     def book(
         self,
@@ -25,7 +27,9 @@
         wait_ms = self.wait_ms(now_ms)
         if wait_ms > max_wait_ms:
             return None
-        self.next_ms = now_ms + wait_ms + _MS_PER_SECOND / limit_per_s
+        interval_ms = _MS_PER_SECOND / limit_per_s
+        earliest_ms = now_ms - self.credit_share * interval_ms
+        self.next_ms = max(self.next_ms, earliest_ms) + interval_ms
         return wait_ms
 
     def wait_ms(self, now_ms: int) -> float:
