--- a/teaseldale/entry/_callers.py
+++ b/teaseldale/entry/_callers.py
@@ -24,10 +24,19 @@
 )
 from teaseldale.entry._write_pacer import WritePacer
 from teaseldale.kernel import BaseService
+from teaseldale.memory import ByteBudget, budget_bytes_of
+from teaseldale.metrics import Metrics
 from teaseldale.notes import ClientAccount, RouteKind
 from teaseldale.outcomes import Refusal, RefusalCode
 from teaseldale.settings import LimitSettings
-from teaseldale.web import BodyTooLargeError, EmbeddedServer, Exchange
+from teaseldale.web import (
+    BodyTooLargeError,
+    ClientConnections,
+    ClientLimits,
+    EmbeddedServer,
+    Exchange,
+    connection_count_of,
+)
 
 _BEARER = 'Bearer '
 _COMPLETIONS_PATH = '/v1/chat/completions'
@@ -36,6 +45,7 @@
 _CLOSE = ((b'connection', b'close'),)
 _STATUS_OK = 200
 _MS_PER_SECOND = 1000
+_BYTES_PER_MB = 1_000_000
 
 
 class CallersInterface(BaseService):
@@ -73,6 +83,7 @@
             address=address,
             respond=self._respond,
             metrics=parts.metrics,
+            clients=_build_clients(limits, parts.metrics),
         )
 
     @property
@@ -165,3 +176,20 @@
             _STATUS_OK,
             {'object': 'list', 'data': models},
         )
+
+
+def _build_clients(
+    limits: LimitSettings, metrics: Metrics
+) -> ClientConnections:
+    memory_bytes = limits.memory_mb * _BYTES_PER_MB
+    return ClientConnections(
+        name='callers',
+        limits=ClientLimits(
+            connection_count=connection_count_of(limits.descriptor_count),
+        ),
+        budget=ByteBudget(
+            limit_bytes=budget_bytes_of(memory_bytes),
+            metrics=metrics,
+        ),
+        metrics=metrics,
+    )
--- a/teaseldale/settings/_settings.py
+++ b/teaseldale/settings/_settings.py
@@ -14,6 +14,8 @@
 _MAX_BODY_BYTES = 67_108_864
 _MAX_OUTPUT_TOKENS = 1_000_000
 _MAX_COALESCE_MS = 50
+_MAX_MEMORY_MB = 1_000_000
+_MAX_DESCRIPTORS = 1_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +66,14 @@
         default=120_000,
         validator=is_between(1, _MAX_MS),
     )  # time-out for open requests during a shutdown
+    memory_mb: int = attrs.field(
+        default=256,
+        validator=is_between(1, _MAX_MEMORY_MB),
+    )  # of the process, part of which may be held for callers
+    descriptor_count: int = attrs.field(
+        default=0,
+        validator=is_between(0, _MAX_DESCRIPTORS),
+    )  # that the process may open; 0 if only the system limits it
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/web/_client_connections.py
+++ b/teaseldale/web/_client_connections.py
@@ -4,6 +4,7 @@
 import asyncio
 import enum
 import heapq
+import math
 import sys
 from collections.abc import Iterator
 
@@ -18,6 +19,9 @@
 # that not every new one needs a search.
 _EVICTED_SHARE = 64
 _MS_PER_SECOND = 1000
+# After a search that found too little; searches for each refused request would
+# take the processor from others.
+_SEARCH_INTERVAL_MS = 50
 # For balancers and collectors, which use a few connections and send no bodies.
 _RESERVED_CONNECTIONS = 32
 _RESERVED_BYTES = 4_000_000
@@ -79,6 +83,7 @@
         self._log = StateLog(channel='web')
         self._open: dict[BaseClientConnection, None] = {}
         self._opening_count = 0
+        self._searched_ms = -math.inf  # when too little was found to evict
         budget.add_reclaimer(self._reclaim_bytes)
 
     @property
@@ -131,12 +136,16 @@
 
     def _reclaim_bytes(self, needed_bytes: int) -> None:
         """Evicts the oldest stalled clients until bytes fit."""
+        now_ms = asyncio.get_running_loop().time() * _MS_PER_SECOND
+        if now_ms < self._searched_ms + _SEARCH_INTERVAL_MS:
+            return
         wanted_bytes = self.budget.held_bytes - needed_bytes
         for rank, connection in sorted(self._ranked(), key=_by_rank):
             if self.budget.held_bytes <= wanted_bytes:
                 return
             if rank.kind in _BYTE_CLASSES:
                 self._evict(connection, rank, for_bytes=True)
+        self._searched_ms = now_ms
 
     def _ranked(self) -> Iterator[tuple[EvictionRank, BaseClientConnection]]:
         now_ms = asyncio.get_running_loop().time() * _MS_PER_SECOND
--- a/teaseldale/web/_intake.py
+++ b/teaseldale/web/_intake.py
@@ -29,6 +29,7 @@
         self._received_bytes = 0
         self._mark_ms = now_ms
         self._mark_bytes = 0
+        self._last_ms = now_ms  # when bytes were received last
         self._was_slow = False
         self.started_ms = now_ms
 
@@ -58,7 +59,9 @@
         return self._reserved.try_grow(size_bytes)
 
     def is_stalled(self, now_ms: float) -> bool:
-        """Returns whether the body made too little progress lately."""
+        """Returns whether the body was silent, or too slow, lately."""
+        if now_ms - self._last_ms >= self._limits.stall_ms:
+            return True
         if now_ms - self._mark_ms < self._limits.stall_ms:
             return self._was_slow
         return self._is_slow(now_ms)
@@ -80,6 +83,7 @@
             self._mark_ms = now_ms
             self._mark_bytes = self._received_bytes
         self._received_bytes += size_bytes
+        self._last_ms = now_ms
 
     def _is_slow(self, now_ms: float) -> bool:
         elapsed_ms = now_ms - self._mark_ms
--- a/teaseldale/web/_server.py
+++ b/teaseldale/web/_server.py
@@ -20,8 +20,9 @@
     ClientConnections,
     unlimited_clients,
 )
-from teaseldale.web._exchange import CallerGoneError, Exchange
+from teaseldale.web._exchange import CallerGoneError, Exchange, NoRoomError
 from teaseldale.web._head_limits import HeadLimits, HeadLimitsSource
+from teaseldale.web._parse_refusals import no_room
 from teaseldale.web._protocol import GuardedProtocol
 
 _POLL_MS = 5
@@ -153,6 +154,10 @@
             await self._respond(exchange)
         except CallerGoneError:
             self._metrics.increment('callers_gone')
+        except NoRoomError:
+            refusal = no_room()
+            self._count_refused(refusal)
+            await exchange.refuse(refusal)
         except Exception as error:
             await self._handle_error(exchange, error)
 
