--- a/teaseldale/routing/_pace_filter.py
+++ b/teaseldale/routing/_pace_filter.py
@@ -25,6 +25,7 @@
 
     time_constant_ms: float
     noted_ms: int | None = None  # monotonic, of the latest sample
+    filtered: float | None = None  # the mean, once there are enough samples
     _first: list[float] = attrs.field(factory=list, init=False)
     _log_value: float | None = attrs.field(default=None, init=False)
     _weight: float = attrs.field(default=0, init=False)
@@ -32,11 +33,6 @@
     _distant_since_ms: int = attrs.field(default=0, init=False)
     _is_distant_above: bool = attrs.field(default=False, init=False)
 
-    @property
-    def filtered(self) -> float | None:
-        """Returns the mean, or None until there are enough samples."""
-        return None if self._log_value is None else math.exp(self._log_value)
-
     def distance(self, sample: float) -> float:
         """Returns the absolute logarithm of sample and mean; 0 if unknown."""
         if self._log_value is None:
@@ -57,12 +53,14 @@
         if step is not None:
             self._weight += weight
             self._log_value += step * weight / self._weight
+            self.filtered = math.exp(self._log_value)
 
     def _begin(self, log_sample: float, weight: float) -> None:
         self._first.append(log_sample)
         self._weight += weight
         if len(self._first) == _FIRST_SAMPLES:
             self._log_value = statistics.median(self._first)
+            self.filtered = math.exp(self._log_value)
 
     def _counted_step(self, distance: float, now_ms: int) -> float | None:
         """Returns the part of a distance that counts, or None."""
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -281,9 +281,11 @@
             runner: self._duration(runner, now_ms, has_prompt=has_prompt)
             for runner in runners
         }
-        typical = statistics.median(
-            [known for known in durations.values() if known is not None] or [1],
-        )
+        known = [found for found in durations.values() if found is not None]
+        typical = statistics.median(known) if known else 1
+        are_all_known = bool(known) and len(known) == len(durations)
+        if are_all_known and _are_equal(min(known), max(known), typical):
+            return dict.fromkeys(durations, 1.0)
         return {
             runner: self._relative(
                 runner,
@@ -349,3 +351,8 @@
 
     def _state(self, runner: str) -> _RunnerState:
         return self._states.setdefault(runner, _RunnerState())
+
+
+def _are_equal(shortest: float, longest: float, typical: float) -> bool:
+    is_long = longest > typical * _EQUAL_FACTOR
+    return shortest * _EQUAL_FACTOR >= typical and not is_long
