--- a/teaseldale/web/tests/steps_caller_traffic.py
+++ b/teaseldale/web/tests/steps_caller_traffic.py
@@ -90,3 +90,78 @@
     assert value('caller_bytes_received') == server.received_bytes
     assert value('caller_bytes_sent') == server.sent_bytes
     assert server.sent_bytes > 0
+
+
+async def _refuse(scope, receive, send):
+    exchange = Exchange(scope=scope, receive=receive, send=send)
+    await exchange.answer_unread(503, b'refused', ((b'connection', b'close'),))
+
+
+def _open_refusing():
+    transport = MemoryTransport()
+    protocol = GuardedProtocol(
+        config=Config(
+            _refuse,
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            interface='asgi3',
+        ),
+        server_state=ServerState(),
+        app_state={},
+        on_refused=lambda refusal: None,
+        limits=HeadLimits,
+    )
+    protocol.connection_made(transport)
+    protocol.data_received(
+        b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 4000\r\n\r\n',
+    )
+    return transport, protocol
+
+
+@when('a request is refused before its body of {count:d} parts has arrived')
+def refuse_before_body(context, count):
+    async def scenario():
+        transport, protocol = _open_refusing()
+        context.closed = []
+        for _ in range(count):
+            await anyio.sleep(0.1)
+            if not context.closed:
+                context.first_written = transport.written
+            context.closed.append(transport.is_closed)
+            protocol.data_received(b'x' * (4000 // count))
+        await anyio.sleep(0.1)
+        context.closed.append(transport.is_closed)
+        protocol.connection_lost(None)
+
+    run_in_virtual_time(scenario)
+
+
+@then('the caller has the whole refusal before its second part is sent')
+def has_refusal(context):
+    assert context.first_written.startswith(b'HTTP/1.1 503 ')
+    assert context.first_written.endswith(b'refused'), context.first_written
+
+
+@then('the connection is closed only after the last part')
+def closed_last(context):
+    *before, last = context.closed
+    assert last and not any(before), context.closed
+
+
+@when('a request is refused before its body arrives, which never does')
+def refuse_endless(context):
+    async def scenario():
+        transport, protocol = _open_refusing()
+        await anyio.sleep(0.9)
+        context.closed = [transport.is_closed]
+        await anyio.sleep(0.2)
+        context.closed.append(transport.is_closed)
+        protocol.connection_lost(None)
+
+    run_in_virtual_time(scenario)
+
+
+@then('the connection is closed after 1 s')
+def closed_in_time(context):
+    assert context.closed == [False, True], context.closed
