--- a/teaseldale/routing/_part_messages.py
+++ b/teaseldale/routing/_part_messages.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-PART_PLACED = b'P'
-PART_QUERY = b'Q'
-PART_ANSWER = b'A'
+PART_PLACED = b'h'
+PART_QUERY = b'f'
+PART_ANSWER = b'g'
 
 
 class PartPlaced(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
