--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -358,7 +358,9 @@
     duration = view.durations[backlog.runner] * max(1, (load + 1) / knee)
     excess_duration = duration - view.shortest_duration
     capacity = max(1, min(knee, backlog.slot_count))
-    return _UNKNOWN_PROMPT_TOKENS * (load + capacity * excess_duration)
+    queued_tokens = backlog.unread_tokens + backlog.remote_unread_tokens
+    cost = _UNKNOWN_PROMPT_TOKENS * (load + capacity * excess_duration)
+    return queued_tokens + cost
 
 
 def _runner_name(backlog: RunnerBacklog) -> str:
