--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -147,6 +147,7 @@
             parts=parts,
             request_log=RequestLog(clock=clock, metrics=metrics),
             count_tunnels=lambda: links.server.open_count,
+            store_age_ms=lambda: watch.runners_age_ms,
         ),
     )
     # Drained first, so that no tunnel is opened while the entry drains.
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -47,6 +47,10 @@
 _MS_PER_SECOND = 1000
 # The load balancer checks once per second and removes a VM after two failures.
 _BALANCER_DETECTION_MS = 2500
+# A VM that has not heard from the store for two of its polls gets no new
+# callers: it knows neither new configurations nor tokens. If most VMs are cut
+# off, the balancer uses them all.
+_STORE_SILENCE_MS = 2000
 # Part of the grace period reserved for returning grants and exiting.
 _EXIT_RESERVE_MS = 700
 # Before that, requests without an answer get one.
@@ -57,6 +61,10 @@
 _STATUS_UNAVAILABLE = 503
 
 
+def _no_age() -> int:
+    return 0
+
+
 def _no_tunnels() -> int:
     return 0
 
@@ -71,13 +79,16 @@
         parts: ForwardingDependencies,
         request_log: RequestLog,
         count_tunnels: Callable[[], int] = _no_tunnels,
+        store_age_ms: Callable[[], int] = _no_age,
     ) -> None:
         """Listens on the addresses of ``settings`` after ``start``.
 
         ``count_tunnels`` returns the number of requests that this VM relays for
         other VMs; they may end within the grace period as well.
+        ``store_age_ms`` returns the time since the store last answered.
         """
         self._count_tunnels = count_tunnels
+        self._store_age_ms = store_age_ms
         self._settings = settings
         self._parts = parts
         self._admission = RequestAdmission(parts=parts)
@@ -126,7 +137,12 @@
             and parts.directory.is_known
             and parts.grants.is_known
         )
-        return not self._is_draining and knows_fleet and parts.room.is_ready
+        is_cut_off = self._store_age_ms() >= _STORE_SILENCE_MS
+        return (
+            knows_fleet
+            and parts.room.is_ready
+            and not (self._is_draining or is_cut_off)
+        )
 
     async def start(self, tasks: TaskGroup) -> None:
         """Opens the readiness and the callers' listening sockets."""
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -169,3 +169,15 @@
   Scenario: A VM is ready once it has read the member list
     Given 1 runners and a "safe" route
     Then the VM is ready with a known member list, and not without one
+
+  # Guards against callers who stay with a VM that is cut off from the store, so
+  # that it can draw no tokens for them.
+  Scenario Outline: A VM that heard from the store <age> ms ago is <state>
+    Given 1 runners and a "safe" route
+    Then the VM is <state> if the store has last answered <age> ms ago
+
+    Examples:
+      | age   | state     |
+      | 0     | ready     |
+      | 1,900 | ready     |
+      | 2,000 | not ready |
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -368,6 +368,17 @@
     assert len(context.connections.seen) == 1, context.connections.seen
 
 
+@then('the VM is {state} if the store has last answered {age} ms ago')
+def ready_with_age(context, state, age):
+    async def main():
+        connections = ScriptedConnections(('whole 200',))
+        entry, _ = make_entry(context, connections, VirtualClock())
+        entry._store_age_ms = lambda: int(age.replace(',', ''))
+        assert entry.is_ready is (state == 'ready')
+
+    run_in_virtual_time(main)
+
+
 class UnknownMembers(FixedMembers):
     """A member list that has not been read yet."""
 
