--- a/teaseldale/routing/_readiness_breaks.py
+++ b/teaseldale/routing/_readiness_breaks.py
@@ -13,16 +13,17 @@
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
 
-_FULL_SHARE = 0.85
-# The link is full for this long before readiness is withdrawn, so that
-# refusals can take effect first.
-_FULL_MS = 2000
+# Moving connections takes the balancer two seconds, in which the load may rise
+# further, so this begins where refusals do.
+_FULL_SHARE = 0.75
+# One large body is no lasting load.
+_FULL_MS = 1000
 # Load figures further apart than this do not show a lasting load.
 _LONGEST_GAP_MS = 1000
-# Long enough for two checks, which are one second apart.
-_BREAK_MS = 2500
-# With this interval a VM is not ready for at most a twelfth of the time; an
-# eighth is allowed. The random part keeps VMs from withdrawing together.
+# Long enough for two checks, which are one second apart, and for new connections
+# to be made elsewhere.
+_BREAK_MS = 3500
+# With this interval a VM is ready for more than seven eighths of the time. The random part keeps VMs from withdrawing together.
 _INTERVAL_MS = 30_000
 _INTERVAL_SPREAD_MS = 5000
 # The balancer has noticed the withdrawal by then: a connection that is closed
