--- a/teaseldale/routing/_readiness_breaks.py
+++ b/teaseldale/routing/_readiness_breaks.py
@@ -20,10 +20,11 @@
 _FULL_MS = 1000
 # Load figures further apart than this do not show a lasting load.
 _LONGEST_GAP_MS = 1000
-# Long enough for two checks, which are one second apart, and for new connections
-# to be made elsewhere.
+# Long enough for two checks, which are one second apart, and for new
+# connections to be made elsewhere.
 _BREAK_MS = 3500
-# With this interval a VM is ready for more than seven eighths of the time. The random part keeps VMs from withdrawing together.
+# With this interval a VM is ready for more than seven eighths of the time. The
+# random part keeps VMs from withdrawing together.
 _INTERVAL_MS = 30_000
 _INTERVAL_SPREAD_MS = 5000
 # The balancer has noticed the withdrawal by then: a connection that is closed
