--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -105,7 +105,7 @@
     kernel.register(
         VmLoadReporter(
             runners_age_ms=lambda: watch.runners_age_ms,
-            room=parts.room,
+            capacity=parts.capacity,
             clock=clock,
             metrics=metrics,
         ),
--- a/teaseldale/forwarding/_dependencies.py
+++ b/teaseldale/forwarding/_dependencies.py
@@ -30,7 +30,7 @@
     RunnerLimits,
     RunnerPermits,
     RunnerRooms,
-    VmRoom,
+    VmCapacity,
 )
 
 
@@ -62,11 +62,11 @@
     link_bytes_per_s: int = 0  # rate of the VM's link; 0 if it is not known
     pace_reports: PaceReports = attrs.field(factory=PaceReports)
     process_end: ProcessEnd = attrs.field(factory=ProcessEnd)
-    room: VmRoom = attrs.field(init=False)
+    capacity: VmCapacity = attrs.field(init=False)
 
-    @room.default
-    def _make_room(self) -> VmRoom:
-        return VmRoom(
+    @capacity.default
+    def _make_capacity(self) -> VmCapacity:
+        return VmCapacity(
             link=LinkWindow(
                 link_bytes_per_s=self.link_bytes_per_s,
                 read_totals=functools.partial(read_link_totals, self.metrics),
--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -33,7 +33,7 @@
 from teaseldale.kernel import BaseService
 from teaseldale.memory import Holding
 from teaseldale.outcomes import Refusal
-from teaseldale.routing import RoomRequest
+from teaseldale.routing import CapacityRequest
 from teaseldale.web import (
     BodyTooLargeError,
     ClientConnections,
@@ -140,7 +140,7 @@
         is_cut_off = self._store_age_ms() >= _STORE_SILENCE_MS
         return (
             knows_fleet
-            and parts.room.is_ready
+            and parts.capacity.is_ready
             and not (self._is_draining or is_cut_off)
         )
 
@@ -193,7 +193,7 @@
             wire=self._parts.wire,
             held_bytes=self._parts.held_bytes,
             closes_connection=(
-                self._is_draining or self._parts.room.closes_connection
+                self._is_draining or self._parts.capacity.closes_connection
             ),
         )
         try:
@@ -215,10 +215,10 @@
         if isinstance(admitted, Refusal):
             await self._refuse(answer, request, admitted)
             return
-        no_room = self._find_no_room(exchange, admitted)
-        if no_room is not None:
-            self._request_log.log_refusal(request, no_room)
-            await answer.refuse_unread(no_room, request)
+        refusal = self._find_capacity_refusal(exchange, admitted)
+        if refusal is not None:
+            self._request_log.log_refusal(request, refusal)
+            await answer.refuse_unread(refusal, request)
             return
         self._running_count += 1
         try:
@@ -227,14 +227,14 @@
         finally:
             self._running_count -= 1
 
-    def _find_no_room(
+    def _find_capacity_refusal(
         self,
         exchange: Exchange,
         admitted: AdmittedRequest,
     ) -> Refusal | None:
         """Returns a refusal if the link has no capacity for the request."""
-        refused = self._parts.room.decide(
-            RoomRequest(
+        refused = self._parts.capacity.decide(
+            CapacityRequest(
                 body_bytes=exchange.declared_bytes,
                 priority=admitted.priority,
                 left_ms=admitted.left_ms(self._parts.clock),
--- a/teaseldale/forwarding/_vm_load.py
+++ b/teaseldale/forwarding/_vm_load.py
@@ -15,7 +15,7 @@
 from teaseldale.kernel import BaseService
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
-from teaseldale.routing import LinkLoad, VmRoom
+from teaseldale.routing import LinkLoad, VmCapacity
 
 _REPORT_INTERVAL_MS = 1000
 # Sleep interval whose overrun is the event loop lag. It is short compared with
@@ -63,17 +63,17 @@
         self,
         *,
         runners_age_ms: Callable[[], int],
-        room: VmRoom,
+        capacity: VmCapacity,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         """Reports the counters in ``metrics`` and the age of the runners.
 
         The age is the time since the store last confirmed the list of runners.
-        The figures of ``room`` are updated at each sample.
+        The figures of ``capacity`` are updated at each sample.
         """
         self._runners_age_ms = runners_age_ms
-        self._room = room
+        self._capacity = capacity
         self._clock = clock
         self._metrics = metrics
         self._log = StateLog(channel='load')
@@ -95,7 +95,7 @@
             now_ms = self._clock.monotonic_ms()
             lag_ms = now_ms - before_ms - _SAMPLE_INTERVAL_MS
             window.longest_lag_ms = max(window.longest_lag_ms, lag_ms)
-            load = self._room.update()
+            load = self._capacity.update()
             if now_ms - window.started_ms >= _REPORT_INTERVAL_MS:
                 self._write(window, now_ms, load)
                 window = self._window()
--- a/teaseldale/forwarding/tests/steps_pace_samples.py
+++ b/teaseldale/forwarding/tests/steps_pace_samples.py
@@ -11,6 +11,7 @@
 from teaseldale.forwarding._pace_sample import PaceSample
 from teaseldale.metrics import Metrics
 from teaseldale.platform import PlatformWireFormat
+from teaseldale.platform.tests.wire_names import load_text_header
 from teaseldale.routing import BacklogChoice, PlannedWork
 
 _RUNNER = ForwardingRunner(
@@ -70,7 +71,7 @@
         self.clock.now_ms += elapsed_ms
         headers = ()
         if load is not None:
-            headers = ((b'x-instance-load', load.encode()),)
+            headers = (load_text_header(load),)
         reply = PlatformWireFormat().read_reply(status, headers)
         sample.note_reply(reply, self.clock.now_ms)
         if tokens:
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -44,6 +44,11 @@
     return (b'server-brittle', b'%d' % count)
 
 
+def load_text_header(text):
+    """Returns the header of a load report with this text."""
+    return (b'x-instance-load', text.encode('latin-1'))
+
+
 def load_header(running_count, waiting_count, slot_count):
     """Returns the header in which a runner reports its load."""
     load = b'%d,%d,%d' % (running_count, waiting_count, slot_count)
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -112,10 +112,10 @@
         StartNeed,
         need_of,
     )
-    from teaseldale.routing._vm_room import (
-        RoomRefusal,
-        RoomRequest,
-        VmRoom,
+    from teaseldale.routing._vm_capacity import (
+        CapacityRefusal,
+        CapacityRequest,
+        VmCapacity,
     )
 
 __getattr__ = LazyExports(  # noqa: WPS413
@@ -206,10 +206,10 @@
             'StartNeed',
             'need_of',
         ),
-        'teaseldale.routing._vm_room': (
-            'RoomRefusal',
-            'RoomRequest',
-            'VmRoom',
+        'teaseldale.routing._vm_capacity': (
+            'CapacityRefusal',
+            'CapacityRequest',
+            'VmCapacity',
         ),
     },
 )
@@ -253,8 +253,8 @@
     'RandomChoice',
     'RetryBudget',
     'RetryWindow',
-    'RoomRefusal',
-    'RoomRequest',
+    'CapacityRefusal',
+    'CapacityRequest',
     'RoundRobinChoice',
     'RoutingRequest',
     'Runner',
@@ -269,7 +269,7 @@
     'SharedPart',
     'StartNeed',
     'UpstreamPool',
-    'VmRoom',
+    'VmCapacity',
     'WaitingTurn',
     'need_of',
     'prefix_hashes',
--- a/teaseldale/routing/_readiness_breaks.py
+++ b/teaseldale/routing/_readiness_breaks.py
@@ -56,7 +56,7 @@
         self._metrics = metrics
         self._random = random_source
         self._times = _Times(updated_ms=clock.monotonic_ms())
-        self._log = StateLog(channel='room')
+        self._log = StateLog(channel='capacity')
 
     @property
     def is_ready(self) -> bool:
--- a/teaseldale/routing/_vm_room.py
+++ b/teaseldale/routing/_vm_capacity.py
@@ -46,7 +46,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class RoomRequest:
+class CapacityRequest:
     """What the decision needs to know of a request."""
 
     body_bytes: int | None  # None if the length is not known beforehand
@@ -55,13 +55,13 @@
 
 
 @attrs.frozen(kw_only=True)
-class RoomRefusal:
+class CapacityRefusal:
     """A request for which this VM has no capacity."""
 
     retry_after_ms: int
 
 
-class VmRoom:
+class VmCapacity:
     """Load of the VM's link, and the decisions that depend on it."""
 
     def __init__(
@@ -82,7 +82,7 @@
             metrics=metrics,
             random_source=random_source,
         )
-        self._log = StateLog(channel='room')
+        self._log = StateLog(channel='capacity')
 
     @property
     def is_ready(self) -> bool:
@@ -114,14 +114,14 @@
         if is_refusing != self._is_refusing:
             self._is_refusing = is_refusing
             self._log.changed(
-                'vm_room_changed',
+                'vm_capacity_changed',
                 is_refusing=is_refusing,
                 link_percent=round(share * 100),
             )
         self._breaks.update(share)
         return load
 
-    def decide(self, request: RoomRequest) -> RoomRefusal | None:
+    def decide(self, request: CapacityRequest) -> CapacityRefusal | None:
         """Returns a refusal if the link has no capacity for a request.
 
         Called once for each request, before its body is read.
@@ -132,14 +132,16 @@
         reason = self._find_reason(request, load)
         if reason is None:
             return None
-        self._metrics.increment('room_refusals', reason)
+        self._metrics.increment('link_refusals', reason)
         spread_ms = self._random.randrange(_RETRY_SPREAD_MS)
         longest_ms = request.left_ms // _RETRY_TIME_SHARE
-        return RoomRefusal(
+        return CapacityRefusal(
             retry_after_ms=max(1, min(_RETRY_AFTER_MS + spread_ms, longest_ms)),
         )
 
-    def _find_reason(self, request: RoomRequest, load: LinkLoad) -> str | None:
+    def _find_reason(
+        self, request: CapacityRequest, load: LinkLoad
+    ) -> str | None:
         if self._transfer_ms(request, load) > request.left_ms:
             return 'too late'
         refused_part = _refused_part(request, load.busiest_share)
@@ -147,7 +149,7 @@
             return 'link full'
         return None
 
-    def _transfer_ms(self, request: RoomRequest, load: LinkLoad) -> float:
+    def _transfer_ms(self, request: CapacityRequest, load: LinkLoad) -> float:
         """Estimates the time to read the body and to forward it."""
         scaled_bytes = (request.body_bytes or 0) * _MS_PER_SECOND
         whole_link_ms = scaled_bytes / self._link.link_bytes_per_s
@@ -160,7 +162,7 @@
     return max(_LEAST_FREE_SHARE, 1 - used_share)
 
 
-def _refused_part(request: RoomRequest, busiest_share: float) -> float:
+def _refused_part(request: CapacityRequest, busiest_share: float) -> float:
     """Returns the part of such requests to refuse, 0 to below 1."""
     value = (_smallness(request.body_bytes) + _urgency(request.priority)) / 2
     from_share = _REFUSING_UNTIL_SHARE + value * _VALUE_SHARE
--- a/teaseldale/routing/tests/steps_vm_room.py
+++ b/teaseldale/routing/tests/steps_vm_capacity.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 
 from teaseldale.metrics import Metrics
-from teaseldale.routing import LinkTotals, LinkWindow, RoomRequest, VmRoom
+from teaseldale.routing import (
+    CapacityRequest,
+    LinkTotals,
+    LinkWindow,
+    VmCapacity,
+)
 
 _LINKS = {'a link of 5 Mbit/s': 625_000, 'a link of unknown rate': 0}
 _DEFAULT_RATE = 625_000
@@ -37,7 +42,7 @@
         self.retry_ms = []
         self.is_ready = []  # at checks one second apart
         random_source = random.Random(5)
-        self.room = VmRoom(
+        self.capacity = VmCapacity(
             link=LinkWindow(
                 link_bytes_per_s=link_bytes_per_s,
                 read_totals=lambda: LinkTotals(
@@ -58,12 +63,12 @@
             for kind, (size, priority) in _KINDS.items():
                 self._decide(kind, size, priority)
             if elapsed_ms % 1000 == 0:
-                self.is_ready.append(self.room.is_ready)
+                self.is_ready.append(self.capacity.is_ready)
 
     def _decide(self, kind, size, priority):
         self.arrived[kind] += 1
-        refusal = self.room.decide(
-            RoomRequest(body_bytes=size, priority=priority, left_ms=20_000),
+        refusal = self.capacity.decide(
+            CapacityRequest(body_bytes=size, priority=priority, left_ms=20_000),
         )
         if refusal is not None:
             self.refused[kind] += 1
