--- a/teaseldale/upstreams/_wait_timer.py
+++ b/teaseldale/upstreams/_wait_timer.py
@@ -21,7 +21,9 @@
         self._loop = loop
         self._on_expiry = on_expiry
         self._deadline: float | None = None
-        self._handle: asyncio.TimerHandle | None = None
+        # The event loop's handles do not all tell when they fire.
+        self._handle: asyncio.Handle | None = None
+        self._fires_at: float = 0  # time of the event loop
 
     def start(self, timeout_seconds: float | None) -> None:
         """Starts the timeout of a wait, which replaces any earlier one."""
@@ -30,10 +32,10 @@
             return
         self._deadline = self._loop.time() + timeout_seconds
         if self._handle is not None:
-            if self._handle.when() <= self._deadline:
+            if self._fires_at <= self._deadline:
                 return
             self._handle.cancel()
-        self._handle = self._loop.call_at(self._deadline, self._fire)
+        self._schedule(self._deadline)
 
     def cancel(self) -> None:
         """Stops the timer."""
@@ -47,6 +49,10 @@
         if self._deadline is None:
             return
         if self._loop.time() < self._deadline:
-            self._handle = self._loop.call_at(self._deadline, self._fire)
+            self._schedule(self._deadline)
         else:
             self._on_expiry()
+
+    def _schedule(self, fires_at: float) -> None:
+        self._fires_at = fires_at
+        self._handle = self._loop.call_at(fires_at, self._fire)
