--- a/teaseldale/routing/_vm_capacity.py
+++ b/teaseldale/routing/_vm_capacity.py
@@ -29,7 +29,8 @@
 # Increase of the load over which the refused part rises from none to the most.
 # A full link measures 0.85 to 0.95, as not all packets are counted.
 _RISE_SHARE = 0.12
-_MOST_REFUSED = 0.9
+# A refused request may come back to this VM, and most callers try only twice.
+_MOST_REFUSED = 0.5
 # Bodies of these sizes and beyond count as smallest and as largest.
 _SMALLEST_BODY_BYTES = 1024
 _LARGEST_BODY_BYTES = 65_536
