--- a/teaseldale/routing/_vm_capacity.py
+++ b/teaseldale/routing/_vm_capacity.py
@@ -167,7 +167,7 @@
     """Returns the part of such requests to refuse, 0 to below 1."""
     value = (_smallness(request.body_bytes) + _urgency(request.priority)) / 2
     from_share = _REFUSING_UNTIL_SHARE + value * _VALUE_SHARE
-    return min(_MOST_REFUSED, (busiest_share - from_share) / _RISE_SHARE)
+    return _MOST_REFUSED * min(1, (busiest_share - from_share) / _RISE_SHARE)
 
 
 def _smallness(body_bytes: int | None) -> float:
