--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -55,6 +55,7 @@
     PartDirectory,
     PlacementExchange,
     RetryWindow,
+    RunnerPaces,
     RunnerPermits,
 )
 from teaseldale.settings import SettingsError
@@ -222,7 +223,13 @@
         configuration=ConfigurationHolder(),
         directory=directory,
         connections=connections,
-        choice=BacklogChoice(clock=clock, random_source=random_source),
+        choice=BacklogChoice(
+            clock=clock,
+            random_source=random_source,
+            # Runners that share their machines report how long work takes; for
+            # others the choice does not depend on measured times.
+            paces=RunnerPaces(clock=clock, needs_reports=True),
+        ),
         overload=OverloadAdmission(
             clock=clock,
             metrics=metrics,
--- a/teaseldale/forwarding/_request_turn.py
+++ b/teaseldale/forwarding/_request_turn.py
@@ -88,9 +88,19 @@
             self._answer.has_started
             or self._admitted.request.last_event_id is not None
             or self._admitted.route.objective_ms <= 0
-            or not self._views()
+            or not self._has_varying_runners
         )
 
+    @property
+    def _has_varying_runners(self) -> bool:
+        """Returns whether runners of the service say how long work takes.
+
+        Services of other runners are served without turns, as their runners
+        take what they have slots and queues for.
+        """
+        names = [backlog.runner for backlog in self._views()]
+        return bool(names) and self._parts.choice.paces.applies_to(names)
+
     async def _await_decision(self) -> OverloadDecision:
         overload = self._parts.overload
         self._settled = anyio.Event()
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -134,9 +134,19 @@
 class RunnerPaces:
     """Paces of all runners that this VM has used, by runner id."""
 
-    def __init__(self, *, clock: BaseClock) -> None:
-        """Knows no runner."""
+    def __init__(
+        self,
+        *,
+        clock: BaseClock,
+        needs_reports: bool = False,
+    ) -> None:
+        """Knows no runner.
+
+        With ``needs_reports``, paces count only among runners of which one has
+        reported how long work takes there.
+        """
         self._clock = clock
+        self._needs_reports = needs_reports
         self._states: dict[str, _RunnerState] = {}
 
     def note_incarnation(self, runner: str, started_wall_ms: int) -> bool:
@@ -263,6 +273,16 @@
             return None
         return duration * max(unread_tokens, 1) * work.knee.stretch(in_work)
 
+    def applies_to(self, runners: Iterable[str]) -> bool:
+        """Returns whether the paces of these runners count."""
+        if not self._needs_reports:
+            return True
+        states = (self._states.get(runner) for runner in runners)
+        return any(
+            state is not None and state.slowdown_ms is not None
+            for state in states
+        )
+
     def relative_durations(
         self,
         runners: Iterable[str],
@@ -276,6 +296,9 @@
         equal ones do, and approaches 1 if there have been no samples for some
         seconds.
         """
+        runners = tuple(runners)
+        if not self.applies_to(runners):
+            return dict.fromkeys(runners, 1.0)
         now_ms = self._clock.monotonic_ms()
         durations = {
             runner: self._duration(runner, now_ms, has_prompt=has_prompt)
@@ -303,6 +326,9 @@
         has_prompt: bool,
     ) -> dict[str, float]:
         """Returns the knee of each runner; infinite if unknown."""
+        runners = tuple(runners)
+        if not self.applies_to(runners):
+            return dict.fromkeys(runners, math.inf)
         return {
             runner: self._knee(runner, has_prompt=has_prompt)
             for runner in runners
--- a/teaseldale/routing/tests/runner_pace_choice.feature
+++ b/teaseldale/routing/tests/runner_pace_choice.feature
@@ -18,3 +18,15 @@
     Given a runner that takes 20 ms up to 4 requests and one that takes 80 ms
     When 3 plain requests are placed and keep running
     Then the faster runner has all of them
+
+  # Guards against runners that are chosen for noise in measured times although
+  # their machines are not shared.
+  Scenario Outline: Paces <count> if <reports> of the runners reports how long work takes
+    Given a choice that needs reports, and runners of which one is measured as slow
+    When <reports> of the runners reports how long work takes
+    Then the paces of the runners <count>
+
+    Examples:
+      | reports | count        |
+      | none    | do not count |
+      | one     | count        |
--- a/teaseldale/routing/tests/steps_runner_pace_choice.py
+++ b/teaseldale/routing/tests/steps_runner_pace_choice.py
@@ -5,10 +5,12 @@
 import random
 import statistics
 
+import anyio
 import attrs
 from behave import given, then, when
 
 from teaseldale.clock import BaseClock
+from teaseldale.fakes import VirtualClock, run_in_virtual_time
 from teaseldale.routing import BacklogChoice, PlannedWork, RunnerPaces
 from teaseldale.routing.tests.modelled_engine import (
     PacedRunner,
@@ -251,3 +253,34 @@
 @then('the faster runner has all of them')
 def faster_has_all(context):
     assert set(context.names) == {'fast'}, context.names
+
+
+@given(
+    'a choice that needs reports, and runners of which one is measured as slow'
+)
+def choice_with_reports(context):
+    context.paces = RunnerPaces(clock=VirtualClock(), needs_reports=True)
+    context.measured_ms = {'i-0': 20, 'i-1': 20, 'i-2': 200}
+
+
+@when('{count} of the runners reports how long work takes')
+def report_slowdowns(context, count):
+    async def measure():
+        for _ in range(20):
+            for runner, elapsed_ms in context.measured_ms.items():
+                context.paces.note_plain_answer(runner, elapsed_ms, 1)
+            await anyio.sleep(0.1)
+        if count == 'one':
+            context.paces.note_slowdown('i-0', 1)
+        context.durations = context.paces.relative_durations(
+            context.measured_ms,
+            has_prompt=False,
+        )
+
+    run_in_virtual_time(measure)
+
+
+@then('the paces of the runners {effect}')
+def paces_count(context, effect):
+    is_slower = context.durations['i-2'] > 1
+    assert is_slower is (effect == 'count'), context.durations
