--- a/teaseldale/routing/_vm_capacity.py
+++ b/teaseldale/routing/_vm_capacity.py
@@ -29,8 +29,7 @@
 # Increase of the load over which the refused part rises from none to the most.
 # A full link measures 0.85 to 0.95, as not all packets are counted.
 _RISE_SHARE = 0.12
-# A refused request may come back to this VM, and most callers try only twice.
-_MOST_REFUSED = 0.5
+_MOST_REFUSED = 0.9
 # Bodies of these sizes and beyond count as smallest and as largest.
 _SMALLEST_BODY_BYTES = 1024
 _LARGEST_BODY_BYTES = 65_536
@@ -167,7 +166,7 @@
     """Returns the part of such requests to refuse, 0 to below 1."""
     value = (_smallness(request.body_bytes) + _urgency(request.priority)) / 2
     from_share = _REFUSING_UNTIL_SHARE + value * _VALUE_SHARE
-    return _MOST_REFUSED * min(1, (busiest_share - from_share) / _RISE_SHARE)
+    return min(_MOST_REFUSED, (busiest_share - from_share) / _RISE_SHARE)
 
 
 def _smallness(body_bytes: int | None) -> float:
