--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -208,8 +208,9 @@
         now_ms = self._parts.clock.monotonic_ms()
         likely = [item for item in limited if self._is_likely(item)]
         candidates = likely or list(limited)
-        # VMs with the same view would otherwise all ask for the same runners.
-        self._parts.random_source.shuffle(candidates)
+        if not any(map(self._needs_room, candidates)):
+            # VMs with the same view would otherwise all ask the same runners.
+            self._parts.random_source.shuffle(candidates)
         by_load = sorted(
             candidates,
             key=lambda backlog: backlog.load_count(now_ms),
@@ -221,6 +222,12 @@
             by_load.insert(0, best)
         return by_load[:_MAX_PERMIT_REQUESTS]
 
+    def _needs_room(self, backlog: RunnerBacklog) -> bool:
+        runner = self._runner_of(backlog)
+        return runner is not None and self._parts.permits.needs_room(
+            runner.incarnation_name,
+        )
+
     def _is_likely(self, backlog: RunnerBacklog) -> bool:
         runner = self._runner_of(backlog)
         return runner is not None and not self._parts.permits.is_unlikely(
