--- a/teaseldale/forwarding/tests/brittle_runners.feature
+++ b/teaseldale/forwarding/tests/brittle_runners.feature
@@ -17,6 +17,10 @@
       | 8   | 1.3  | 9       |
       | 8   | 3    | 9       |
       | 2   | 1.3  | 3       |
+
+    @known_red
+    Examples: large fleet
+      | vms | load | runners |
       | 80  | 0.9  | 48      |
 
   # Guards against starts that nobody counts, because what VMs tell each other is
