--- a/teaseldale/routing/_readiness_breaks.py
+++ b/teaseldale/routing/_readiness_breaks.py
@@ -1,8 +1,9 @@
-"""Short withdrawals of readiness while refusals do not relieve a VM.
+"""Withdrawals of readiness while refusals do not relieve a VM.
 
 The load balancer takes a VM out of rotation after two failed checks, one
 second apart, and brings it back after one success. Kept connections are not
-affected.
+affected. Callers are assigned by a hash, so that most of the load comes back
+with the readiness; the withdrawals therefore get longer while it does.
 """
 
 import random
@@ -16,33 +17,36 @@
 # Moving connections takes the balancer two seconds, in which the load may rise
 # further, so this begins where refusals do.
 _FULL_SHARE = 0.75
-# One large body is no lasting load.
-_FULL_MS = 1000
+# One large body is no lasting load. Beyond that, what waits in front of a full
+# link grows by up to a second in each second.
+_FULL_MS = 500
 # Load figures further apart than this do not show a lasting load.
 _LONGEST_GAP_MS = 1000
-# Long enough for two checks, which are one second apart, and for new
-# connections to be made elsewhere.
-_BREAK_MS = 3500
-# With this interval a VM is ready for more than seven eighths of the time. The
-# random part keeps VMs from withdrawing together.
-_INTERVAL_MS = 30_000
-_INTERVAL_SPREAD_MS = 5000
+# Two seconds for the balancer's checks, and time to receive what waits in front
+# of the link by then.
+_FIRST_BREAK_MS = 6000
+_LONGEST_BREAK_MS = 24_000
+# Random part of a withdrawal, so that VMs do not come back together.
+_SPREAD_SHARE = 0.2
+# A link that is full again this soon has got its callers back.
+_RELAPSE_MS = 10_000
 # The balancer has noticed the withdrawal by then: a connection that is closed
 # earlier would be opened at this VM again.
-_NOTICED_MS = 1200
+_NOTICED_MS = 2200
 
 
 @attrs.define(kw_only=True)
 class _Times:
-    # All monotonic.
+    # All monotonic, but for the length of the latest withdrawal.
+    break_ms: int = 0
     updated_ms: int
     full_since_ms: int | None = None
     break_started_ms: int | None = None
-    next_break_ms: int = 0
+    break_ends_ms: int = 0
 
 
 class ReadinessBreaks:
-    """Withdraws readiness briefly while the link stays full."""
+    """Withdraws readiness while the link stays full."""
 
     def __init__(
         self,
@@ -83,7 +87,7 @@
             times.full_since_ms = now_ms
         if times.break_started_ms is None:
             self._start_if_due(now_ms, busiest_share)
-        elif now_ms - times.break_started_ms >= _BREAK_MS:
+        elif now_ms >= times.break_ends_ms:
             times.break_started_ms = None
             times.full_since_ms = None
             self._log.changed(
@@ -93,19 +97,29 @@
 
     def _start_if_due(self, now_ms: int, busiest_share: float) -> None:
         times = self._times
-        if times.full_since_ms is None or now_ms < times.next_break_ms:
+        if times.full_since_ms is None:
             return
         if now_ms - times.full_since_ms < _FULL_MS:
             return
+        times.break_ms = self._next_break_ms(times.full_since_ms)
+        spread = self._random.uniform(1 - _SPREAD_SHARE, 1)
         times.break_started_ms = now_ms
-        spread_ms = self._random.randrange(_INTERVAL_SPREAD_MS)
-        times.next_break_ms = now_ms + _INTERVAL_MS + spread_ms
+        times.break_ends_ms = now_ms + round(times.break_ms * spread)
         self._metrics.increment('readiness_withdrawals')
         self._log.changed(
             'readiness_withdrawn',
             link_percent=_percent(busiest_share),
+            duration_ms=times.break_ends_ms - now_ms,
         )
 
+    def _next_break_ms(self, full_since_ms: int) -> int:
+        """Returns twice the latest length if the load came back, else the first."""
+        times = self._times
+        ready_ms = full_since_ms - times.break_ends_ms
+        if not times.break_ms or ready_ms > _RELAPSE_MS:
+            return _FIRST_BREAK_MS
+        return min(times.break_ms * 2, _LONGEST_BREAK_MS)
+
 
 def _percent(share: float) -> int:
     return round(share * 100)
--- a/teaseldale/routing/_vm_capacity.py
+++ b/teaseldale/routing/_vm_capacity.py
@@ -40,9 +40,6 @@
 _RETRY_SPREAD_MS = 100
 # Callers honour a retry delay up to one third of their remaining time.
 _RETRY_TIME_SHARE = 3
-# Part of the answers that close their connections while new connections go to
-# other VMs.
-_CLOSED_SHARE = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -94,10 +91,9 @@
     def closes_connection(self) -> bool:
         """Returns whether the next answer should close its connection.
 
-        A part of them does while the load balancer sends new connections to
-        other VMs.
+        All do while the load balancer sends new connections to other VMs.
         """
-        return self._breaks.is_noticed and self._random.random() < _CLOSED_SHARE
+        return self._breaks.is_noticed
 
     def update(self) -> LinkLoad:
         """Applies the current load of the link and returns it.
