--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -44,10 +44,22 @@
         OverloadRequest,
         WaitingTurn,
     )
+    from teaseldale.routing._pace_messages import (
+        ObservedSlowdown,
+        ObservedWork,
+        PaceObservation,
+        decode_observations,
+        encode_observations,
+        incarnation_code,
+    )
     from teaseldale.routing._part_directory import (
         BasePartOwners,
         PartDirectory,
     )
+    from teaseldale.routing._placement_messages import (
+        PlacementDelta,
+        runner_code,
+    )
     from teaseldale.routing._placement_notices import (
         BaseLeavingRunners,
         PlacementDatagram,
@@ -154,6 +166,18 @@
             'BasePartOwners',
             'PartDirectory',
         ),
+        'teaseldale.routing._pace_messages': (
+            'ObservedSlowdown',
+            'ObservedWork',
+            'PaceObservation',
+            'decode_observations',
+            'encode_observations',
+            'incarnation_code',
+        ),
+        'teaseldale.routing._placement_messages': (
+            'PlacementDelta',
+            'runner_code',
+        ),
         'teaseldale.routing._placement_notices': (
             'BaseLeavingRunners',
             'PlacementDatagram',
@@ -236,16 +260,20 @@
     'LinkTotals',
     'LinkWindow',
     'LocalRouter',
+    'ObservedSlowdown',
+    'ObservedWork',
     'OverloadAction',
     'OverloadAdmission',
     'OverloadDecision',
     'OverloadReason',
     'OverloadRequest',
+    'PaceObservation',
     'PartDirectory',
     'Permit',
     'PlacedWork',
     'Placement',
     'PlacementDatagram',
+    'PlacementDelta',
     'PlacementExchange',
     'PlannedWork',
     'PrefixHashChoice',
@@ -271,6 +299,10 @@
     'UpstreamPool',
     'VmCapacity',
     'WaitingTurn',
+    'decode_observations',
+    'encode_observations',
+    'incarnation_code',
     'need_of',
     'prefix_hashes',
+    'runner_code',
 )
--- a/teaseldale/routing/_pace_filter.py
+++ b/teaseldale/routing/_pace_filter.py
@@ -33,6 +33,11 @@
     _distant_since_ms: int = attrs.field(default=0, init=False)
     _is_distant_above: bool = attrs.field(default=False, init=False)
 
+    @property
+    def weight(self) -> float:
+        """Returns the weight of the samples in the mean, at the latest one."""
+        return self._weight
+
     def distance(self, sample: float) -> float:
         """Returns the absolute logarithm of sample and mean; 0 if unknown."""
         if self._log_value is None:
--- a/teaseldale/routing/_placement_deltas.py
+++ b/teaseldale/routing/_placement_deltas.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from teaseldale.routing._backlog_choice import BacklogChoice
+from teaseldale.routing._pace_messages import encode_observations
 from teaseldale.routing._placement_messages import (
     PlacementDelta,
     runner_code,
@@ -29,6 +30,12 @@
 _MAX_PENDING_PARTS = 200
 _MAX_SENT_PARTS = 4000
 _PARTS_SHARE = 0.5  # of a delta, at most, while counts are left out
+# Observed paces are sent at this interval, in what the counts have left of a
+# delta and at most this share of it: a tenth to a third of the budget of a
+# second, so that they hardly delay later counts.
+_PACES_INTERVAL_MS = 250
+_PACES_SHARE = 0.33
+_PACES_OVERHEAD_BYTES = 3
 # A runner's leaving is sent again after this time, doubled with each sending.
 _LEAVING_INTERVAL_MS = 100
 _LEAVING_DOUBLINGS = 5
@@ -82,6 +89,7 @@
         self._pending_parts: dict[_Part, None] = {}
         self._sent_parts: dict[_Part, int] = {}
         self._leaving: dict[str, _SentLeaving] = {}
+        self._paces_ms: int | None = None  # when paces were sent
         self.has_unsent = False  # whether changes did not fit the last delta
 
     def add_parts(self, parts: Iterable[_Part], now_ms: int) -> None:
@@ -127,6 +135,7 @@
         left_bytes: int,
         now_ms: int,
     ) -> bytes:
+        max_paces_bytes = int(left_bytes * _PACES_SHARE)
         leaving = self._take_leaving(due_leaving, left_bytes, now_ms)
         left_bytes -= sum(map(_text_bytes, leaving))
         counts_bytes = sum(counts.size_bytes for counts in due)
@@ -136,6 +145,7 @@
         )
         left_bytes -= sum(map(_part_bytes, parts))
         taken = self._take_counts(due, left_bytes, now_ms)
+        left_bytes -= sum(counts.size_bytes for counts in taken)
         self.has_unsent = bool(self._pending_parts) or any(
             counts.is_changed for counts in due[len(taken) :]
         )
@@ -152,8 +162,28 @@
                     (runner_code(runner), part_id) for runner, part_id in parts
                 ),
                 leaving=tuple(leaving),
+                paces=self._take_paces(
+                    min(left_bytes, max_paces_bytes),
+                    now_ms,
+                ),
+            ),
+        )
+
+    def _take_paces(self, left_bytes: int, now_ms: int) -> bytes:
+        """Returns encoded observations that fit, none if sent lately."""
+        if (
+            self._paces_ms is not None
+            and now_ms - self._paces_ms < _PACES_INTERVAL_MS
+        ):
+            return b''
+        paces = encode_observations(
+            self._choice.paces.take_observations(
+                left_bytes - _PACES_OVERHEAD_BYTES,
             ),
         )
+        if paces:
+            self._paces_ms = now_ms
+        return paces
 
     def _due_counts(self, now_ms: int) -> list[_DueCounts]:
         """Returns the counts to be sent, the most important ones first."""
--- a/teaseldale/routing/_placement_messages.py
+++ b/teaseldale/routing/_placement_messages.py
@@ -60,6 +60,9 @@
     counts: tuple[tuple[int, int, int], ...]
     new_parts: tuple[tuple[int, str], ...]  # runner code and part id
     leaving: tuple[str, ...]  # as in ``PlacementNotice``
+    # Encoded ``PaceObservation``. VMs of earlier builds send none, and ignore
+    # those of others.
+    paces: bytes = b''
 
 
 def runner_code(runner: str) -> int:
--- a/teaseldale/routing/_remote_placements.py
+++ b/teaseldale/routing/_remote_placements.py
@@ -5,6 +5,7 @@
 import attrs
 
 from teaseldale.routing._backlog_choice import BacklogChoice
+from teaseldale.routing._pace_messages import decode_observations
 from teaseldale.routing._placement_messages import (
     PlacementDelta,
     PlacementNotice,
@@ -94,6 +95,7 @@
             runner = self._find_name(part_code)
             if runner is not None:
                 self._choice.note_remote_part(runner, part_id)
+        self._note_paces(delta)
 
     def remove_expired(self, now_ms: int) -> None:
         """Removes expired counts and applies the others to new runners."""
@@ -118,6 +120,16 @@
             if remote.counts or name in kept
         }
 
+    def _note_paces(self, delta: PlacementDelta) -> None:
+        for observation in decode_observations(delta.paces):
+            runner = self._find_name(observation.runner_code)
+            if runner is not None:
+                self._choice.paces.note_received(
+                    delta.vm_name,
+                    runner,
+                    observation,
+                )
+
     def _read_names(self) -> None:
         self._names = {
             runner_code(backlog.runner): backlog.runner
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -1,7 +1,8 @@
 """Learned pace of runners: how fast each reads prompts and answers.
 
-Every VM learns from the answers that it receives and from the runners' own
-reports. Durations are filtered with a time constant of about a second.
+Every VM learns from the answers that it receives, from the runners' own
+reports, and from what the other VMs of its cell have observed. Durations are
+filtered with a time constant of about a second.
 """
 
 import math
@@ -11,13 +12,19 @@
 import attrs
 
 from teaseldale.clock import BaseClock
-from teaseldale.routing._knee_estimate import KneeEstimate
-from teaseldale.routing._pace_filter import PaceFilter
+from teaseldale.routing._pace_agreement import WeightedLog, combine
+from teaseldale.routing._pace_messages import (
+    MAX_OBSERVATION_BYTES,
+    ObservedSlowdown,
+    PaceObservation,
+    incarnation_code,
+    is_later_incarnation,
+)
+from teaseldale.routing._placement_messages import runner_code
+from teaseldale.routing._work_pace import WorkPace, WorkSample
 
-_PACE_TIME_CONSTANT_MS = 1000
 # A report changes many times per second; a request takes longer than that.
 _SLOWDOWN_TIME_CONSTANT_MS = 300
-_ERROR_TIME_CONSTANT_MS = 5000
 _MIN_SLOWDOWN = 0.1
 _MAX_SLOWDOWN = 10.0  # more is a stall, and its end is not reported
 _SLOWDOWN_VALID_MS = 2000  # an older report no longer applies
@@ -36,6 +43,9 @@
 # about the second one, so that it is tried again.
 _FRESH_MS = 3000
 _FORGET_MS = 10_000
+# Bound of the factor of a runner of which only one other VM has samples: it is
+# not known whether these are true.
+_MAX_UNCONFIRMED = 1.5
 
 
 @attrs.frozen(kw_only=True)
@@ -51,84 +61,119 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Sample:
-    duration: float  # ms, or ms per token
-    in_work: int
-    weight: float = 1
-
-
-@attrs.define(kw_only=True)
-class _WorkPace:
-    """Durations of one kind of work, with and without reported slowdowns."""
-
-    knee: KneeEstimate = attrs.field(factory=KneeEstimate)
-    measured: PaceFilter = attrs.field(
-        factory=lambda: PaceFilter(time_constant_ms=_PACE_TIME_CONSTANT_MS),
-    )
-    usual: PaceFilter = attrs.field(
-        factory=lambda: PaceFilter(time_constant_ms=_PACE_TIME_CONSTANT_MS),
-    )
-    # How much less the reports predict than the durations alone.
-    _report_error: float = attrs.field(default=0, init=False)
-
-    @property
-    def noted_ms(self) -> int | None:
-        return self.measured.noted_ms
-
-    @property
-    def trusts_reports(self) -> bool:
-        return self._report_error <= 0
-
-    def current(self, slowdown: float) -> float | None:
-        """Returns the duration, or None if unknown."""
-        usual = self.usual.filtered
-        if usual is None or not self.trusts_reports:
-            return self.measured.filtered
-        return usual * slowdown
-
-    def note(
-        self,
-        sample: _Sample,
-        slowdown: float,
-        now_ms: int,
-    ) -> None:
-        unstretched = sample.duration / self.knee.stretch(sample.in_work)
-        usual = unstretched / slowdown
-        silence_ms = now_ms - (self.noted_ms or now_ms)
-        error = self.usual.distance(usual)
-        error -= self.measured.distance(unstretched)
-        gain = 1 - math.exp(-silence_ms / _ERROR_TIME_CONSTANT_MS)
-        self._report_error += gain * (error - self._report_error)
-        self.measured.note(unstretched, now_ms, sample.weight)
-        self.usual.note(usual, now_ms, sample.weight)
-        duration = sample.duration
-        if self.trusts_reports:
-            duration /= slowdown
-        self.knee.note(duration, max(sample.in_work, 1), now_ms)
+class _ReceivedSlowdown:
+    slowdown_log: float
+    noted_ms: int  # monotonic, of the report
 
 
 @attrs.define(kw_only=True)
 class _RunnerState:
     incarnation: int | None = None
-    prefill: _WorkPace = attrs.field(factory=_WorkPace)  # ms per token
-    plain: _WorkPace = attrs.field(factory=_WorkPace)  # ms
+    prefill: WorkPace = attrs.field(factory=WorkPace)  # ms per token
+    plain: WorkPace = attrs.field(factory=WorkPace)  # ms
     slowdown_log: float = 0
-    slowdown_ms: int | None = None  # monotonic, of the latest report
+    slowdown_ms: int | None = None  # monotonic, of the latest own report
+    is_slowdown_unsent: bool = False
+    received_code: int | None = None  # incarnation of what was received
+    received_slowdowns: dict[str, _ReceivedSlowdown] = attrs.field(factory=dict)
 
     @property
     def knee(self) -> float:
-        has_prompt = self.prefill.noted_ms is not None
+        has_prompt = self.prefill.measured.noted_ms is not None
         return self.work(has_prompt=has_prompt).knee.knee
 
-    def work(self, *, has_prompt: bool) -> _WorkPace:
+    def work(self, *, has_prompt: bool) -> WorkPace:
         return self.prefill if has_prompt else self.plain
 
     def slowdown(self, now_ms: int) -> float:
-        if self.slowdown_ms is None:
+        """Returns the current slowdown of all VMs' reports, 1 if unknown."""
+        own = self._own_slowdown(now_ms)
+        agreement = combine(own, self._valid_received(now_ms))
+        if agreement is None or not agreement.is_confirmed:
             return 1
+        return math.exp(agreement.log_value)
+
+    def expects(self, code: int) -> bool:
+        """Returns whether received figures of an incarnation are current.
+
+        Drops those of an earlier incarnation.
+        """
+        if self.incarnation is not None:
+            return code == incarnation_code(self.incarnation)
+        if self.received_code is None:
+            self.received_code = code
+        elif is_later_incarnation(code, self.received_code):
+            self.drop_received()
+            self.received_code = code
+        return code == self.received_code
+
+    def drop_received(self) -> None:
+        """Forgets what other VMs have observed."""
+        self.received_code = None
+        self.received_slowdowns.clear()
+        self.prefill.drop_received()
+        self.plain.drop_received()
+
+    def note_received(
+        self,
+        vm_name: str,
+        observation: PaceObservation,
+        now_ms: int,
+    ) -> None:
+        if observation.prefill is not None:
+            self.prefill.note_received(vm_name, observation.prefill, now_ms)
+        if observation.plain is not None:
+            self.plain.note_received(vm_name, observation.plain, now_ms)
+        observed = observation.slowdown
+        if observed is None:
+            return
+        noted_ms = now_ms - round(observed.age_ms)
+        earlier = self.received_slowdowns.get(vm_name)
+        if earlier is None or earlier.noted_ms <= noted_ms:
+            self.received_slowdowns[vm_name] = _ReceivedSlowdown(
+                slowdown_log=math.log(_bounded_slowdown(observed.slowdown)),
+                noted_ms=noted_ms,
+            )
+
+    def take_unsent(self, runner: str, now_ms: int) -> PaceObservation:
+        """Returns and clears what this VM has observed since the last call."""
+        slowdown = None
+        if self.is_slowdown_unsent and self.slowdown_ms is not None:
+            slowdown = ObservedSlowdown(
+                slowdown=math.exp(self.slowdown_log),
+                age_ms=now_ms - self.slowdown_ms,
+            )
+        self.is_slowdown_unsent = False
+        return PaceObservation(
+            runner_code=runner_code(runner),
+            incarnation_code=incarnation_code(self.incarnation),
+            prefill=self.prefill.take_unsent(now_ms),
+            plain=self.plain.take_unsent(now_ms),
+            slowdown=slowdown,
+        )
+
+    def _own_slowdown(self, now_ms: int) -> WeightedLog | None:
+        if self.slowdown_ms is None:
+            return None
         if now_ms - self.slowdown_ms > _SLOWDOWN_VALID_MS:
-            return 1
-        return math.exp(self.slowdown_log)
+            return None
+        return WeightedLog(
+            log_value=self.slowdown_log,
+            weight=_slowdown_weight(self.slowdown_ms, now_ms),
+        )
+
+    def _valid_received(self, now_ms: int) -> list[WeightedLog]:
+        oldest_ms = now_ms - _SLOWDOWN_VALID_MS
+        for vm_name, earlier in tuple(self.received_slowdowns.items()):
+            if earlier.noted_ms < oldest_ms:
+                self.received_slowdowns.pop(vm_name)
+        return [
+            WeightedLog(
+                log_value=received.slowdown_log,
+                weight=_slowdown_weight(received.noted_ms, now_ms),
+            )
+            for received in self.received_slowdowns.values()
+        ]
 
 
 class RunnerPaces:
@@ -148,6 +193,8 @@
         self._clock = clock
         self._needs_reports = needs_reports
         self._states: dict[str, _RunnerState] = {}
+        # Runners with observations that were not sent, the oldest first.
+        self._unsent: dict[str, None] = {}
 
     def note_incarnation(self, runner: str, started_wall_ms: int) -> bool:
         """Returns whether figures of an incarnation are current ones.
@@ -161,9 +208,46 @@
             if started_wall_ms > state.incarnation:
                 state = _RunnerState()
                 self._states[runner] = state
+        if state.received_code not in (None, incarnation_code(started_wall_ms)):
+            state.drop_received()
         state.incarnation = started_wall_ms
         return True
 
+    def take_observations(self, max_bytes: int) -> tuple[PaceObservation, ...]:
+        """Returns what this VM has observed itself and not sent yet.
+
+        Returns what fits, runners that wait longest first. Nothing is sent
+        while the paces of no runner count.
+        """
+        now_ms = self._clock.monotonic_ms()
+        taken: list[PaceObservation] = []
+        if not self.applies_to(self._states):
+            return ()
+        while self._unsent and max_bytes >= MAX_OBSERVATION_BYTES:
+            runner = next(iter(self._unsent))
+            self._unsent.pop(runner)
+            observation = self._state(runner).take_unsent(runner, now_ms)
+            # A new incarnation of the runner drops the figures.
+            if observation.has_figures:
+                max_bytes -= observation.size_bytes
+                taken.append(observation)
+        return tuple(taken)
+
+    def note_received(
+        self,
+        vm_name: str,
+        runner: str,
+        observation: PaceObservation,
+    ) -> None:
+        """Records what another VM has observed about a runner.
+
+        Observations of another incarnation than the current one are ignored.
+        """
+        state = self._state(runner)
+        if state.expects(observation.incarnation_code):
+            now_ms = self._clock.monotonic_ms()
+            state.note_received(vm_name, observation, now_ms)
+
     def note_first_event(
         self,
         runner: str,
@@ -179,11 +263,12 @@
         """
         if unread_tokens < _MIN_UNREAD_TOKENS or not elapsed_ms > 0:
             return
+        self._unsent[runner] = None
         weight = min(unread_tokens / _TYPICAL_UNREAD_TOKENS, _MAX_SAMPLE_WEIGHT)
         state = self._state(runner)
         now_ms = self._clock.monotonic_ms()
         state.prefill.note(
-            _Sample(
+            WorkSample(
                 duration=elapsed_ms / unread_tokens,
                 in_work=in_work,
                 weight=weight,
@@ -203,10 +288,11 @@
         ``in_work`` as in ``note_first_event``.
         """
         if elapsed_ms > 0:
+            self._unsent[runner] = None
             state = self._state(runner)
             now_ms = self._clock.monotonic_ms()
             state.plain.note(
-                _Sample(duration=elapsed_ms, in_work=in_work),
+                WorkSample(duration=elapsed_ms, in_work=in_work),
                 state.slowdown(now_ms),
                 now_ms,
             )
@@ -216,7 +302,8 @@
         if not math.isfinite(slowdown) or slowdown <= 0:
             return
         now_ms = self._clock.monotonic_ms()
-        bounded = max(_MIN_SLOWDOWN, min(_MAX_SLOWDOWN, slowdown))
+        bounded = _bounded_slowdown(slowdown)
+        self._unsent[runner] = None
         state = self._state(runner)
         gain = 1.0
         if state.slowdown_ms is not None:
@@ -224,19 +311,22 @@
             gain -= math.exp(-silence_ms / _SLOWDOWN_TIME_CONSTANT_MS)
         state.slowdown_log += gain * (math.log(bounded) - state.slowdown_log)
         state.slowdown_ms = now_ms
+        state.is_slowdown_unsent = True
 
     def keep_only(self, runners: frozenset[str]) -> None:
         """Forgets all other runners."""
         for runner in tuple(self._states):
             if runner not in runners:
                 self._states.pop(runner)
+                self._unsent.pop(runner, None)
 
     def pace(self, runner: str) -> RunnerPace:
         """Returns the pace of a runner, with typical values if unknown."""
         state = self._states.get(runner) or _RunnerState()
-        slowdown = state.slowdown(self._clock.monotonic_ms())
-        prefill_ms = state.prefill.current(slowdown)
-        plain_ms = state.plain.current(slowdown)
+        now_ms = self._clock.monotonic_ms()
+        slowdown = state.slowdown(now_ms)
+        prefill_ms = state.prefill.current(slowdown, now_ms)
+        plain_ms = state.plain.current(slowdown, now_ms)
         return RunnerPace(
             prefill_tokens_per_ms=(
                 _UNKNOWN_PREFILL_TOKENS_PER_MS / slowdown
@@ -265,10 +355,10 @@
         state = self._states.get(runner)
         if state is None:
             return None
-        slowdown = state.slowdown(self._clock.monotonic_ms())
+        now_ms = self._clock.monotonic_ms()
         unread_tokens = queued_tokens + own_tokens
         work = state.work(has_prompt=bool(unread_tokens))
-        duration = work.current(slowdown)
+        duration = work.current(state.slowdown(now_ms), now_ms)
         if duration is None:
             return None
         return duration * max(unread_tokens, 1) * work.knee.stretch(in_work)
@@ -355,7 +445,11 @@
         if factor is None:
             factor = state.slowdown(now_ms)
         else:
-            noted_ms = state.work(has_prompt=has_prompt).noted_ms
+            work = state.work(has_prompt=has_prompt)
+            noted_ms = work.noted_ms
+            if not work.is_confirmed(now_ms):
+                factor = max(1 / _MAX_UNCONFIRMED, factor)
+                factor = min(_MAX_UNCONFIRMED, factor)
         if 1 / _EQUAL_FACTOR <= factor <= _EQUAL_FACTOR:
             return 1
         stale_ms = max(0, now_ms - (noted_ms or 0) - _FRESH_MS)
@@ -373,12 +467,21 @@
         if state is None:
             return None
         work = state.work(has_prompt=has_prompt)
-        return work.current(state.slowdown(now_ms))
+        return work.current(state.slowdown(now_ms), now_ms)
 
     def _state(self, runner: str) -> _RunnerState:
         return self._states.setdefault(runner, _RunnerState())
 
 
+def _bounded_slowdown(slowdown: float) -> float:
+    return max(_MIN_SLOWDOWN, min(_MAX_SLOWDOWN, slowdown))
+
+
+def _slowdown_weight(noted_ms: int, now_ms: int) -> float:
+    age_ms = max(0, now_ms - noted_ms)
+    return math.exp(-age_ms / _SLOWDOWN_TIME_CONSTANT_MS)
+
+
 def _are_equal(shortest: float, longest: float, typical: float) -> bool:
     is_long = longest > typical * _EQUAL_FACTOR
     return shortest * _EQUAL_FACTOR >= typical and not is_long
--- a/teaseldale/routing/tests/modelled_engine.py
+++ b/teaseldale/routing/tests/modelled_engine.py
@@ -78,6 +78,15 @@
         self.ends_ms = []  # end of each stream
         self.request_count = 0
 
+    @property
+    def duration(self):
+        """Returns the time for one prompt token in ms."""
+        return 1 / self.tokens_per_ms
+
+    @duration.setter
+    def duration(self, duration):
+        self.tokens_per_ms = 1 / duration
+
     def first_event_at(self, now_ms, tokens):
         """Returns when a prompt that is placed now would be read."""
         stretch = max(1, (self.in_work(now_ms) + 1) / self.knee)
@@ -97,6 +106,33 @@
         return len(self.ends_ms)
 
 
+class PlainRunner:
+    """Answers plain requests, more slowly when all slots are taken."""
+
+    def __init__(self, *, plain_ms, slots):
+        self.duration = plain_ms
+        self.knee = slots
+        self.ends_ms = []  # end of each request
+        self.request_count = 0
+
+    def first_event_at(self, now_ms, tokens):
+        """Returns when a request that is placed now would be answered."""
+        stretch = max(1, (self.in_work(now_ms) + 1) / self.knee)
+        return now_ms + self.duration * stretch
+
+    def add(self, now_ms, tokens):
+        """Adds a request and returns the time of its answer."""
+        end_ms = self.first_event_at(now_ms, tokens)
+        self.ends_ms.append(end_ms)
+        self.request_count += 1
+        return end_ms
+
+    def in_work(self, now_ms):
+        """Returns the number of requests that have not ended."""
+        self.ends_ms = [end_ms for end_ms in self.ends_ms if end_ms > now_ms]
+        return len(self.ends_ms)
+
+
 def steady_arrivals(duration_ms, seed, per_second):
     """Yields arrival times and prompt tokens of a constant mean rate."""
     rng = random.Random(seed)
