--- a/teaseldale/routing/_pace_agreement.py
+++ b/teaseldale/routing/_pace_agreement.py
@@ -7,7 +7,7 @@
 
 import itertools
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -35,6 +35,33 @@
     is_confirmed: bool
 
 
+@attrs.define(kw_only=True)
+class AgreementCache:
+    """Agreement that holds until a value is added or has expired.
+
+    All weights decay with the same time constant, so their proportions stay.
+    """
+
+    _agreement: Agreement | None = attrs.field(default=None, init=False)
+    _valid_until_ms: float = attrs.field(default=-math.inf, init=False)
+
+    def find(
+        self,
+        now_ms: int,
+        compute: Callable[[int], tuple[Agreement | None, float]],
+    ) -> Agreement | None:
+        """Returns the agreement; computes it and its expiry if needed."""
+        if now_ms > self._valid_until_ms:
+            agreement, valid_until_ms = compute(now_ms)
+            self._agreement = agreement
+            self._valid_until_ms = valid_until_ms
+        return self._agreement
+
+    def invalidate(self) -> None:
+        """Has the agreement computed again."""
+        self._valid_until_ms = -math.inf
+
+
 def combine(
     own: WeightedLog | None,
     received: Sequence[WeightedLog],
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -12,7 +12,12 @@
 import attrs
 
 from teaseldale.clock import BaseClock
-from teaseldale.routing._pace_agreement import WeightedLog, combine
+from teaseldale.routing._pace_agreement import (
+    Agreement,
+    AgreementCache,
+    WeightedLog,
+    combine,
+)
 from teaseldale.routing._pace_messages import (
     MAX_OBSERVATION_BYTES,
     ObservedSlowdown,
@@ -76,6 +81,7 @@
     is_slowdown_unsent: bool = False
     received_code: int | None = None  # incarnation of what was received
     received_slowdowns: dict[str, _ReceivedSlowdown] = attrs.field(factory=dict)
+    slowdown_cache: AgreementCache = attrs.field(factory=AgreementCache)
 
     @property
     def knee(self) -> float:
@@ -87,8 +93,7 @@
 
     def slowdown(self, now_ms: int) -> float:
         """Returns the current slowdown of all VMs' reports, 1 if unknown."""
-        own = self._own_slowdown(now_ms)
-        agreement = combine(own, self._valid_received(now_ms))
+        agreement = self.slowdown_cache.find(now_ms, self._compute_slowdown)
         if agreement is None or not agreement.is_confirmed:
             return 1
         return math.exp(agreement.log_value)
@@ -111,6 +116,7 @@
         """Forgets what other VMs have observed."""
         self.received_code = None
         self.received_slowdowns.clear()
+        self.slowdown_cache.invalidate()
         self.prefill.drop_received()
         self.plain.drop_received()
 
@@ -130,6 +136,7 @@
         noted_ms = now_ms - round(observed.age_ms)
         earlier = self.received_slowdowns.get(vm_name)
         if earlier is None or earlier.noted_ms <= noted_ms:
+            self.slowdown_cache.invalidate()
             self.received_slowdowns[vm_name] = _ReceivedSlowdown(
                 slowdown_log=math.log(_bounded_slowdown(observed.slowdown)),
                 noted_ms=noted_ms,
@@ -152,6 +159,21 @@
             slowdown=slowdown,
         )
 
+    def _compute_slowdown(
+        self,
+        now_ms: int,
+    ) -> tuple[Agreement | None, float]:
+        """Returns the agreement and until when it is valid."""
+        own = self._own_slowdown(now_ms)
+        received = self._valid_received(now_ms)
+        times_ms = [
+            earlier.noted_ms for earlier in self.received_slowdowns.values()
+        ]
+        if own is not None and self.slowdown_ms is not None:
+            times_ms.append(self.slowdown_ms)
+        valid_until_ms = min(times_ms, default=math.inf) + _SLOWDOWN_VALID_MS
+        return combine(own, received), valid_until_ms
+
     def _own_slowdown(self, now_ms: int) -> WeightedLog | None:
         if self.slowdown_ms is None:
             return None
@@ -312,6 +334,7 @@
         state.slowdown_log += gain * (math.log(bounded) - state.slowdown_log)
         state.slowdown_ms = now_ms
         state.is_slowdown_unsent = True
+        state.slowdown_cache.invalidate()
 
     def keep_only(self, runners: frozenset[str]) -> None:
         """Forgets all other runners."""
--- a/teaseldale/routing/_work_pace.py
+++ b/teaseldale/routing/_work_pace.py
@@ -5,7 +5,12 @@
 import attrs
 
 from teaseldale.routing._knee_estimate import KneeEstimate
-from teaseldale.routing._pace_agreement import Agreement, WeightedLog, combine
+from teaseldale.routing._pace_agreement import (
+    Agreement,
+    AgreementCache,
+    WeightedLog,
+    combine,
+)
 from teaseldale.routing._pace_filter import PaceFilter
 from teaseldale.routing._pace_messages import ObservedWork
 
@@ -59,15 +64,17 @@
     # How much less the reports predict than the durations alone.
     _report_error: float = attrs.field(default=0, init=False)
     _received: dict[str, _ReceivedWork] = attrs.field(factory=dict, init=False)
+    _received_ms: int | None = attrs.field(default=None, init=False)
     _unsent: _Unsent | None = attrs.field(default=None, init=False)
+    _cache: AgreementCache = attrs.field(factory=AgreementCache, init=False)
 
     @property
     def noted_ms(self) -> int | None:
         """Returns when the latest sample of any VM was taken."""
-        times_ms = [received.noted_ms for received in self._received.values()]
-        if self.measured.noted_ms is not None:
-            times_ms.append(self.measured.noted_ms)
-        return max(times_ms, default=None)
+        own_ms = self.measured.noted_ms
+        if own_ms is None or self._received_ms is None:
+            return self._received_ms if own_ms is None else own_ms
+        return max(own_ms, self._received_ms)
 
     @property
     def trusts_reports(self) -> bool:
@@ -89,6 +96,7 @@
 
     def note(self, sample: WorkSample, slowdown: float, now_ms: int) -> None:
         """Adds a sample of this VM."""
+        self._cache.invalidate()
         unstretched = sample.duration / self.knee.stretch(sample.in_work)
         usual = unstretched / slowdown
         silence_ms = now_ms - (self.measured.noted_ms or now_ms)
@@ -126,6 +134,8 @@
         noted_ms = now_ms - round(observed.age_ms)
         earlier = self._received.get(vm_name)
         if earlier is None or earlier.noted_ms <= noted_ms:
+            self._cache.invalidate()
+            self._received_ms = max(self._received_ms or noted_ms, noted_ms)
             self._received[vm_name] = _ReceivedWork(
                 measured_log=math.log(observed.measured),
                 usual_log=math.log(observed.usual),
@@ -135,14 +145,23 @@
     def drop_received(self) -> None:
         """Forgets what other VMs have observed."""
         self._received.clear()
+        self._received_ms = None
+        self._cache.invalidate()
 
     def _agreement(self, now_ms: int) -> Agreement | None:
+        return self._cache.find(now_ms, self._compute_agreement)
+
+    def _compute_agreement(
+        self,
+        now_ms: int,
+    ) -> tuple[Agreement | None, float]:
+        """Returns the agreement and until when it is valid."""
         oldest_ms = now_ms - _RECEIVED_VALID_MS
         for vm_name, earlier in tuple(self._received.items()):
             if earlier.noted_ms < oldest_ms:
                 self._received.pop(vm_name)
         own_filter = self.usual if self.trusts_reports else self.measured
-        return combine(
+        agreement = combine(
             _own_value(own_filter, now_ms),
             [
                 WeightedLog(
@@ -156,6 +175,8 @@
                 for received in self._received.values()
             ],
         )
+        oldest = (received.noted_ms for received in self._received.values())
+        return agreement, min(oldest, default=math.inf) + _RECEIVED_VALID_MS
 
     def _note_unsent(
         self,
