--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -94,9 +94,10 @@
     def slowdown(self, now_ms: int) -> float:
         """Returns the current slowdown of all VMs' reports, 1 if unknown."""
         agreement = self.slowdown_cache.find(now_ms, self._compute_slowdown)
-        if agreement is None or not agreement.is_confirmed:
+        if agreement is None:
             return 1
-        return math.exp(agreement.log_value)
+        slowdown = math.exp(agreement.log_value)
+        return slowdown if agreement.is_confirmed else _unconfirmed(slowdown)
 
     def expects(self, code: int) -> bool:
         """Returns whether received figures of an incarnation are current.
@@ -266,9 +267,10 @@
         Observations of another incarnation than the current one are ignored.
         """
         state = self._state(runner)
-        if state.expects(observation.incarnation_code):
-            now_ms = self._clock.monotonic_ms()
-            state.note_received(vm_name, observation, now_ms)
+        if not state.expects(observation.incarnation_code):
+            return
+        now_ms = self._clock.monotonic_ms()
+        state.note_received(vm_name, observation, now_ms)
 
     def note_first_event(
         self,
@@ -372,8 +374,9 @@
     ) -> float | None:
         """Returns the expected time to the first event, or None if unknown.
 
-        Without tokens it is the service time of a plain request. ``in_work``
-        are the requests at the runner, this one included.
+        It is unknown as well if only one other VM has samples. Without tokens
+        it is the service time of a plain request. ``in_work`` are the requests
+        at the runner, this one included.
         """
         state = self._states.get(runner)
         if state is None:
@@ -382,7 +385,7 @@
         unread_tokens = queued_tokens + own_tokens
         work = state.work(has_prompt=bool(unread_tokens))
         duration = work.current(state.slowdown(now_ms), now_ms)
-        if duration is None:
+        if duration is None or not work.is_confirmed(now_ms):
             return None
         return duration * max(unread_tokens, 1) * work.knee.stretch(in_work)
 
@@ -471,8 +474,7 @@
             work = state.work(has_prompt=has_prompt)
             noted_ms = work.noted_ms
             if not work.is_confirmed(now_ms):
-                factor = max(1 / _MAX_UNCONFIRMED, factor)
-                factor = min(_MAX_UNCONFIRMED, factor)
+                factor = _unconfirmed(factor)
         if 1 / _EQUAL_FACTOR <= factor <= _EQUAL_FACTOR:
             return 1
         stale_ms = max(0, now_ms - (noted_ms or 0) - _FRESH_MS)
@@ -500,6 +502,10 @@
     return max(_MIN_SLOWDOWN, min(_MAX_SLOWDOWN, slowdown))
 
 
+def _unconfirmed(factor: float) -> float:
+    return max(1 / _MAX_UNCONFIRMED, min(_MAX_UNCONFIRMED, factor))
+
+
 def _slowdown_weight(noted_ms: int, now_ms: int) -> float:
     age_ms = max(0, now_ms - noted_ms)
     return math.exp(-age_ms / _SLOWDOWN_TIME_CONSTANT_MS)
--- a/teaseldale/routing/tests/shared_paces.feature
+++ b/teaseldale/routing/tests/shared_paces.feature
@@ -37,7 +37,7 @@
   Scenario Outline: One VM that differs by <factor> times has the effect of an outlier
     Given 4 VMs that share paces
     When all VMs but VM 1 read prompts at 40 tokens/ms at runner "i-0" for 3 s
-    And VM 1 sends for 5 s that it is <factor> times as fast, and no other VM does
+    And VM 1 sends for 9 s that it is <factor> times as fast, and no other VM does
     Then VM 0 expects prompts of "i-0" to be read at 40 tokens/ms within a factor of 1.5
 
     Examples:
@@ -48,8 +48,16 @@
   Scenario: One other VM alone does not make a runner seem ten times faster
     Given 2 VMs that share paces
     When VM 0 reads prompts at 40 tokens/ms at other runners for 3 s
-    And VM 1 sends for 5 s that it is 10 times as fast, and no other VM does
+    And VM 1 sends for 9 s that it is 10 times as fast, and no other VM does
     Then the relative duration of "i-0" at VM 0 is at least 0.66
+    And VM 0 knows nothing of "i-0"
+
+  Scenario: A slowdown that one other VM alone reports has the effect of an outlier
+    Given 2 VMs that share paces
+    When all VMs but VM 1 read prompts at 60 tokens/ms at runner "i-0" for 3 s
+    And 3 s pass in the cell
+    And VM 1 alone reads a slowdown of 10 of runner "i-0"
+    Then VM 0 expects prompts of "i-0" to be read at 40 tokens/ms within 0.05
 
   # Guards against figures of a runner that has since been replaced.
   Scenario: A new incarnation of a runner invalidates what was received
--- a/teaseldale/routing/tests/steps_shared_paces.py
+++ b/teaseldale/routing/tests/steps_shared_paces.py
@@ -60,7 +60,10 @@
         self.choice = BacklogChoice(
             clock=clock,
             random_source=random.Random(1),
-            paces=RunnerPaces(clock=clock, needs_reports=True),
+            paces=RunnerPaces(
+                clock=clock,
+                needs_reports=True,
+            ),
         )
         for number in range(3):
             self.choice.backlog(f'i-{number}', 32)
@@ -284,14 +287,30 @@
     context.cell.read((1,), 'i-0', 40, seconds, false_factor=factor)
 
 
-@when('VM 1 and VM 2 read a slowdown of {slowdown:g} of runner "{runner}"')
-def read_slowdown(context, slowdown, runner):
-    cell = context.cell
+def share_slowdown(cell, senders, runner, slowdown):
+    """Adds reports of some VMs for 3 s and exchanges their datagrams."""
     for _ in range(10):
         cell.clock.now_ms += _SAMPLE_INTERVAL_MS
-        for number in (1, 2):
+        for number in senders:
             cell.vms[number].choice.paces.note_slowdown(runner, slowdown)
-        cell.exchange((1, 2))
+        cell.exchange(senders)
+
+
+@when('VM 1 and VM 2 read a slowdown of {slowdown:g} of runner "{runner}"')
+def two_read_slowdown(context, slowdown, runner):
+    share_slowdown(context.cell, (1, 2), runner, slowdown)
+
+
+@when('VM 1 alone reads a slowdown of {slowdown:g} of runner "{runner}"')
+def one_reads_slowdown(context, slowdown, runner):
+    paces = context.cell.vms[1].choice.paces
+    assert paces.note_incarnation(runner, _INCARNATION)
+    share_slowdown(context.cell, (1,), runner, slowdown)
+
+
+@when('{seconds:d} s pass in the cell')
+def time_passes(context, seconds):
+    context.cell.clock.now_ms += seconds * 1000
 
 
 @when('VM 0 learns of a new incarnation of "{runner}"')
