--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -228,7 +228,11 @@
             random_source=random_source,
             # Runners that share their machines report how long work takes; for
             # others the choice does not depend on measured times.
-            paces=RunnerPaces(clock=clock, needs_reports=True),
+            paces=RunnerPaces(
+                clock=clock,
+                needs_reports=True,
+                metrics=metrics,
+            ),
         ),
         overload=OverloadAdmission(
             clock=clock,
--- a/teaseldale/routing/_runner_pace.py
+++ b/teaseldale/routing/_runner_pace.py
@@ -12,6 +12,7 @@
 import attrs
 
 from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
 from teaseldale.routing._pace_agreement import (
     Agreement,
     AgreementCache,
@@ -207,6 +208,7 @@
         *,
         clock: BaseClock,
         needs_reports: bool = False,
+        metrics: Metrics | None = None,
     ) -> None:
         """Knows no runner.
 
@@ -215,6 +217,7 @@
         """
         self._clock = clock
         self._needs_reports = needs_reports
+        self._metrics = metrics or Metrics()
         self._states: dict[str, _RunnerState] = {}
         # Runners with observations that were not sent, the oldest first.
         self._unsent: dict[str, None] = {}
@@ -254,6 +257,7 @@
             if observation.has_figures:
                 max_bytes -= observation.size_bytes
                 taken.append(observation)
+                self._metrics.increment('shared_paces', 'sent')
         return tuple(taken)
 
     def note_received(
@@ -268,7 +272,9 @@
         """
         state = self._state(runner)
         if not state.expects(observation.incarnation_code):
+            self._metrics.increment('shared_paces', 'other_incarnation')
             return
+        self._metrics.increment('shared_paces', 'received')
         now_ms = self._clock.monotonic_ms()
         state.note_received(vm_name, observation, now_ms)
 
--- a/teaseldale/routing/tests/shared_paces.feature
+++ b/teaseldale/routing/tests/shared_paces.feature
@@ -67,6 +67,7 @@
     Then VM 0 knows nothing of "i-0"
     When VM 1 and VM 2 read prompts at 20 tokens/ms at runner "i-0" for 2 s
     Then VM 0 knows nothing of "i-0"
+    And VM 0 has counted paces as "received" and "other_incarnation"
 
   Scenario: Duplicate and late datagrams change nothing
     Given 3 VMs that share paces
--- a/teaseldale/routing/tests/steps_shared_paces.py
+++ b/teaseldale/routing/tests/steps_shared_paces.py
@@ -7,6 +7,7 @@
 import msgspec
 from behave import given, then, when
 
+from teaseldale.metrics import Metrics
 from teaseldale.routing import (
     BacklogChoice,
     BaseLeavingRunners,
@@ -57,12 +58,14 @@
 
 class _SharingVm:
     def __init__(self, name, clock):
+        self.metrics = Metrics()
         self.choice = BacklogChoice(
             clock=clock,
             random_source=random.Random(1),
             paces=RunnerPaces(
                 clock=clock,
                 needs_reports=True,
+                metrics=self.metrics,
             ),
         )
         for number in range(3):
@@ -359,6 +362,13 @@
     assert context.cell.pace(runner) is None
 
 
+@then('VM 0 has counted paces as "{first}" and "{second}"')
+def has_counted(context, first, second):
+    metrics = context.cell.vms[0].metrics
+    for reason in (first, second):
+        assert metrics.counter_value('shared_paces', reason), reason
+
+
 @then(
     'VM 0 expects the same if it receives all datagrams again, the last one '
     'first'
