--- a/teaseldale/routing/_placement_deltas.py
+++ b/teaseldale/routing/_placement_deltas.py
@@ -31,8 +31,7 @@
 _MAX_SENT_PARTS = 4000
 _PARTS_SHARE = 0.5  # of a delta, at most, while counts are left out
 # Observed paces are sent at this interval, in what the counts have left of a
-# delta and at most this share of it: a tenth to a third of the budget of a
-# second, so that they hardly delay later counts.
+# delta and at most this share of it, so that they hardly delay later counts.
 _PACES_INTERVAL_MS = 250
 _PACES_SHARE = 0.33
 _PACES_OVERHEAD_BYTES = 3
