--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -51,6 +51,7 @@
 )
 from teaseldale.routing import (
     BacklogChoice,
+    LearnedStart,
     OverloadAdmission,
     PartDirectory,
     PlacementExchange,
@@ -218,6 +219,9 @@
     metrics = store.metrics
     directory = links.directory
     connections = links.connections
+    # Runners that share their machines report how long work takes; for others
+    # the choice does not depend on measured times.
+    paces = RunnerPaces(clock=clock, needs_reports=True)
     return ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=ConfigurationHolder(),
@@ -226,15 +230,15 @@
         choice=BacklogChoice(
             clock=clock,
             random_source=random_source,
-            # Runners that share their machines report how long work takes; for
-            # others the choice does not depend on measured times.
-            paces=RunnerPaces(clock=clock, needs_reports=True),
+            paces=paces,
         ),
         overload=OverloadAdmission(
             clock=clock,
             metrics=metrics,
             random_source=random_source,
+            estimate=LearnedStart(paces=paces),
             vm_count=lambda: members.vm_count,
+            cell=links.cells.runners,
         ),
         cells=links.cells,
         part_directory=PartDirectory(
--- a/teaseldale/forwarding/tests/entry_world.py
+++ b/teaseldale/forwarding/tests/entry_world.py
@@ -51,6 +51,7 @@
 from teaseldale.platform import PlatformOrderStatus, PlatformWireFormat
 from teaseldale.routing import (
     BacklogChoice,
+    LearnedStart,
     OverloadAdmission,
     PartDirectory,
     RetryWindow,
@@ -205,6 +206,7 @@
         clock=clock,
         metrics=metrics,
     )
+    paces = RunnerPaces(clock=clock, needs_reports=True)
     parts = ForwardingDependencies(
         wire=PlatformWireFormat(),
         configuration=holder,
@@ -213,13 +215,15 @@
         choice=BacklogChoice(
             clock=clock,
             random_source=random_source,
-            paces=RunnerPaces(clock=clock, needs_reports=True),
+            paces=paces,
         ),
         overload=OverloadAdmission(
             clock=clock,
             metrics=metrics,
             random_source=random_source,
+            estimate=LearnedStart(paces=paces),
             vm_count=lambda: len(members.entries()),
+            cell=cells.runners,
         ),
         cells=cells,
         part_directory=PartDirectory(
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -37,6 +37,7 @@
     from teaseldale.routing._overload_admission import (
         OverloadAdmission,
     )
+    from teaseldale.routing._overload_estimate import LearnedStart
     from teaseldale.routing._overload_request import (
         OverloadAction,
         OverloadDecision,
@@ -143,6 +144,7 @@
             'LinkWindow',
         ),
         'teaseldale.routing._overload_admission': ('OverloadAdmission',),
+        'teaseldale.routing._overload_estimate': ('LearnedStart',),
         'teaseldale.routing._overload_request': (
             'OverloadAction',
             'OverloadDecision',
@@ -236,6 +238,7 @@
     'LinkTotals',
     'LinkWindow',
     'LocalRouter',
+    'LearnedStart',
     'OverloadAction',
     'OverloadAdmission',
     'OverloadDecision',
--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from teaseldale.clock import BaseClock
 from teaseldale.logs import StateLog
@@ -47,6 +47,10 @@
     return 1
 
 
+def _all_runners(runners: Iterable[str]) -> frozenset[str]:
+    return frozenset(runners)
+
+
 class OverloadAdmission:
     """Decides whether requests start, wait or are refused."""
 
@@ -58,16 +62,19 @@
         random_source: random.Random,
         estimate: BaseStartEstimate | None = None,
         vm_count: Callable[[], int] = _one_vm,
+        cell: Callable[[Iterable[str]], frozenset[str]] = _all_runners,
     ) -> None:
         """Uses ``estimate`` for times to the first event.
 
-        ``vm_count`` returns the number of VMs that use the same runners.
+        ``vm_count`` returns the number of VMs that use the same runners,
+        ``cell`` those of some runners whose complete counts are known.
         """
         self._clock = clock
         self._metrics = metrics
         self._random = random_source
         self._estimate = estimate or UnknownStart()
         self._vm_count = vm_count
+        self._cell = cell
         self._pools: dict[str, OverloadPool] = {}
         self._log = StateLog(channel='overload')
 
@@ -96,7 +103,9 @@
             ),
         )
         load = self._load(pool)
-        if not pool.queue and load.free_count > pool.starting_count:
+        pool.note_offered(request, now_ms)
+        has_room = load.free_count > pool.starting_count
+        if not pool.queue and has_room:
             pool.queue.usual.note(request.account, now_ms, request.cost_tokens)
         removed = pool.queue.add(turn)
         if removed is turn:
@@ -127,7 +136,11 @@
         reason = self._find_objection(pool, turn, load)
         if turn.is_started:
             return OverloadDecision(action=OverloadAction.START)
-        if reason is not None and pool.may_probe(turn, load, self._now_ms):
+        if (
+            reason is not None
+            and self._prompt_excess_ms(pool, turn.request, load) is None
+            and pool.may_probe(turn, load, self._now_ms)
+        ):
             pool.credit.take_ahead()
             self._start(pool, turn)
             return OverloadDecision(action=OverloadAction.START)
@@ -205,8 +218,15 @@
             self._vm_count(),
         )
         while True:
-            turn = pool.queue.first()
-            if turn is None or not self._may_start(pool, turn, load):
+            turn = next(
+                (
+                    head
+                    for head in pool.heads(now_ms)
+                    if self._may_start(pool, head, load)
+                ),
+                None,
+            )
+            if turn is None:
                 break
             self._start(pool, turn)
         self._metrics.set_gauge('overload_waiting', self._waiting_count)
@@ -216,6 +236,7 @@
         pool.queue.start(turn)
         pool.starting_count += 1
         pool.credit.note_start(now_ms, turn.request.rank)
+        pool.kinds.note_started(turn.request, now_ms)
         turn.is_started = True
         turn.settle()
         waited_ms = now_ms - turn.request.arrival_ms
@@ -235,20 +256,34 @@
     ) -> bool:
         if not load.runners:
             return True
-        if load.free_count > pool.starting_count:
-            return self._fits(turn.request, load) or pool.credit.take()
-        return pool.credit.take()
-
-    def _fits(self, request: OverloadRequest, load: PoolLoad) -> bool:
-        """Returns whether a first event is expected in time at some runner."""
-        if load.share < _SHORT_SHARE:
-            return True
-        first_ms = load.first_event_ms(self._estimate, request.work)
-        if first_ms is None:
+        now_ms = self._now_ms
+        request = turn.request
+        excess_ms = self._prompt_excess_ms(pool, request, load)
+        if excess_ms is not None:
+            return excess_ms <= 0
+        reserved = pool.reserved_count(request, load, now_ms)
+        if load.free_count > pool.starting_count + reserved:
             return True
-        left_ms = request.goal_at_ms - self._now_ms
-        alone_ms = load.idle_event_ms(self._estimate, request.work) or 0
-        return first_ms <= max(left_ms, _LONG_PROMPT_FACTOR * alone_ms)
+        return pool.credit.take(1 - pool.precedence(request, now_ms))
+
+    def _prompt_excess_ms(
+        self,
+        pool: OverloadPool,
+        request: OverloadRequest,
+        load: PoolLoad,
+    ) -> float | None:
+        """Returns in which time a prompt may be sent to a runner.
+
+        Returns None if slots decide, because no runner of the cell has one or
+        their paces are unknown.
+        """
+        near = load.only(self._cell(backlog.runner for backlog in load.runners))
+        queue_ms = near.prompt_queue_ms(self._estimate, request.work)
+        if queue_ms is None:
+            return None
+        if near.share < _SHORT_SHARE:
+            return 0
+        return queue_ms - pool.prompt_limit_ms(request, self._now_ms)
 
     def _find_objection(
         self,
@@ -287,7 +322,9 @@
             return OverloadReason.GOAL
         if now_ms < refuse_at_ms(request):
             return None
-        if wait_ms + interval_ms > spare_ms * _SURE_SHARE:
+        # The queues at runners vary too much to promise a start.
+        has_queue = self._prompt_excess_ms(pool, request, load) is not None
+        if has_queue or wait_ms + interval_ms > spare_ms * _SURE_SHARE:
             return OverloadReason.WAITED
         turn.is_kept = True
         return None
@@ -303,6 +340,9 @@
         if left_ms <= 0:
             left_ms = refusal_time_ms(turn.request)
         # The first one starts as soon as there is credit.
+        excess_ms = self._prompt_excess_ms(pool, turn.request, load)
+        if excess_ms is not None:
+            return max(_MIN_CHECK_MS, min(left_ms, excess_ms))
         floor = pool.credit.floor_per_ms(load.slot_count, self._vm_count())
         if floor and pool.queue.first() is turn:
             missing = max(0, 1 - pool.credit.credit)
--- a/teaseldale/routing/_overload_credit.py
+++ b/teaseldale/routing/_overload_credit.py
@@ -78,9 +78,12 @@
         """Removes all credit: the queue of a runner is full."""
         self.credit = min(self.credit, 0)
 
-    def take(self) -> bool:
-        """Takes credit for one start; returns whether there was enough."""
-        if self.credit < 1:
+    def take(self, reserve: float = 0) -> bool:
+        """Takes credit for one start; returns whether there was enough.
+
+        ``reserve`` (0 to 1) is the credit that must be left afterwards.
+        """
+        if self.credit < 1 + reserve:
             return False
         self.credit -= 1
         return True
--- a/teaseldale/routing/_overload_estimate.py
+++ b/teaseldale/routing/_overload_estimate.py
@@ -2,6 +2,8 @@
 
 import abc
 
+from teaseldale.routing._runner_pace import RunnerPaces
+
 
 class BaseStartEstimate(abc.ABC):
     """Estimates when a runner would send the first event of a new request."""
@@ -34,3 +36,26 @@
     ) -> float | None:
         """Returns None."""
         return None
+
+
+class LearnedStart(BaseStartEstimate):
+    """Estimates from the learned paces of runners."""
+
+    def __init__(self, *, paces: RunnerPaces) -> None:
+        """Uses ``paces``, which others keep current."""
+        self._paces = paces
+
+    def first_event_ms(
+        self,
+        runner: str,
+        queued_tokens: int,
+        own_tokens: int,
+        in_work: int,
+    ) -> float | None:
+        """Returns the expected time, or None if the pace is unknown."""
+        return self._paces.first_event_ms(
+            runner,
+            queued_tokens,
+            own_tokens,
+            in_work,
+        )
--- a/teaseldale/routing/_overload_pool.py
+++ b/teaseldale/routing/_overload_pool.py
@@ -5,6 +5,8 @@
 import attrs
 
 from teaseldale.routing._overload_credit import StartCredit
+from teaseldale.routing._overload_excess import RecentLoads
+from teaseldale.routing._overload_kinds import KindShares
 from teaseldale.routing._overload_load import PoolLoad
 from teaseldale.routing._overload_queue import (
     STARTS_PER_LOWER_RANK,
@@ -23,6 +25,14 @@
 # Debt up to which a start may be taken ahead to get a new report.
 _LEAST_PROBE_CREDIT = -1
 _LEAST_RARE_CREDIT = -2  # if refusals are rare, as after a burst
+# Prompts that wait at a runner, in time and as a part of the shortest goal, up
+# to which the most urgent requests start.
+_PROMPT_QUEUE_SHARE = 0.4
+_MIN_QUEUE_PART = 0.25  # of that, for requests with the least precedence
+# Part of the slots that requests without precedence leave free.
+_RESERVED_SLOT_SHARE = 0.2
+# After the last refusal, runners count as short for this time.
+_SHORT_MS = 3000
 
 Views = Callable[[], tuple[RunnerBacklog, ...]]
 
@@ -38,12 +48,79 @@
     queue: OverloadQueue = attrs.field(
         factory=lambda: OverloadQueue(limit_count=_QUEUE_LIMIT_COUNT),
     )
+    kinds: KindShares = attrs.field(factory=KindShares)
+    recent: RecentLoads = attrs.field(factory=RecentLoads)
     starting_count: int = 0  # started, but not yet placed at a runner
     refused_count: int = 0  # since the last log line
     refused_ms: float = 0  # monotonic time of the last refusal
     longest_wait_ms: float = 0
     logged_ms: float = 0
 
+    def note_offered(self, request: OverloadRequest, now_ms: float) -> None:
+        """Counts a request that arrives."""
+        self.kinds.note_offered(request, now_ms)
+        self.recent.note(request.account, now_ms, request.cost_tokens)
+
+    def precedence(self, request: OverloadRequest, now_ms: float) -> float:
+        """Returns the part of the runners' room that a request may use.
+
+        It is 1 for the most urgent kind and for kinds that are served far less
+        than others, and 0 for accounts that send more than usual.
+        """
+        if self._is_in_excess(request, now_ms):
+            return 0
+        if self.kinds.is_behind(request, now_ms):
+            return 1
+        return self.kinds.urgency(request.rank)
+
+    def prompt_limit_ms(
+        self,
+        request: OverloadRequest,
+        now_ms: float,
+    ) -> float:
+        """Returns up to which wait at a runner a prompt may be sent there."""
+        part = self.precedence(request, now_ms)
+        part = _MIN_QUEUE_PART + (1 - _MIN_QUEUE_PART) * part
+        goal_ms = self.kinds.shortest_goal_ms(request)
+        return _PROMPT_QUEUE_SHARE * goal_ms * part
+
+    def was_short(self, now_ms: float) -> bool:
+        """Returns whether a request was refused recently."""
+        return bool(self.refused_ms) and now_ms - self.refused_ms < _SHORT_MS
+
+    def reserved_count(
+        self,
+        request: OverloadRequest,
+        load: PoolLoad,
+        now_ms: float,
+    ) -> float:
+        """Returns how many free slots a request leaves to others."""
+        if not self.was_short(now_ms):
+            return 0
+        reserve = 1 - self.precedence(request, now_ms)
+        return reserve * _RESERVED_SLOT_SHARE * load.slot_count
+
+    def heads(self, now_ms: float) -> list[WaitingTurn]:
+        """Returns the next request of each flow, in the order of their turns.
+
+        Kinds that are served far less than others come first, accounts that
+        send more than usual last.
+        """
+        return sorted(
+            self.queue.heads(),
+            key=lambda turn: (
+                self._is_in_excess(turn.request, now_ms),
+                not self.kinds.is_behind(turn.request, now_ms),
+            ),
+        )
+
+    def _is_in_excess(self, request: OverloadRequest, now_ms: float) -> bool:
+        return self.recent.is_in_excess(
+            request.account,
+            now_ms,
+            self.queue.usual.share(request.account),
+        )
+
     def may_probe(
         self,
         turn: WaitingTurn,
--- a/teaseldale/routing/_overload_queue.py
+++ b/teaseldale/routing/_overload_queue.py
@@ -54,6 +54,16 @@
         while len(self._accounts) > _MAX_ACCOUNTS:
             self._accounts.pop(next(iter(self._accounts)))
 
+    def share(self, account: str) -> float:
+        """Returns the part of the usual load that is an account's.
+
+        It is 1 while no account is known, and at least that of a new account.
+        """
+        if not self._accounts:
+            return 1
+        is_new = account not in self._accounts
+        return self.weight(account) / (len(self._accounts) + is_new)
+
     def weight(self, account: str) -> float:
         """Returns the usual load in relation to the mean, with a minimum."""
         known = self._accounts.get(account)
@@ -124,16 +134,16 @@
         if not self.flows[key]:
             self.flows.pop(key)
 
-    def first(self) -> WaitingTurn:
-        """Returns the next request; flows of returning callers come first."""
-        key = min(
+    def heads(self) -> list[WaitingTurn]:
+        """Returns the next request of each flow, returning callers first."""
+        keys = sorted(
             self.flows,
             key=lambda flow: (
                 not self.flows[flow].head.is_returning,
                 self._tags[flow],
             ),
         )
-        return self.flows[key].head
+        return [self.flows[key].head for key in keys]
 
     def charge(self, request: OverloadRequest, weight: float) -> None:
         key = _flow_of(request)
@@ -205,12 +215,17 @@
 
     def first(self) -> WaitingTurn | None:
         """Returns the request whose turn is next, or None."""
+        return next(iter(self.heads()), None)
+
+    def heads(self) -> list[WaitingTurn]:
+        """Returns the next request of each flow, in the order of their turns.
+
+        One that may not start yet does not delay those of other flows.
+        """
         ranks = self._waiting_ranks()
-        if not ranks:
-            return None
-        is_lower_due = self._urgent_starts >= STARTS_PER_LOWER_RANK - 1
-        index = 1 if is_lower_due and len(ranks) > 1 else 0
-        return self._ranks[ranks[index]].first()
+        if self._urgent_starts >= STARTS_PER_LOWER_RANK - 1:
+            ranks = ranks[1:] + ranks[:1]
+        return [head for rank in ranks for head in self._ranks[rank].heads()]
 
     def start(self, turn: WaitingTurn) -> None:
         """Removes a request that starts and charges its account."""
--- a/teaseldale/routing/tests/overload_fleet.py
+++ b/teaseldale/routing/tests/overload_fleet.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 
 import attrs
@@ -16,7 +17,10 @@
     PlacementExchange,
     PlannedWork,
 )
-from teaseldale.routing._overload_estimate import BaseStartEstimate
+from teaseldale.routing._overload_estimate import (
+    BaseStartEstimate,
+    LearnedStart,
+)
 
 _LINK_MS = 1
 _NOTICE_INTERVAL_MS = 100
@@ -62,6 +66,7 @@
     accounts: tuple = ('a', 'b', 'c')
     share: float = 1
     prompt_tokens: int = 0
+    prompt_spread: float = 0  # sigma of their lognormal distribution
     output_tokens: int = 0
     work_ms: tuple = (15, 25)  # after the prompt is read
 
@@ -92,6 +97,7 @@
     factor: float = 1
     tries: int = 0
     arrival_ms: float = 0
+    prompt_tokens: int = 0
     outcome: str = ''
     first_ms: float | None = None  # since it was sent at first
     own_first_ms: float | None = None  # since its latest arrival at a VM
@@ -109,6 +115,7 @@
         self.running = 0
         self.waiting = []
         self.free_ms = 0
+        self.last_read_ms = 0  # start of reading the prompt placed last
         self.busy_ms = 0
 
     def receive(self, call, done):
@@ -123,6 +130,10 @@
         else:
             done('rejected', self._report())
 
+    def has_waiting(self):
+        """Returns whether a request waits for a slot or to be read."""
+        return bool(self.waiting) or self.last_read_ms > self.model.clock.now_ms
+
     def _report(self):
         return self.running + len(self.waiting)
 
@@ -131,7 +142,8 @@
         now = self.model.clock.now_ms
         kind = call.kind
         self.free_ms = max(now, self.free_ms)
-        self.free_ms += kind.prompt_tokens / self.model.site.tokens_per_ms
+        self.last_read_ms = self.free_ms
+        self.free_ms += call.prompt_tokens / self.model.site.tokens_per_ms
         begin = self.free_ms if kind.prompt_tokens else now
         work = self.model.random.uniform(*kind.work_ms)
         end = begin + work
@@ -168,7 +180,8 @@
             clock=model.clock,
             metrics=self.metrics,
             random_source=source,
-            estimate=KnownPace(site.tokens_per_ms) if site.knows_pace else None,
+            estimate=self._estimate(),
+            cell=lambda names: self.cell.intersection(names),
             vm_count=lambda: site.vm_count,
         )
         cells = -(-site.vm_count // _CELL_VMS)
@@ -178,6 +191,12 @@
         if len(names) >= cells * _MIN_CELL_RUNNERS:
             self.cell = frozenset(names[self.cell_index :: cells])
 
+    def _estimate(self):
+        site = self.model.site
+        if site.knows_pace:
+            return KnownPace(site.tokens_per_ms)
+        return LearnedStart(paces=self.choice.paces)
+
     def views(self):
         return tuple(
             self.choice.backlog(name, self.model.site.slot_count)
@@ -191,7 +210,7 @@
             route=kind.name,
             account=call.account,
             rank=kind.rank,
-            work=self.model.work_of(kind),
+            work=self.model.work_of(call),
             goal_ms=kind.goal_ms,
             arrival_ms=call.arrival_ms,
             deadline_at_ms=call.sent_ms + kind.deadline_ms,
@@ -210,7 +229,8 @@
         self._apply(call, decision)
 
     def _check(self, call):
-        if call.turn is not None:
+        # A caller that has returned may wait at another VM by now.
+        if call.turn is not None and call.vm == self.number:
             self._apply(call, self.admission.check(call.turn))
 
     def _apply(self, call, decision):
@@ -230,19 +250,29 @@
         candidates = tuple(
             view for view in self.views() if view.runner not in call.reached
         )
-        work = model.work_of(call.kind)
+        work = model.work_of(call)
         chosen = self.choice.choose(
             work, self.choice.prefer_cell(self.cell, candidates)
         )
         placed = self.choice.place(work, chosen)
         call.reached.add(chosen.runner)
         placed_ms = model.clock.now_ms
+        unread = chosen.unread_tokens + chosen.remote_unread_tokens
+        in_work = chosen.load_count(model.clock.monotonic_ms())
         state = {'first': False}
 
+        def note(event, load):
+            now = model.clock.now_ms
+            if event == 'first':
+                self.choice.paces.note_first_event(
+                    placed.runner, unread, now - placed_ms, in_work
+                )
+            self._note(call, placed, placed_ms, state, event, load)
+
         def done(event, load):
             model.at(
                 model.clock.now_ms + _LINK_MS,
-                lambda: self._note(call, placed, placed_ms, state, event, load),
+                lambda: note(event, load),
             )
 
         model.at(
@@ -300,13 +330,14 @@
         self.calls = []
         self._works = {}
 
-    def work_of(self, kind):
-        if kind.name not in self._works:
-            self._works[kind.name] = PlannedWork(
-                prompt_tokens=kind.prompt_tokens,
-                output_limit_tokens=kind.output_tokens,
+    def work_of(self, call):
+        key = call.kind.name, call.prompt_tokens
+        if key not in self._works:
+            self._works[key] = PlannedWork(
+                prompt_tokens=call.prompt_tokens,
+                output_limit_tokens=call.kind.output_tokens,
             )
-        return self._works[kind.name]
+        return self._works[key]
 
     def at(self, time_ms, action):
         heapq.heappush(self.events, (time_ms, next(self.order), action))
@@ -317,7 +348,7 @@
         call.outcome = 'refused'
         taken = sum(runner.running for runner in self.runners.values())
         is_free = taken * 2 < len(self.runners) * self.site.slot_count
-        if is_free and not any(r.waiting for r in self.runners.values()):
+        if is_free and not any(r.has_waiting() for r in self.runners.values()):
             self.early_refusals += 1
         wait_ms = 400 if decision is None else decision.wait_ms
         left_ms = call.sent_ms + call.kind.deadline_ms - now
@@ -350,10 +381,19 @@
                         account=account,
                         sent_ms=now,
                         vm=self.random.randrange(self.site.vm_count),
+                        prompt_tokens=self._prompt_tokens(kind),
                     )
                     self.calls.append(call)
                     self.at(now, lambda call=call: self._arrive(call))
 
+    def _prompt_tokens(self, kind):
+        if not kind.prompt_spread:
+            return kind.prompt_tokens
+        # The mean of the distribution is the size of the kind.
+        spread = kind.prompt_spread
+        mean = math.log(kind.prompt_tokens) - spread**2 / 2
+        return int(self.random.lognormvariate(mean, spread)) + 1
+
     def exchange_notices(self, until_ms):
         """Sends the notices of all VMs within their cells until a time."""
         for vm in self.vms:
