--- a/teaseldale/routing/_overload_pool.py
+++ b/teaseldale/routing/_overload_pool.py
@@ -25,6 +25,8 @@
 # Debt up to which a start may be taken ahead to get a new report.
 _LEAST_PROBE_CREDIT = -1
 _LEAST_RARE_CREDIT = -2  # if refusals are rare, as after a burst
+# Probes of accounts in excess leave the credit for a start of another one.
+_LEAST_EXCESS_CREDIT = 1
 # Prompts that wait at a runner, in time and as a part of the shortest goal, up
 # to which the most urgent requests start.
 _PROMPT_QUEUE_SHARE = 0.4
@@ -135,6 +137,8 @@
         least = _LEAST_PROBE_CREDIT
         if now_ms - self.refused_ms > 2 * refusal_time_ms(turn.request):
             least = _LEAST_RARE_CREDIT
+        if self._is_in_excess(turn.request, now_ms):
+            least = _LEAST_EXCESS_CREDIT
         return (
             self._is_old(load, now_ms)
             and self.queue.first() is turn
