--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -37,6 +37,7 @@
     from teaseldale.routing._overload_admission import (
         OverloadAdmission,
     )
+    from teaseldale.routing._overload_estimate import LearnedStart
     from teaseldale.routing._overload_request import (
         OverloadAction,
         OverloadDecision,
@@ -155,6 +156,7 @@
             'LinkWindow',
         ),
         'teaseldale.routing._overload_admission': ('OverloadAdmission',),
+        'teaseldale.routing._overload_estimate': ('LearnedStart',),
         'teaseldale.routing._overload_request': (
             'OverloadAction',
             'OverloadDecision',
@@ -260,6 +262,7 @@
     'LinkTotals',
     'LinkWindow',
     'LocalRouter',
+    'LearnedStart',
     'ObservedSlowdown',
     'ObservedWork',
     'OverloadAction',
