--- a/teaseldale/entry/_answers.py
+++ b/teaseldale/entry/_answers.py
@@ -1,9 +1,10 @@
 """Writers of HTTP responses: streamed, unstreamed or from a service."""
 
 import math
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Iterable
 
 import anyio
+import msgspec
 
 from teaseldale.answers import AnswerLog, AnswerPart, StoredAnswer
 from teaseldale.clock import BaseClock
@@ -17,12 +18,14 @@
     usage_of,
 )
 from teaseldale.entry._refusals import deadline_exceeded
+from teaseldale.entry._unsent_answers import UnsentAnswers
 from teaseldale.entry._write_pacer import WritePacer
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal
 from teaseldale.web import Exchange
 
 _STATUS_OK = 200
+_JSON_TYPE = (b'content-type', b'application/json')
 _MS_PER_SECOND = 1000
 _STALL_LIMIT_SECONDS = 30  # limit for a write that makes no progress
 
@@ -36,8 +39,10 @@
         clock: BaseClock,
         metrics: Metrics,
         pacer: WritePacer,
+        unsent: UnsentAnswers,
     ) -> None:
         """Creates a writer; ``pacer`` coalesces writes of fast streams."""
+        self._unsent = unsent
         self._clock = clock
         self._metrics = metrics
         self._pacer = pacer
@@ -101,7 +106,12 @@
         with anyio.CancelScope() as scope:
             async for batch in answer.batches():
                 scope.deadline = anyio.current_time() + _STALL_LIMIT_SECONDS
-                await exchange.write(encoder.encode(batch))
+                event = encoder.encode(batch)
+                await exchange.write(event)
+                await self._unsent.wait_until_sent(
+                    exchange,
+                    len(event) + answer.memory_bytes,
+                )
                 scope.deadline = math.inf
                 now_ms = self._clock.monotonic_ms()
                 is_fast = now_ms - written_ms < self._pacer.interval_ms
@@ -122,16 +132,19 @@
         stored = await self._wait_for_stored(answer, duration_ms)
         if isinstance(stored, Refusal):
             return stored
-        await exchange.answer_json(
+        document = completion_document(
+            head,
+            stored.body.decode(),
+            stored.finish_reason,
+            usage_of(stored.prompt_tokens, stored.output_tokens),
+        )
+        body = msgspec.json.encode(document)
+        await exchange.answer(
             _STATUS_OK,
-            completion_document(
-                head,
-                stored.body.decode(),
-                stored.finish_reason,
-                usage_of(stored.prompt_tokens, stored.output_tokens),
-            ),
-            ((KEY_HEADER, head.answer_id.encode()),),
+            body,
+            (_JSON_TYPE, (KEY_HEADER, head.answer_id.encode())),
         )
+        self._unsent.hold_until_sent(exchange, len(body))
         return None
 
     async def forward(
@@ -153,8 +166,24 @@
                 (KEY_HEADER, key.encode()),
             ),
         )
+        self._unsent.hold_until_sent(exchange, len(stored.body))
         return None
 
+    async def list_models(
+        self,
+        exchange: Exchange,
+        names: Iterable[str],
+    ) -> None:
+        """Sends the list of models; raises ``NoRoomError`` if too large."""
+        models = [
+            {'id': name, 'object': 'model', 'owned_by': 'teaseldale'}
+            for name in names
+        ]
+        body = msgspec.json.encode({'object': 'list', 'data': models})
+        self._unsent.check_room(len(body))
+        await exchange.answer(_STATUS_OK, body, (_JSON_TYPE,))
+        self._unsent.hold_until_sent(exchange, len(body))
+
     async def _wait_for_stored(
         self,
         answer: AnswerLog,
--- a/teaseldale/entry/_callers.py
+++ b/teaseldale/entry/_callers.py
@@ -22,6 +22,7 @@
     unauthorized,
     unknown_route,
 )
+from teaseldale.entry._unsent_answers import UnsentAnswers
 from teaseldale.entry._write_pacer import WritePacer
 from teaseldale.kernel import BaseService
 from teaseldale.memory import ByteBudget, budget_bytes_of
@@ -43,7 +44,6 @@
 _MODELS_PATH = '/v1/models'
 _SERVICES_PATH = '/services/'
 _CLOSE = ((b'connection', b'close'),)
-_STATUS_OK = 200
 _MS_PER_SECOND = 1000
 _BYTES_PER_MB = 1_000_000
 
@@ -67,15 +67,19 @@
             clock=parts.clock,
             interval_ms=limits.coalesce_ms,
         )
+        clients = _build_clients(limits, parts.metrics)
+        self._unsent = UnsentAnswers(budget=clients.budget)
+        self._writer = AnswerWriter(
+            clock=parts.clock,
+            metrics=parts.metrics,
+            pacer=self._pacer,
+            unsent=self._unsent,
+        )
         self._context = HandlerContext(
             parts=parts,
             limits=limits,
             runs=self._runs,
-            writer=AnswerWriter(
-                clock=parts.clock,
-                metrics=parts.metrics,
-                pacer=self._pacer,
-            ),
+            writer=self._writer,
         )
         self._completions = CompletionHandler(context=self._context)
         self._service_calls = ServiceHandler(context=self._context)
@@ -83,7 +87,7 @@
             address=address,
             respond=self._respond,
             metrics=parts.metrics,
-            clients=_build_clients(limits, parts.metrics),
+            clients=clients,
         )
 
     @property
@@ -112,6 +116,7 @@
         self._parts.metrics.set_gauge('runs_cut_at_drain', self._runs.count)
 
     async def _respond(self, exchange: Exchange) -> None:
+        await self._unsent.admit(exchange)
         outcome = await self._dispatch(exchange)
         if outcome is not None:
             self._parts.metrics.increment('refusals', outcome.code)
@@ -167,14 +172,13 @@
 
     async def _list_models(self, exchange: Exchange) -> None:
         routes = self._parts.configuration.current().routes.values()
-        models = [
-            {'id': route.name, 'object': 'model', 'owned_by': 'teaseldale'}
-            for route in routes
-            if route.kind is RouteKind.COMPLETION
-        ]
-        await exchange.answer_json(
-            _STATUS_OK,
-            {'object': 'list', 'data': models},
+        await self._writer.list_models(
+            exchange,
+            (
+                route.name
+                for route in routes
+                if route.kind is RouteKind.COMPLETION
+            ),
         )
 
 
@@ -186,6 +190,7 @@
         name='callers',
         limits=ClientLimits(
             connection_count=connection_count_of(limits.descriptor_count),
+            runs_outlast_clients=True,
         ),
         budget=ByteBudget(
             limit_bytes=budget_bytes_of(memory_bytes),
--- a/teaseldale/platform/tests/misbehaving.py
+++ b/teaseldale/platform/tests/misbehaving.py
@@ -86,6 +86,16 @@
                     if not key.data.send():
                         selector.unregister(key.fileobj)
 
+    def wait_for_first_bytes(self, seconds):
+        """Waits until each client has bytes to read, or was closed."""
+        end = time.monotonic() + seconds
+        with selectors.DefaultSelector() as selector:
+            for client in self._clients:
+                selector.register(client.connection, selectors.EVENT_READ)
+            while selector.get_map() and time.monotonic() < end:
+                for key, _ in selector.select(_STALL_SECONDS):
+                    selector.unregister(key.fileobj)
+
     def go_on(self, step):
         """Calls ``step`` with each connection again and again."""
         self._slow = threading.Thread(
--- a/teaseldale/platform/tests/node_process.py
+++ b/teaseldale/platform/tests/node_process.py
@@ -60,11 +60,7 @@
     @property
     def peak_memory_bytes(self):
         """Most resident memory since the start of the process."""
-        status = pathlib.Path(f'/proc/{self.pid}/status').read_text()
-        (line,) = (
-            line for line in status.splitlines() if line.startswith('VmHWM')
-        )
-        return int(line.split()[1]) * _BYTES_PER_KB
+        return read_peak_memory_bytes(self.pid)
 
     @property
     def descriptor_count(self):
@@ -186,6 +182,13 @@
         return (self.ip, _free_port(self.ip))
 
 
+def read_peak_memory_bytes(pid):
+    """Returns the most resident memory of a process since its start."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    (line,) = (line for line in status.splitlines() if line.startswith('VmHWM'))
+    return int(line.split()[1]) * _BYTES_PER_KB
+
+
 def _text(address):
     ip, port = address
     return f'{ip}:{port}'
--- a/teaseldale/web/_client_limits.py
+++ b/teaseldale/web/_client_limits.py
@@ -24,6 +24,9 @@
     stall_bytes_per_second: int = 16_384
     # A client that takes nothing of an answer for this long is cut off.
     answer_stall_ms: int = 30_000
+    # Whether a request runs on without its client, which can ask for the
+    # answer again; then a stalled answer may be cut before its end.
+    runs_outlast_clients: bool = False
     # Rest of a refused request that is read and dropped, so that the client
     # can read the refusal before the connection is closed.
     discarded_bytes: int = 4_194_304
--- a/teaseldale/web/_client_protocol.py
+++ b/teaseldale/web/_client_protocol.py
@@ -140,7 +140,11 @@
         if not self.flow.write_paused or self._active is None:
             return False
         # The runner of a request whose answer has not ended may still work.
-        is_over = self._active.response_complete or bool(self.pipeline)
+        is_over = (
+            self._clients.limits.runs_outlast_clients
+            or self._active.response_complete
+            or bool(self.pipeline)
+        )
         stalled_ms = now_ms - self._paused_ms
         return is_over and stalled_ms >= self._clients.limits.stall_ms
 
