--- a/teaseldale/command/_main.py
+++ b/teaseldale/command/_main.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import sys
 from typing import Any
 
 import anyio
@@ -12,8 +13,13 @@
 from teaseldale import VERSION
 from teaseldale.command._account_tokens import account_seconds
 from teaseldale.command._causes import find_causes
+from teaseldale.command._configuration_check import (
+    ConfigurationReport,
+    check_configuration_file,
+)
 from teaseldale.command._event_loop import run_until_signal
 from teaseldale.command._exits import (
+    EXIT_FAILED,
     EXIT_USAGE_ERROR,
     exit_on_expected_errors,
     exit_with,
@@ -91,6 +97,26 @@
         load_settings(string_argument(settings, '--settings'))
         return 'settings are right'
 
+    @fire.decorators.SetParseFns(  # type: ignore[untyped-decorator]
+        file=str,
+    )
+    def check_configuration(
+        self,
+        file: str,
+        *,
+        against: str | None = None,
+        json: bool = False,
+    ) -> ConfigurationReport:
+        """Checks FILE, a release note or a configuration.
+
+        Exits with 1 if something is found. With AGAINST, another such file,
+        the differences from it are printed as well.
+        """
+        other = against
+        if other is not None:
+            other = string_argument(against, '--against')
+        return check_configuration_file(file, other, is_json=json)
+
     def version(self) -> str:
         """Prints the version of teaseldale."""
         return VERSION
@@ -100,9 +126,13 @@
     """Runs a command; exits with 0, 1 (failed) or 2 (usage error)."""
     with exit_on_expected_errors():
         try:
-            fire.Fire(Commands, name='teaseldale', serialize=_to_printable)
+            outcome = fire.Fire(
+                Commands, name='teaseldale', serialize=_to_printable
+            )
         except UsageError as error:
             exit_with(f'{error}\n{_USAGE}', EXIT_USAGE_ERROR)
+    if isinstance(outcome, ConfigurationReport) and outcome.checked.findings:
+        sys.exit(EXIT_FAILED)
 
 
 async def _serve(settings: Settings, shutdown: anyio.Event) -> None:
@@ -112,6 +142,8 @@
 def _to_printable(outcome: Any) -> Any:
     if isinstance(outcome, Commands | StandinCommands | FleetCommands | type):
         raise UsageError('Name a command of this group.')
+    if isinstance(outcome, ConfigurationReport):
+        return outcome.render()
     if isinstance(outcome, dict | list):
         return msgspec.json.format(msgspec.json.encode(outcome)).decode()
     return outcome
--- a/teaseldale/notes/__init__.py
+++ b/teaseldale/notes/__init__.py
@@ -10,6 +10,13 @@
         Configuration,
     )
     from teaseldale.notes._endpoints import ReleaseNoteEndpoints
+    from teaseldale.notes._file_check import (
+        FileCheck,
+        Finding,
+        FindingKind,
+        MissingBaseError,
+        check_file,
+    )
     from teaseldale.notes._fleet_configuration import (
         FleetConfiguration,
         NotesDependencies,
@@ -55,6 +62,13 @@
             'Configuration',
         ),
         'teaseldale.notes._endpoints': ('ReleaseNoteEndpoints',),
+        'teaseldale.notes._file_check': (
+            'FileCheck',
+            'Finding',
+            'FindingKind',
+            'MissingBaseError',
+            'check_file',
+        ),
         'teaseldale.notes._fleet_configuration': (
             'FleetConfiguration',
             'NotesDependencies',
@@ -101,12 +115,16 @@
     'ClientAccount',
     'Configuration',
     'ConfigurationItem',
+    'FileCheck',
+    'Finding',
+    'FindingKind',
     'FleetConfiguration',
     'Head',
     'ItemChange',
     'ItemKind',
     'ItemLists',
     'ItemWithdrawal',
+    'MissingBaseError',
     'MovePhase',
     'MoveStep',
     'NoteStore',
@@ -123,5 +141,6 @@
     'Rows',
     'Upstream',
     'VersionMove',
+    'check_file',
     'read_release_note',
 )
