--- a/teaseldale/platform/tests/misbehaving.py
+++ b/teaseldale/platform/tests/misbehaving.py
@@ -27,6 +27,7 @@
 _LONGEST_SECONDS = 4
 _SMALL_RECEIVE_BYTES = 4096
 _ANSWER_BYTES = 1_000_000
+_REQUESTS_BEFORE_BODY = 8
 _SLOW_INTERVAL_SECONDS = 0.2  # between single bytes
 
 
@@ -211,6 +212,49 @@
     yield _head('GET', path)[:-10]
 
 
+def _old_version(path):
+    head = _head('GET', path, f'x-answer-bytes: {_ANSWER_BYTES}')
+    yield head.replace(b'HTTP/1.1', b'HTTP/1.0')
+
+
+def _expecting(path):
+    yield _head(
+        'POST',
+        path,
+        f'content-length: {BODY_BYTES}',
+        'expect: 100-continue',
+    )
+
+
+def _expecting_pieces(path):
+    yield from _expecting(path)
+    yield from _blocks(b'x', BODY_BYTES - _MISSING_BYTES)
+
+
+def _upgrade(path):
+    yield _head(
+        'GET',
+        path,
+        'connection: upgrade',
+        'upgrade: websocket',
+        'sec-websocket-version: 13',
+        'sec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==',
+    )
+    yield from _blocks(b'x', BODY_BYTES)
+
+
+def _unfinished_behind_unread(path):
+    request = _head('GET', path, f'x-answer-bytes: {_ANSWER_BYTES}')
+    yield request * _REQUESTS_BEFORE_BODY
+    yield from _unfinished(path)
+
+
+def _requests_behind_unfinished(path):
+    yield _head('POST', path, 'transfer-encoding: chunked')
+    yield b'%x\r\n%s\r\n' % (_CHUNK_BYTES, b'x' * _CHUNK_BYTES)
+    yield from _blocks(_head('GET', path), BODY_BYTES)
+
+
 def _silent(path):
     return ()
 
@@ -226,6 +270,7 @@
 # How the clients of a kind go on; the others do nothing more.
 SLOW_STEPS = {
     'bodies that go on byte by byte': _send_byte,
+    'heads that go on byte by byte': _send_byte,
     'requests and read byte by byte': _read_byte,
 }
 # Number of connections and their bytes, by the kind of client.
@@ -244,5 +289,15 @@
     'requests and read no answer': (300, _unread_answer),
     'requests and read byte by byte': (300, _unread_answer),
     'half a head': (700, _half_head),
+    'heads that go on byte by byte': (700, _half_head),
+    'requests of HTTP/1.0 and read no answer': (300, _old_version),
+    'heads that expect 100-continue and no body': (300, _expecting),
+    'bodies without waiting for 100-continue': (60, _expecting_pieces),
+    'upgrades and further bytes': (60, _upgrade),
+    'unfinished bodies behind unread answers': (
+        60,
+        _unfinished_behind_unread,
+    ),
+    'requests behind an unfinished body': (60, _requests_behind_unfinished),
     'nothing': (700, _silent),
 }
