--- a/teaseldale/budgets/tests/account_fleet.py
+++ b/teaseldale/budgets/tests/account_fleet.py
@@ -161,25 +161,29 @@
         lasts_ms=200,
         account=ACCOUNT,
     ):
-        """Runs one request; its reservation counts as used until it ends."""
+        """Runs one request and returns its refusal, if any.
+
+        Its reservation counts as used until it ends.
+        """
         grants = vm.grants
         if grants is None:
-            return
+            return None
         outcome = await grants.reserve(account=account, most_tokens=tokens)
         if isinstance(outcome, Refusal):
             self.refusals.append(outcome)
-            return
+            return outcome
         if vm.grants is not grants:
-            return  # the VM ended while the request waited in it
+            return None  # the VM ended while the request waited in it
         self.used_tokens += tokens
         self.check()
         await sleep_ms(lasts_ms)
         if vm.grants is not grants:
-            return
+            return None
         used = tokens if used is None else used
         self.used_tokens += used - tokens
         self.served_count += 1
         grants.settle(outcome, used_tokens=used)
+        return None
 
     def check(self):
         """Fails if more tokens were used than prepaid."""
