--- a/teaseldale/forwarding/_entry.py
+++ b/teaseldale/forwarding/_entry.py
@@ -48,8 +48,8 @@
 # The load balancer checks once per second and removes a VM after two failures.
 _BALANCER_DETECTION_MS = 2500
 # A VM that has not heard from the store for this long gets no new callers: its
-# configuration is old, and what its marks allow it to spend ends. If most VMs are
-# cut off, the balancer uses them all.
+# configuration is old, and what its marks allow it to spend ends. If most VMs
+# are cut off, the balancer uses them all.
 _STORE_SILENCE_MS = 10_000
 # Part of the grace period reserved for returning grants and exiting.
 _EXIT_RESERVE_MS = 700
--- a/teaseldale/routing/_readiness_breaks.py
+++ b/teaseldale/routing/_readiness_breaks.py
@@ -25,6 +25,9 @@
 # Two seconds for the balancer's checks, and time to receive what waits in front
 # of the link by then.
 _FIRST_BREAK_MS = 6000
+# Each return of the load costs the callers of some seconds, so that the second
+# withdrawal is already long.
+_GROWTH = 4
 _LONGEST_BREAK_MS = 24_000
 # Random part of a withdrawal, so that VMs do not come back together.
 _SPREAD_SHARE = 0.2
@@ -113,12 +116,12 @@
         )
 
     def _next_break_ms(self, full_since_ms: int) -> int:
-        """Returns twice the latest length if the load came back, else the first."""
+        """Returns the next length, longer if the load has come back."""
         times = self._times
         ready_ms = full_since_ms - times.break_ends_ms
         if not times.break_ms or ready_ms > _RELAPSE_MS:
             return _FIRST_BREAK_MS
-        return min(times.break_ms * 2, _LONGEST_BREAK_MS)
+        return min(times.break_ms * _GROWTH, _LONGEST_BREAK_MS)
 
 
 def _percent(share: float) -> int:
