--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -6,6 +6,7 @@
 from teaseldale.forwarding._dependencies import ForwardingDependencies
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.routing import (
+    CellChoice,
     Permit,
     PlannedWork,
     RunnerBacklog,
@@ -39,6 +40,11 @@
         self._parts = parts
         self._admitted = admitted
         self._work = work
+        self._cell_choice = CellChoice(
+            choice=parts.choice,
+            clock=parts.clock,
+            random_source=parts.random_source,
+        )
         self._tried_ids: set[str] = set()
         # Runners of an unproven version if the first attempt goes to it.
         self._unproven: tuple[ForwardingRunner, ...] = ()
@@ -118,7 +124,11 @@
             selected = await self._wait_for_permit(limited)
             if selected is not None:
                 return selected
-        chosen = self._parts.choice.choose(self._work, candidates)
+        chosen = self._cell_choice.choose(
+            self._work,
+            self._cell(runners),
+            self._all_backlogs(startable),
+        )
         runner = self._runner_of(chosen)
         if runner is None:
             return None
@@ -160,12 +170,22 @@
         selected: list[ForwardingRunner],
     ) -> tuple[RunnerBacklog, ...]:
         """Returns the backlogs of ``selected``, preferring this VM's cell."""
-        backlogs = tuple(
+        return self._parts.choice.prefer_cell(
+            self._cell(runners),
+            self._all_backlogs(selected),
+        )
+
+    def _cell(self, runners: tuple[ForwardingRunner, ...]) -> frozenset[str]:
+        return self._parts.cells.runners(runner.runner_id for runner in runners)
+
+    def _all_backlogs(
+        self,
+        selected: list[ForwardingRunner],
+    ) -> tuple[RunnerBacklog, ...]:
+        return tuple(
             self._parts.choice.backlog(runner.runner_id, runner.slot_count)
             for runner in selected
         )
-        cell = self._parts.cells.runners(runner.runner_id for runner in runners)
-        return self._parts.choice.prefer_cell(cell, backlogs)
 
     def _has_room(self, candidates: tuple[RunnerBacklog, ...]) -> bool:
         now_ms = self._parts.clock.monotonic_ms()
--- a/teaseldale/routing/__init__.py
+++ b/teaseldale/routing/__init__.py
@@ -11,6 +11,7 @@
     from teaseldale.routing._backlog_choice import (
         BacklogChoice,
     )
+    from teaseldale.routing._cell_choice import CellChoice
     from teaseldale.routing._choice import (
         BaseUpstreamChoice,
         LeastInFlightChoice,
@@ -136,6 +137,7 @@
     {
         'teaseldale.routing._affinity': ('AffinityChoice',),
         'teaseldale.routing._backlog_choice': ('BacklogChoice',),
+        'teaseldale.routing._cell_choice': ('CellChoice',),
         'teaseldale.routing._choice': (
             'BaseUpstreamChoice',
             'LeastInFlightChoice',
@@ -251,6 +253,7 @@
     'BaseUpstreamChoice',
     'CacheAction',
     'CacheEvent',
+    'CellChoice',
     'ColdLimits',
     'ColdStatement',
     'FleetRouter',
--- a/teaseldale/routing/_backlog_choice.py
+++ b/teaseldale/routing/_backlog_choice.py
@@ -12,6 +12,7 @@
 import attrs
 
 from teaseldale.clock import BaseClock
+from teaseldale.routing._cell_candidates import OtherCells
 from teaseldale.routing._prompt_sizes import PromptSizes
 from teaseldale.routing._runner_backlog import (
     PlacedWork,
@@ -65,6 +66,7 @@
     durations: Mapping[str, float] = attrs.field(factory=dict)
     shortest_duration: float = 1
     knees: Mapping[str, float] = attrs.field(factory=dict)
+    other_cells: OtherCells = attrs.field(factory=OtherCells)
 
 
 class BacklogChoice:
@@ -142,15 +144,18 @@
         self,
         work: PlannedWork,
         candidates: tuple[RunnerBacklog, ...],
+        *,
+        other_cells: OtherCells | None = None,
     ) -> RunnerBacklog | None:
         """Returns the runner with the lowest cost; breaks ties at random.
 
-        Returns None if there are no candidates.
+        Returns None if there are no candidates. ``other_cells`` estimates the
+        work of candidates that are not in this VM's cell.
         """
         if not candidates:
             return None
         view = _with_paces(
-            self._view_of(work, candidates),
+            self._view_of(work, candidates, other_cells),
             self.paces,
             has_prompt=bool(work.prompt_tokens),
             names=tuple(backlog.runner for backlog in candidates),
@@ -263,13 +268,17 @@
         self,
         work: PlannedWork,
         candidates: tuple[RunnerBacklog, ...],
+        other_cells: OtherCells | None,
     ) -> _ScoreView:
         """Returns the inputs of a score that do not depend on the runner.
 
         The longest prompts may go to any runner. Other work avoids the runner
         that is reserved for them, which is the same one at every VM.
         """
-        view = _ScoreView(now_ms=self._clock.monotonic_ms())
+        view = _ScoreView(
+            now_ms=self._clock.monotonic_ms(),
+            other_cells=other_cells or OtherCells(),
+        )
         if len(candidates) < _MIN_RUNNERS or not work.prompt_tokens:
             return view
         longest = self._sizes.longest_tokens(1 / len(candidates))
@@ -344,6 +353,7 @@
     queued_tokens = backlog.unread_tokens + backlog.remote_unread_tokens
     duration = view.durations[backlog.runner]
     duration *= max(1, (load + 1) / view.knees[backlog.runner])
+    queued_tokens += view.other_cells.unannounced_tokens(backlog, view.now_ms)
     return duration * (queued_tokens + own_tokens + load * tokens_per_request)
 
 
--- a/teaseldale/routing/_runner_backlog.py
+++ b/teaseldale/routing/_runner_backlog.py
@@ -87,10 +87,19 @@
             and self.load_count(now_ms) < self.slot_count
         )
 
+    def has_recent_report(self, now_ms: int) -> bool:
+        """Returns whether the runner's own report still counts."""
+        return now_ms - self.reported_ms <= _REPORT_VALID_MS
+
+    def unannounced_count(self, now_ms: int) -> int:
+        """Returns the requests that only the runner's report mentions."""
+        known = self.running_count + self.remote_count
+        return self.load_count(now_ms) - known
+
     def load_count(self, now_ms: int) -> int:
         """Estimates the number of requests of all VMs at the runner."""
         known = self.running_count + self.remote_count
-        if now_ms - self.reported_ms > _REPORT_VALID_MS:
+        if not self.has_recent_report(now_ms):
             return known
         started_since_report = self.running_count - self.reported_running_count
         return max(known, self.reported_count + started_since_report)
