--- a/teaseldale/budgets/_draw_queue.py
+++ b/teaseldale/budgets/_draw_queue.py
@@ -121,9 +121,10 @@
                 waiting_tokens=max(0, lacked_tokens - least_tokens),
                 ahead_tokens=ahead_tokens,
             )
-        if payable_tokens >= low_tokens:
+        if payable_tokens >= low_tokens or not ahead_tokens:
             return None
-        tokens = min(self.latest_tokens, ahead_tokens)
+        # A keeper takes a draw of no tokens for a request for an outcome.
+        tokens = max(1, min(self.latest_tokens, ahead_tokens))
         return DrawSize(
             tokens=tokens,
             waiting_tokens=0,
--- /dev/null
+++ b/teaseldale/budgets/tests/steps_draw_faults.py
@@ -0,0 +1,88 @@
+"""Steps for single draws in unusual states of an account."""
+
+import functools
+
+import msgspec
+from behave import given, then, when
+
+from teaseldale.budgets._draw_messages import Draw, DrawAnswer, DrawState
+from teaseldale.budgets.tests.account_fleet import ACCOUNT, sleep_ms
+from teaseldale.budgets.tests.steps_fleet_size import (
+    keepers_and_others,
+    use_fast_datagrams,
+)
+from teaseldale.fakes import run_in_virtual_time
+
+
+@when(
+    'a VM without drawn tokens gets {count:d} requests of {tokens:d} tokens '
+    'and one of 0 tokens'
+)
+def requests_before_empty_one(context, count, tokens):
+    fleet = context.fleet
+    _, others = keepers_and_others(fleet)
+
+    async def workload():
+        grants = others[0].grants
+        queue = grants._draws._queue(grants._shards[ACCOUNT])
+        for _ in range(count):
+            queue.demand.record_request(tokens)
+        queue.latest_tokens = 0
+        context.size = grants._draws._size(queue)
+
+    run_in_virtual_time(functools.partial(fleet.run_workload, workload))
+
+
+@then('its next draw asks for at least 1 token')
+def not_empty(context):
+    assert context.size is None or context.size.tokens >= 1, context.size
+
+
+@given('another keeper has just spent {tokens:d} tokens')
+def tokens_spent_elsewhere(context, tokens):
+    context.spent_elsewhere = tokens
+
+
+@when(
+    'a keeper gets a draw of {tokens:d} tokens with {waiting:d} waiting and '
+    '{ahead:d} ahead'
+)
+def single_draw(context, tokens, waiting, ahead):
+    fleet = context.fleet
+    use_fast_datagrams(context)
+    keepers, others = keepers_and_others(fleet)
+    keeper, drawer = keepers[0], others[0]
+    context.answers = []
+
+    async def workload():
+        drawer.grants = None  # receives the answers below instead
+        drawer.deliver = lambda datagram: context.answers.append(
+            msgspec.msgpack.decode(datagram[1:], type=DrawAnswer)
+        )
+        spent = getattr(context, 'spent_elsewhere', 0)
+        if spent:
+            await fleet.request(keepers[1], spent, lasts_ms=1)
+        draw = Draw(
+            draw_id='vm/1/0',
+            account=ACCOUNT,
+            tokens=tokens,
+            spare_tokens=waiting + ahead,
+            prepaid_tokens=fleet.prepaid_tokens,
+            drawer='vm/1',
+            drawer_address=drawer.address,
+            waiting_tokens=waiting,
+        )
+        keeper.deliver(b'd' + msgspec.msgpack.encode(draw))
+        await sleep_ms(2000)
+
+    run_in_virtual_time(functools.partial(fleet.run_workload, workload))
+
+
+@then('it pays at least {tokens:d} tokens')
+def pays(context, tokens):
+    paid = [
+        answer.tokens
+        for answer in context.answers
+        if answer.state is DrawState.PAID
+    ]
+    assert sum(paid) >= tokens, context.answers
