--- a/teaseldale/budgets/_draw_answers.py
+++ b/teaseldale/budgets/_draw_answers.py
@@ -160,7 +160,8 @@
     """Returns the tokens for which a draw waits, at least ``draw.tokens``.
 
     A keeper extends its grant for the requests that wait at the drawer, and
-    for its expected requests up to a share of what this VM can obtain.
+    for its expected requests up to a share of what this VM can obtain. If that
+    does not cover the waiting requests, it pays as many of them as it can.
     """
     held = shard.held
     if shard.is_store_lost or not shard.is_keeper:
@@ -168,7 +169,7 @@
     obtainable = held.available_tokens + held.free_tokens - held.waiting_tokens
     waiting_tokens = draw.tokens + draw.waiting_tokens
     if waiting_tokens > obtainable:
-        return draw.tokens
+        return max(draw.tokens, obtainable)
     ahead_tokens = draw.spare_tokens - draw.waiting_tokens
     return waiting_tokens + max(
         0, min(ahead_tokens, (obtainable - waiting_tokens) // _SHARE)
--- a/teaseldale/budgets/tests/draw_faults.feature
+++ b/teaseldale/budgets/tests/draw_faults.feature
@@ -6,3 +6,18 @@
     Given 78 VMs with an account of 6,000,000 tokens
     When a VM without drawn tokens gets 20 requests of 1000 tokens and one of 0 tokens
     Then its next draw asks for at least 1 token
+
+  # Guards against a payment of the smallest request only, when the account
+  # has tokens for several, but not for all requests that wait.
+  Scenario: A draw for more than the account has is paid what it has
+    Given 78 VMs with an account of 100,000 tokens
+    When a keeper gets a draw of 1000 tokens with 900000 waiting and 0 ahead
+    Then it pays at least 50000 tokens
+
+  # Guards against a refusal of the smallest request because the keeper's view
+  # of the account is old and too large for all requests that wait.
+  Scenario: A draw is paid although other keepers have taken the free tokens
+    Given 78 VMs with an account of 100,000 tokens
+    And another keeper has just spent 70000 tokens
+    When a keeper gets a draw of 10000 tokens with 100000 waiting and 0 ahead
+    Then it pays at least 10000 tokens
