--- a/teaseldale/budgets/tests/draw_faults.feature
+++ b/teaseldale/budgets/tests/draw_faults.feature
@@ -31,3 +31,8 @@
     When the requests go on for 16 s
     Then at least 80 in 100 tokens of the account have been used
     And the account is not overspent
+
+  # Guards against tokens that are credited twice or paid again after a kill.
+  Scenario: Kills and cuts of a busy VM and of keepers overspend nothing
+    When 78 VMs run random histories of draws with kills and cuts, seeds 1 to 3
+    Then none of the histories overspends the account
--- a/teaseldale/budgets/tests/steps_draw_faults.py
+++ b/teaseldale/budgets/tests/steps_draw_faults.py
@@ -1,6 +1,7 @@
 """Steps for single draws in unusual states of an account."""
 
 import functools
+import random
 
 import attrs
 import msgspec
@@ -8,7 +9,12 @@
 
 from teaseldale.budgets._draw_answers import DrawAnswers
 from teaseldale.budgets._draw_messages import Draw, DrawAnswer, DrawState
-from teaseldale.budgets.tests.account_fleet import ACCOUNT, sleep_ms
+from teaseldale.budgets.tests.account_fleet import (
+    ACCOUNT,
+    AccountFleet,
+    sleep_ms,
+)
+from teaseldale.budgets.tests.steps_draw_demand import SlowLink
 from teaseldale.budgets.tests.steps_fleet_size import (
     keepers_and_others,
     use_fast_datagrams,
@@ -135,3 +141,65 @@
     assert fleet.used_tokens * 100 >= share * fleet.prepaid_tokens, (
         fleet.used_tokens
     )
+
+
+@when(
+    '78 VMs run random histories of draws with kills and cuts, seeds {first:d} '
+    'to {last:d}'
+)
+def random_histories(context, first, last):
+    context.fleets = [random_history(seed) for seed in range(first, last + 1)]
+
+
+def random_history(seed):
+    """Runs the load of one busy VM, which fails as soon as it overspends."""
+    fleet = AccountFleet(vm_count=78, prepaid_tokens=3_000_000, seed=seed)
+    keepers, others = keepers_and_others(fleet)
+    busy = others[0]
+    link = SlowLink(fleet=fleet, vm=busy)
+    link.random = random.Random(seed)
+    link.is_slow = True
+    link.install()
+    random_source = random.Random(seed)
+    fleet.fault_count = 0
+
+    async def fail():
+        while True:
+            await sleep_ms(random_source.randint(500, 2000))
+            vm = random_source.choice([busy, *keepers])
+            fleet.fault_count += 1
+            if random_source.random() < 0.4:
+                vm.table.down = True
+                await sleep_ms(random_source.randint(300, 3000))
+                vm.table.down = False
+            else:
+                vm.kill()
+                await sleep_ms(random_source.randint(100, 1500))
+                await fleet.start(vm)
+
+    async def workload():
+        fleet.tasks.start_soon(fail)
+        for _ in range(60 * 10):
+            vm = busy
+            if random_source.random() < 0.1:
+                vm = random_source.choice(others)
+            tokens = random_source.randint(1000, 15_000)
+            used = random_source.randint(tokens // 2, tokens)
+            fleet.tasks.start_soon(
+                functools.partial(fleet.request, vm, tokens, used=used)
+            )
+            await sleep_ms(1000 / 60)
+        await sleep_ms(1500)
+
+    run_in_virtual_time(functools.partial(fleet.run_workload, workload))
+    return fleet
+
+
+@then('none of the histories overspends the account')
+def none_overspent(context):
+    for fleet in context.fleets:
+        fleet.check()
+        assert fleet.fault_count and fleet.served_count > 50, (
+            fleet.fault_count,
+            fleet.served_count,
+        )
