--- a/teaseldale/budgets/_draw_queue.py
+++ b/teaseldale/budgets/_draw_queue.py
@@ -38,6 +38,11 @@
     waiting_tokens: int  # of the other waiting requests
     ahead_tokens: int  # of expected requests
 
+    @property
+    def total_tokens(self) -> int:
+        """All tokens that the draw would like to be paid."""
+        return self.tokens + self.waiting_tokens + self.ahead_tokens
+
 
 @attrs.define(kw_only=True, eq=False)
 class DrawQueue:
@@ -121,9 +126,10 @@
                 waiting_tokens=max(0, lacked_tokens - least_tokens),
                 ahead_tokens=ahead_tokens,
             )
-        if payable_tokens >= low_tokens:
+        if payable_tokens >= low_tokens or not ahead_tokens:
             return None
-        tokens = min(self.latest_tokens, ahead_tokens)
+        # A keeper takes a draw of no tokens for a request for an outcome.
+        tokens = max(1, min(self.latest_tokens, ahead_tokens))
         return DrawSize(
             tokens=tokens,
             waiting_tokens=0,
