--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -22,6 +22,7 @@
     refusal_time_ms,
     refuse_at_ms,
 )
+from teaseldale.routing._overload_prompts import PromptRoom
 from teaseldale.routing._overload_request import (
     OverloadAction,
     OverloadDecision,
@@ -76,6 +77,8 @@
         self._vm_count = vm_count
         self._cell = cell
         self._pools: dict[str, OverloadPool] = {}
+        self._room_load: PoolLoad | None = None
+        self._room: PromptRoom | None = None
         self._log = StateLog(channel='overload')
 
     def decide(
@@ -165,7 +168,7 @@
         """Ends a start, as its request now counts at its runner; idempotent."""
         if turn.is_started:
             turn.is_started = False
-            self._pools[turn.request.pool].starting_count -= 1
+            self._pools[turn.request.pool].note_placed(turn.request)
 
     def note_end(self, name: str, held_ms: float) -> None:
         """Records that a request of a pool has left its runner."""
@@ -234,9 +237,7 @@
     def _start(self, pool: OverloadPool, turn: WaitingTurn) -> None:
         now_ms = self._now_ms
         pool.queue.start(turn)
-        pool.starting_count += 1
-        pool.credit.note_start(now_ms, turn.request.rank)
-        pool.kinds.note_started(turn.request, now_ms)
+        pool.note_started(turn.request, now_ms)
         turn.is_started = True
         turn.settle()
         waited_ms = now_ms - turn.request.arrival_ms
@@ -277,14 +278,22 @@
         Returns None if slots decide, because no runner of the cell has one or
         their paces are unknown.
         """
-        near = load.only(self._cell(backlog.runner for backlog in load.runners))
-        queue_ms = near.prompt_queue_ms(self._estimate, request.work)
-        if queue_ms is None:
+        room = self._prompt_room(load) if request.work.prompt_tokens else None
+        if room is None:
             return None
-        if near.share < _SHORT_SHARE:
+        if room.share(0) < _SHORT_SHARE:
             return 0
+        queue_ms = room.wait_ms(0)
         return queue_ms - pool.prompt_limit_ms(request, self._now_ms)
 
+    def _prompt_room(self, load: PoolLoad) -> PromptRoom | None:
+        """Returns the room in the cell; computed once for a decision."""
+        if self._room_load is not load:
+            names = self._cell(backlog.runner for backlog in load.runners)
+            self._room = load.only(names).prompt_room(self._estimate)
+            self._room_load = load
+        return self._room
+
     def _find_objection(
         self,
         pool: OverloadPool,
--- a/teaseldale/routing/_overload_load.py
+++ b/teaseldale/routing/_overload_load.py
@@ -5,6 +5,7 @@
 import attrs
 
 from teaseldale.routing._overload_estimate import BaseStartEstimate
+from teaseldale.routing._overload_prompts import PromptQueue, PromptRoom
 from teaseldale.routing._runner_backlog import PlannedWork, RunnerBacklog
 
 _PACE_TOKENS = 1000  # prompt for which the pace of a runner is estimated
@@ -36,39 +37,34 @@
         runners, counts = zip(*kept, strict=True)
         return _load(runners, counts)
 
-    def prompt_queue_ms(
-        self,
-        estimate: BaseStartEstimate,
-        work: PlannedWork,
-    ) -> float | None:
-        """Returns the shortest time until a runner begins to read a prompt.
+    def prompt_room(self, estimate: BaseStartEstimate) -> PromptRoom | None:
+        """Returns the prompts that wait at the runners with a free slot.
 
-        Only runners with a free slot count. Those of which nothing is known
-        are taken for typical. Returns None if there is no free slot, if
-        nothing is known about any runner, or if ``work`` has no prompt.
+        Runners of which nothing is known are taken for typical. Returns None
+        if there is no free slot or if nothing is known about any runner.
         """
-        if not work.prompt_tokens:
-            return None
         paces = [
             estimate.first_event_ms(backlog.runner, 0, _PACE_TOKENS, count)
             for backlog, count in zip(self.runners, self.counts, strict=True)
         ]
         known = [pace for pace in paces if pace is not None]
-        if not known:
+        if not known or not self.free_count:
             return None
         typical = statistics.median(known)
-        durations = [typical if pace is None else pace for pace in paces]
-        return min(
-            (
-                (backlog.unread_tokens + backlog.remote_unread_tokens)
-                * duration
-                / _PACE_TOKENS
-                for backlog, count, duration in zip(
-                    self.runners, self.counts, durations, strict=True
+        return PromptRoom(
+            free_count=self.free_count,
+            taken_count=sum(self.counts),
+            slot_count=self.slot_count,
+            queues=tuple(
+                PromptQueue(
+                    tokens=backlog.unread_tokens + backlog.remote_unread_tokens,
+                    token_ms=(typical if pace is None else pace) / _PACE_TOKENS,
+                )
+                for backlog, count, pace in zip(
+                    self.runners, self.counts, paces, strict=True
                 )
                 if count < backlog.slot_count
             ),
-            default=None,
         )
 
     def idle_event_ms(
--- a/teaseldale/routing/_overload_pool.py
+++ b/teaseldale/routing/_overload_pool.py
@@ -53,6 +53,7 @@
     kinds: KindShares = attrs.field(factory=KindShares)
     recent: RecentLoads = attrs.field(factory=RecentLoads)
     starting_count: int = 0  # started, but not yet placed at a runner
+    starting_tokens: int = 0  # of the prompts of those, cached parts included
     refused_count: int = 0  # since the last log line
     refused_ms: float = 0  # monotonic time of the last refusal
     longest_wait_ms: float = 0
@@ -63,6 +64,18 @@
         self.kinds.note_offered(request, now_ms)
         self.recent.note(request.account, now_ms, request.cost_tokens)
 
+    def note_started(self, request: OverloadRequest, now_ms: float) -> None:
+        """Counts a request that starts, until it is placed."""
+        self.starting_count += 1
+        self.starting_tokens += request.work.prompt_tokens
+        self.credit.note_start(now_ms, request.rank)
+        self.kinds.note_started(request, now_ms)
+
+    def note_placed(self, request: OverloadRequest) -> None:
+        """Ends the start of a request that was placed or given up."""
+        self.starting_count -= 1
+        self.starting_tokens -= request.work.prompt_tokens
+
     def precedence(self, request: OverloadRequest, now_ms: float) -> float:
         """Returns the part of the runners' room that a request may use.
 
--- /dev/null
+++ b/teaseldale/routing/tests/steps_overload_decisions.py
@@ -0,0 +1,120 @@
+"""Steps of single decisions of overload admission."""
+
+import random
+
+from behave import given, then, when
+
+from teaseldale.metrics import Metrics
+from teaseldale.routing import (
+    BacklogChoice,
+    OverloadAction,
+    OverloadAdmission,
+    OverloadRequest,
+    PlannedWork,
+)
+from teaseldale.routing.tests.overload_fleet import KnownPace, ManualClock
+
+_TOKENS_PER_MS = 75
+_SLOTS = 24
+_START_MS = 10_000
+_GOAL_MS = 2000
+_DEADLINE_MS = 9000
+_PROMPT_TOKENS = 3000
+
+
+class _CountingPace(KnownPace):
+    """Counts the estimates."""
+
+    count = 0
+
+    def first_event_ms(self, runner, queued_tokens, own_tokens, in_work):
+        self.count += 1
+        return super().first_event_ms(
+            runner, queued_tokens, own_tokens, in_work
+        )
+
+
+class _OneVm:
+    """Admission of one VM and what it knows about its runners."""
+
+    def __init__(self, runner_count):
+        self.clock = ManualClock()
+        self.clock.now_ms = _START_MS
+        source = random.Random(1)
+        self.choice = BacklogChoice(clock=self.clock, random_source=source)
+        self.pace = _CountingPace(_TOKENS_PER_MS)
+        self.metrics = Metrics()
+        self.admission = OverloadAdmission(
+            clock=self.clock,
+            metrics=self.metrics,
+            random_source=source,
+            estimate=self.pace,
+        )
+        self.names = [f'i-{number}' for number in range(runner_count)]
+        self.turns = []
+
+    def views(self):
+        return tuple(self.choice.backlog(name, _SLOTS) for name in self.names)
+
+    def set_load(self, *, taken, queue_ms=0):
+        """Sets the requests of other VMs at each runner."""
+        for backlog in self.views():
+            backlog.remote_count = taken
+            backlog.remote_unread_tokens = queue_ms * _TOKENS_PER_MS
+
+    def decide(
+        self,
+        account='a',
+        *,
+        route='r',
+        rank=0,
+        prompt_tokens=_PROMPT_TOKENS,
+        goal_ms=_GOAL_MS,
+        deadline_ms=_DEADLINE_MS,
+    ):
+        now_ms = self.clock.monotonic_ms()
+        turn, decision = self.admission.decide(
+            OverloadRequest(
+                pool='s',
+                route=route,
+                account=account,
+                rank=rank,
+                work=PlannedWork(prompt_tokens=prompt_tokens),
+                goal_ms=goal_ms,
+                arrival_ms=now_ms,
+                deadline_at_ms=now_ms + deadline_ms,
+            ),
+            self.views,
+            _ignore,
+        )
+        self.turns.append(turn)
+        return decision
+
+
+def _ignore():
+    """Ignores that a turn is settled."""
+
+
+@given('a VM with {runners:d} model runners whose prompts wait for {wait:d} ms')
+def model_vm(context, runners, wait):
+    context.vm = _OneVm(runners)
+    context.vm.set_load(taken=_SLOTS - 1, queue_ms=wait)
+
+
+@given('requests of {count:d} accounts wait')
+def accounts_wait(context, count):
+    for number in range(count):
+        decision = context.vm.decide(f'account-{number}')
+        assert decision.action is OverloadAction.WAIT, decision
+
+
+@when('a request arrives')
+def arrives(context):
+    context.vm.pace.count = 0
+    context.decision = context.vm.decide()
+
+
+@then('at most {count:d} estimates are made for each runner')
+def few_estimates(context, count):
+    made = context.vm.pace.count
+    assert made <= count * len(context.vm.names), made
