--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -279,11 +279,11 @@
         their paces are unknown.
         """
         room = self._prompt_room(load) if request.work.prompt_tokens else None
-        if room is None:
+        if room is None or room.free_count <= pool.starting_count:
             return None
-        if room.share(0) < _SHORT_SHARE:
+        if room.share(pool.starting_count) < _SHORT_SHARE:
             return 0
-        queue_ms = room.wait_ms(0)
+        queue_ms = room.wait_ms(pool.starting_tokens)
         return queue_ms - pool.prompt_limit_ms(request, self._now_ms)
 
     def _prompt_room(self, load: PoolLoad) -> PromptRoom | None:
--- a/teaseldale/routing/_overload_pool.py
+++ b/teaseldale/routing/_overload_pool.py
@@ -29,7 +29,7 @@
 _LEAST_EXCESS_CREDIT = 1
 # Prompts that wait at a runner, in time and as a part of the shortest goal, up
 # to which the most urgent requests start.
-_PROMPT_QUEUE_SHARE = 0.4
+_PROMPT_QUEUE_SHARE = 0.45
 _MIN_QUEUE_PART = 0.25  # of that, for requests with the least precedence
 # Part of the slots that requests without precedence leave free.
 _RESERVED_SLOT_SHARE = 0.2
