--- a/teaseldale/routing/_overload_excess.py
+++ b/teaseldale/routing/_overload_excess.py
@@ -9,6 +9,7 @@
 # Random variation of a few requests stays below this factor.
 _EXCESS_FACTOR = 2.5
 _MIN_COUNT = 4.0  # decaying count of requests below which it is not known
+_MIN_OTHERS_COUNT = 1.0  # decaying count below which no other account sends
 _MAX_ACCOUNTS = 2000
 
 
@@ -56,7 +57,7 @@
         """Returns whether an account exceeds its usual share of the load.
 
         The share is compared with the load of the others, so that nobody is in
-        excess when all accounts send more than usual.
+        excess when all accounts send more than usual, or if no other sends.
         """
         recent = self._accounts.get(account)
         if recent is None or usual_share >= 1:
@@ -65,6 +66,8 @@
         self._total.decay(now_ms)
         if recent.count < _MIN_COUNT:
             return False
+        if self._total.count - recent.count < _MIN_OTHERS_COUNT:
+            return False
         others = max(0, self._total.tokens - recent.tokens)
         usual = others * usual_share / (1 - usual_share)
         return recent.tokens > _EXCESS_FACTOR * usual
