--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -106,6 +106,8 @@
             ),
         )
         load = self._load(pool)
+        if self._is_too_late(request, load):
+            return turn, self._refuse(pool, turn, OverloadReason.DEADLINE)
         pool.note_offered(request, now_ms)
         has_room = load.free_count > pool.starting_count
         if not pool.queue and has_room:
@@ -294,6 +296,16 @@
             self._room_load = load
         return self._room
 
+    def _is_too_late(self, request: OverloadRequest, load: PoolLoad) -> bool:
+        """Returns whether even an idle runner would miss the deadline.
+
+        False while runners are not short.
+        """
+        if load.share < _SHORT_SHARE or not load.runners:
+            return False
+        first_ms = load.idle_event_ms(self._estimate, request.work) or 0
+        return self._now_ms + first_ms > request.deadline_at_ms
+
     def _find_objection(
         self,
         pool: OverloadPool,
@@ -325,15 +337,19 @@
             load, request.rank, now_ms, self._vm_count()
         )
         wait_ms = (pool.queue.count_ahead(turn) + 0.5) * interval_ms
-        if now_ms + wait_ms + first_ms > request.deadline_at_ms:
+        excess_ms = self._prompt_excess_ms(pool, request, load)
+        ready_ms = max(wait_ms, excess_ms or 0)
+        if now_ms + ready_ms + first_ms > request.deadline_at_ms:
             return OverloadReason.DEADLINE
         if wait_ms > max(spare_ms, 0):
             return OverloadReason.GOAL
         if now_ms < refuse_at_ms(request):
             return None
         # The queues at runners vary too much to promise a start.
-        has_queue = self._prompt_excess_ms(pool, request, load) is not None
-        if has_queue or wait_ms + interval_ms > spare_ms * _SURE_SHARE:
+        if (
+            excess_ms is not None
+            or wait_ms + interval_ms > spare_ms * _SURE_SHARE
+        ):
             return OverloadReason.WAITED
         turn.is_kept = True
         return None
--- a/teaseldale/routing/tests/overload_decisions.feature
+++ b/teaseldale/routing/tests/overload_decisions.feature
@@ -15,3 +15,28 @@
     And requests of 24 accounts wait
     When the runners have read their prompts and have 10 free slots each
     Then between 6 and 14 requests start
+
+  # Guards against requests that wait, or start and use a runner, although they
+  # cannot be served before their deadline.
+  Scenario Outline: A request that cannot be served before its deadline is refused immediately
+    Given a VM with 45 model runners whose prompts wait for <queue> ms
+    When a request with a deadline of <deadline> ms arrives
+    Then it is refused by its deadline
+
+    Examples:
+      | queue | deadline |
+      | 4000  | 1000     |
+      | 0     | 100      |
+
+  # Guards against holding back the only account that sends.
+  Scenario Outline: An account is in excess only if others send
+    Given a VM with 45 model runners whose prompts wait for 0 ms
+    And accounts have sent as usual
+    When one account sends 20 requests and <others> others arrive
+    And the prompts at the runners wait for 500 ms
+    Then a request of that account <result>
+
+    Examples:
+      | others | result |
+      | 0      | starts |
+      | 4      | waits  |
--- a/teaseldale/routing/tests/steps_overload_decisions.py
+++ b/teaseldale/routing/tests/steps_overload_decisions.py
@@ -9,6 +9,7 @@
     BacklogChoice,
     OverloadAction,
     OverloadAdmission,
+    OverloadReason,
     OverloadRequest,
     PlannedWork,
 )
@@ -20,6 +21,7 @@
 _GOAL_MS = 2000
 _DEADLINE_MS = 9000
 _PROMPT_TOKENS = 12_000
+_USUAL_AGO_MS = 10_000  # recent loads have decayed by then
 
 
 class _CountingPace(KnownPace):
@@ -130,3 +132,50 @@
 def starts_bounded(context, least, most):
     started = sum(turn.is_started for turn in context.vm.turns)
     assert least <= started <= most, started
+
+
+@when('a request with a deadline of {deadline:d} ms arrives')
+def arrives_with_deadline(context, deadline):
+    context.decision = context.vm.decide(deadline_ms=deadline)
+
+
+@then('it is refused by its deadline')
+def refused_by_deadline(context):
+    assert context.decision.action is OverloadAction.REFUSE, context.decision
+    assert context.decision.reason is OverloadReason.DEADLINE, context.decision
+
+
+@given('accounts have sent as usual')
+def sent_as_usual(context):
+    context.vm.set_load(taken=0)
+    for number in range(40):
+        _start(context.vm, f'account-{number % 4}')
+    context.vm.clock.now_ms += _USUAL_AGO_MS
+    context.vm.set_load(taken=_SLOTS - 1)
+
+
+@when('one account sends {count:d} requests and {others:d} others arrive')
+def account_sends(context, count, others):
+    # Others send at first and still count when the account has sent.
+    for number in range(others):
+        _start(context.vm, f'account-{1 + number % 3}')
+    for _ in range(count):
+        _start(context.vm, 'account-0')
+
+
+@when('the prompts at the runners wait for {wait:d} ms')
+def prompts_wait(context, wait):
+    context.vm.set_load(taken=_SLOTS - 1, queue_ms=wait)
+
+
+@then('a request of that account {result}')
+def account_result(context, result):
+    expected = {'starts': OverloadAction.START, 'waits': OverloadAction.WAIT}
+    decision = context.vm.decide('account-0')
+    assert decision.action is expected[result], decision
+
+
+def _start(vm, account):
+    decision = vm.decide(account)
+    assert decision.action is OverloadAction.START, decision
+    vm.admission.end_start(vm.turns[-1])
