--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -22,7 +22,6 @@
     refusal_time_ms,
     refuse_at_ms,
 )
-from teaseldale.routing._overload_prompts import PromptRoom
 from teaseldale.routing._overload_request import (
     OverloadAction,
     OverloadDecision,
@@ -31,6 +30,7 @@
     WaitingTurn,
 )
 from teaseldale.routing._overload_returns import ReturnSchedule
+from teaseldale.routing._overload_rooms import CellRooms
 
 # A request stays longer only if it is expected to start in this part of the
 # time that its goal leaves, as estimates of the start rate vary.
@@ -75,10 +75,8 @@
         self._random = random_source
         self._estimate = estimate or UnknownStart()
         self._vm_count = vm_count
-        self._cell = cell
+        self._rooms = CellRooms(estimate=self._estimate, cell=cell)
         self._pools: dict[str, OverloadPool] = {}
-        self._room_load: PoolLoad | None = None
-        self._room: PromptRoom | None = None
         self._log = StateLog(channel='overload')
 
     def decide(
@@ -106,9 +104,13 @@
             ),
         )
         load = self._load(pool)
-        if self._is_too_late(request, load):
+        if load.share >= _SHORT_SHARE and load.misses(
+            self._estimate, request.work, request.deadline_at_ms - now_ms
+        ):
             return turn, self._refuse(pool, turn, OverloadReason.DEADLINE)
         pool.note_offered(request, now_ms)
+        for label in pool.note_special(request, now_ms):
+            self._metrics.increment('overload_arrivals', label)
         has_room = load.free_count > pool.starting_count
         if not pool.queue and has_room:
             pool.queue.usual.note(request.account, now_ms, request.cost_tokens)
@@ -152,6 +154,9 @@
         if reason is not None:
             pool.queue.remove(turn)
             return self._refuse(pool, turn, reason)
+        excess_ms = self._prompt_excess_ms(pool, turn.request, load) or 0
+        if excess_ms > 0 and pool.note_held(turn):
+            self._metrics.increment('overload_held', 'prompts')
         return OverloadDecision(
             action=OverloadAction.WAIT,
             wait_ms=self._next_check_ms(pool, turn, load),
@@ -280,7 +285,7 @@
         Returns None if slots decide, because no runner of the cell has one or
         their paces are unknown.
         """
-        room = self._prompt_room(load) if request.work.prompt_tokens else None
+        room = self._rooms.room(load) if request.work.prompt_tokens else None
         if room is None or room.free_count <= pool.starting_count:
             return None
         if room.share(pool.starting_count) < _SHORT_SHARE:
@@ -288,24 +293,6 @@
         queue_ms = room.wait_ms(pool.starting_tokens)
         return queue_ms - pool.prompt_limit_ms(request, self._now_ms)
 
-    def _prompt_room(self, load: PoolLoad) -> PromptRoom | None:
-        """Returns the room in the cell; computed once for a decision."""
-        if self._room_load is not load:
-            names = self._cell(backlog.runner for backlog in load.runners)
-            self._room = load.only(names).prompt_room(self._estimate)
-            self._room_load = load
-        return self._room
-
-    def _is_too_late(self, request: OverloadRequest, load: PoolLoad) -> bool:
-        """Returns whether even an idle runner would miss the deadline.
-
-        False while runners are not short.
-        """
-        if load.share < _SHORT_SHARE or not load.runners:
-            return False
-        first_ms = load.idle_event_ms(self._estimate, request.work) or 0
-        return self._now_ms + first_ms > request.deadline_at_ms
-
     def _find_objection(
         self,
         pool: OverloadPool,
@@ -421,7 +408,8 @@
             taken=sum(load.counts),
             slots=load.slot_count,
             work_ms=int(pool.credit.work_ms),
+            kinds_behind=len(pool.behind_kinds),
+            accounts_in_excess=len(pool.excess_accounts),
+            held_by_prompts=pool.held_count,
         )
-        pool.logged_ms = now_ms
-        pool.refused_count = 0
-        pool.longest_wait_ms = 0
+        pool.end_log_interval(now_ms)
--- a/teaseldale/routing/_overload_load.py
+++ b/teaseldale/routing/_overload_load.py
@@ -51,6 +51,7 @@
         if not known or not self.free_count:
             return None
         typical = statistics.median(known)
+        durations = [typical if pace is None else pace for pace in paces]
         return PromptRoom(
             free_count=self.free_count,
             taken_count=sum(self.counts),
@@ -58,10 +59,10 @@
             queues=tuple(
                 PromptQueue(
                     tokens=backlog.unread_tokens + backlog.remote_unread_tokens,
-                    token_ms=(typical if pace is None else pace) / _PACE_TOKENS,
+                    token_ms=duration / _PACE_TOKENS,
                 )
-                for backlog, count, pace in zip(
-                    self.runners, self.counts, paces, strict=True
+                for backlog, count, duration in zip(
+                    self.runners, self.counts, durations, strict=True
                 )
                 if count < backlog.slot_count
             ),
@@ -88,6 +89,16 @@
             ],
         )
 
+    def misses(
+        self,
+        estimate: BaseStartEstimate,
+        work: PlannedWork,
+        left_ms: float,
+    ) -> bool:
+        """Returns whether even an idle runner would need more than a time."""
+        first_ms = self.idle_event_ms(estimate, work)
+        return bool(self.runners) and (first_ms or 0) > left_ms
+
 
 def _load(
     runners: tuple[RunnerBacklog, ...], counts: tuple[int, ...]
--- a/teaseldale/routing/_overload_pool.py
+++ b/teaseldale/routing/_overload_pool.py
@@ -36,6 +36,8 @@
 # After the last refusal, runners count as short for this time.
 _SHORT_MS = 3000
 
+_MAX_NOTED = 100  # kinds and accounts that are counted for a log line
+
 Views = Callable[[], tuple[RunnerBacklog, ...]]
 
 
@@ -54,6 +56,10 @@
     recent: RecentLoads = attrs.field(factory=RecentLoads)
     starting_count: int = 0  # started, but not yet placed at a runner
     starting_tokens: int = 0  # of the prompts of those, cached parts included
+    # Since the last log line, while runners were short:
+    behind_kinds: set[tuple[int, str]] = attrs.field(factory=set)
+    excess_accounts: set[str] = attrs.field(factory=set)
+    held_count: int = 0  # requests that waited for the prompts at the runners
     refused_count: int = 0  # since the last log line
     refused_ms: float = 0  # monotonic time of the last refusal
     longest_wait_ms: float = 0
@@ -64,6 +70,23 @@
         self.kinds.note_offered(request, now_ms)
         self.recent.note(request.account, now_ms, request.cost_tokens)
 
+    def note_special(
+        self, request: OverloadRequest, now_ms: float
+    ) -> list[str]:
+        """Returns which rules change the precedence of a new request."""
+        if not self.was_short(now_ms):
+            return []
+        labels = []
+        if self.kinds.is_behind(request, now_ms):
+            labels.append('kind_behind')
+            if len(self.behind_kinds) < _MAX_NOTED:
+                self.behind_kinds.add((request.rank, request.route))
+        if self._is_in_excess(request, now_ms):
+            labels.append('account_in_excess')
+            if len(self.excess_accounts) < _MAX_NOTED:
+                self.excess_accounts.add(request.account)
+        return labels
+
     def note_started(self, request: OverloadRequest, now_ms: float) -> None:
         """Counts a request that starts, until it is placed."""
         self.starting_count += 1
@@ -76,6 +99,22 @@
         self.starting_count -= 1
         self.starting_tokens -= request.work.prompt_tokens
 
+    def note_held(self, turn: WaitingTurn) -> bool:
+        """Counts a turn that prompts hold back; returns whether it is new."""
+        is_new = not turn.is_held
+        turn.is_held = True
+        self.held_count += is_new
+        return is_new
+
+    def end_log_interval(self, now_ms: float) -> None:
+        """Starts the counts of the next log line."""
+        self.logged_ms = now_ms
+        self.refused_count = 0
+        self.held_count = 0
+        self.longest_wait_ms = 0
+        self.behind_kinds.clear()
+        self.excess_accounts.clear()
+
     def precedence(self, request: OverloadRequest, now_ms: float) -> float:
         """Returns the part of the runners' room that a request may use.
 
--- a/teaseldale/routing/_overload_prompts.py
+++ b/teaseldale/routing/_overload_prompts.py
@@ -39,7 +39,7 @@
         """
         queues = sorted(self.queues, key=lambda queue: queue.wait_ms)
         level_ms = queues[0].wait_ms
-        rate = 0.0  # tokens per ms of the queues up to the level
+        rate: float = 0  # tokens per ms of the queues up to the level
         left = float(starting_tokens)
         for queue in queues:
             needed = (queue.wait_ms - level_ms) * rate
--- a/teaseldale/routing/_overload_request.py
+++ b/teaseldale/routing/_overload_request.py
@@ -73,6 +73,7 @@
     on_settled: Callable[[], None]  # called once it starts or is refused
     is_returning: bool = False  # a caller that was refused earlier
     is_kept: bool = False  # is expected to start in time, so is not refused
+    is_held: bool = False  # has waited for the prompts at the runners
     is_started: bool = False  # and counts as starting
     is_settled: bool = False
 
--- a/teaseldale/routing/tests/overload_decisions.feature
+++ b/teaseldale/routing/tests/overload_decisions.feature
@@ -40,3 +40,16 @@
       | others | result |
       | 0      | starts |
       | 4      | waits  |
+
+  # Guards against an overload in which an operator cannot see which rule
+  # decides, and against counting a request at each of its checks.
+  Scenario: Kinds behind, accounts in excess and prompts are counted
+    Given a VM with 45 model runners whose prompts wait for 0 ms
+    And accounts have sent as usual
+    When one account sends 20 requests and 4 others arrive
+    And the prompts at the runners wait for 2000 ms
+    And a request is refused by its deadline
+    And 12 requests of that account and of another kind wait and are checked
+    Then "overload_arrivals" counts 12 for "account_in_excess"
+    And "overload_arrivals" counts 11 for "kind_behind"
+    And "overload_held" counts 12 for "prompts"
--- a/teaseldale/routing/tests/steps_overload_decisions.py
+++ b/teaseldale/routing/tests/steps_overload_decisions.py
@@ -179,3 +179,27 @@
     decision = vm.decide(account)
     assert decision.action is OverloadAction.START, decision
     vm.admission.end_start(vm.turns[-1])
+
+
+@when('a request is refused by its deadline')
+def refuse_one(context):
+    context.decision = context.vm.decide('account-1', deadline_ms=1)
+    refused_by_deadline(context)
+
+
+@when(
+    '{count:d} requests of that account and of another kind wait and are '
+    'checked'
+)
+def wait_of_kind(context, count):
+    vm = context.vm
+    for _ in range(count):
+        decision = vm.decide('account-0', route='other', prompt_tokens=100)
+        assert decision.action is OverloadAction.WAIT, decision
+        vm.admission.check(vm.turns[-1])
+
+
+@then('"{name}" counts {count:d} for "{label}"')
+def counted(context, name, count, label):
+    counted_now = context.vm.metrics.counter_value(name, label)
+    assert counted_now == count, counted_now
