--- a/teaseldale/routing/_overload_admission.py
+++ b/teaseldale/routing/_overload_admission.py
@@ -30,6 +30,7 @@
     WaitingTurn,
 )
 from teaseldale.routing._overload_returns import ReturnSchedule
+from teaseldale.routing._overload_rooms import CellRooms
 
 # A request stays longer only if it is expected to start in this part of the
 # time that its goal leaves, as estimates of the start rate vary.
@@ -74,7 +75,7 @@
         self._random = random_source
         self._estimate = estimate or UnknownStart()
         self._vm_count = vm_count
-        self._cell = cell
+        self._rooms = CellRooms(estimate=self._estimate, cell=cell)
         self._pools: dict[str, OverloadPool] = {}
         self._log = StateLog(channel='overload')
 
@@ -103,7 +104,13 @@
             ),
         )
         load = self._load(pool)
+        if load.share >= _SHORT_SHARE and load.misses(
+            self._estimate, request.work, request.deadline_at_ms - now_ms
+        ):
+            return turn, self._refuse(pool, turn, OverloadReason.DEADLINE)
         pool.note_offered(request, now_ms)
+        for label in pool.note_special(request, now_ms):
+            self._metrics.increment('overload_arrivals', label)
         has_room = load.free_count > pool.starting_count
         if not pool.queue and has_room:
             pool.queue.usual.note(request.account, now_ms, request.cost_tokens)
@@ -147,6 +154,9 @@
         if reason is not None:
             pool.queue.remove(turn)
             return self._refuse(pool, turn, reason)
+        excess_ms = self._prompt_excess_ms(pool, turn.request, load) or 0
+        if excess_ms > 0 and pool.note_held(turn):
+            self._metrics.increment('overload_held', 'prompts')
         return OverloadDecision(
             action=OverloadAction.WAIT,
             wait_ms=self._next_check_ms(pool, turn, load),
@@ -165,7 +175,7 @@
         """Ends a start, as its request now counts at its runner; idempotent."""
         if turn.is_started:
             turn.is_started = False
-            self._pools[turn.request.pool].starting_count -= 1
+            self._pools[turn.request.pool].note_placed(turn.request)
 
     def note_end(self, name: str, held_ms: float) -> None:
         """Records that a request of a pool has left its runner."""
@@ -234,9 +244,7 @@
     def _start(self, pool: OverloadPool, turn: WaitingTurn) -> None:
         now_ms = self._now_ms
         pool.queue.start(turn)
-        pool.starting_count += 1
-        pool.credit.note_start(now_ms, turn.request.rank)
-        pool.kinds.note_started(turn.request, now_ms)
+        pool.note_started(turn.request, now_ms)
         turn.is_started = True
         turn.settle()
         waited_ms = now_ms - turn.request.arrival_ms
@@ -277,12 +285,12 @@
         Returns None if slots decide, because no runner of the cell has one or
         their paces are unknown.
         """
-        near = load.only(self._cell(backlog.runner for backlog in load.runners))
-        queue_ms = near.prompt_queue_ms(self._estimate, request.work)
-        if queue_ms is None:
+        room = self._rooms.room(load) if request.work.prompt_tokens else None
+        if room is None or room.free_count <= pool.starting_count:
             return None
-        if near.share < _SHORT_SHARE:
+        if room.share(pool.starting_count) < _SHORT_SHARE:
             return 0
+        queue_ms = room.wait_ms(pool.starting_tokens)
         return queue_ms - pool.prompt_limit_ms(request, self._now_ms)
 
     def _find_objection(
@@ -316,15 +324,19 @@
             load, request.rank, now_ms, self._vm_count()
         )
         wait_ms = (pool.queue.count_ahead(turn) + 0.5) * interval_ms
-        if now_ms + wait_ms + first_ms > request.deadline_at_ms:
+        excess_ms = self._prompt_excess_ms(pool, request, load)
+        ready_ms = max(wait_ms, excess_ms or 0)
+        if now_ms + ready_ms + first_ms > request.deadline_at_ms:
             return OverloadReason.DEADLINE
         if wait_ms > max(spare_ms, 0):
             return OverloadReason.GOAL
         if now_ms < refuse_at_ms(request):
             return None
         # The queues at runners vary too much to promise a start.
-        has_queue = self._prompt_excess_ms(pool, request, load) is not None
-        if has_queue or wait_ms + interval_ms > spare_ms * _SURE_SHARE:
+        if (
+            excess_ms is not None
+            or wait_ms + interval_ms > spare_ms * _SURE_SHARE
+        ):
             return OverloadReason.WAITED
         turn.is_kept = True
         return None
@@ -396,7 +408,8 @@
             taken=sum(load.counts),
             slots=load.slot_count,
             work_ms=int(pool.credit.work_ms),
+            kinds_behind=len(pool.behind_kinds),
+            accounts_in_excess=len(pool.excess_accounts),
+            held_by_prompts=pool.held_count,
         )
-        pool.logged_ms = now_ms
-        pool.refused_count = 0
-        pool.longest_wait_ms = 0
+        pool.end_log_interval(now_ms)
