--- a/teaseldale/routing/_placement_deltas.py
+++ b/teaseldale/routing/_placement_deltas.py
@@ -1,6 +1,7 @@
 """Selection of the counts that a VM sends next, within a size."""
 
 import itertools
+import uuid
 from collections.abc import Iterable
 
 import attrs
@@ -40,8 +41,12 @@
 _LEAVING_DOUBLINGS = 5
 _MAX_LEAVING = 20  # newest leaving runners
 # Encoded size of everything but the elements, without the name of the VM.
-_FRAME_BYTES = 24
+_FRAME_BYTES = 29
 _CODE_BYTES = 5
+# Ids of processes have 32 bits, the first of them set, so that no id is 0 and
+# all have the same encoded size.
+_PROCESS_ID_SHIFT_BITS = 96
+_PROCESS_ID_FIRST_BIT = 1 << 31
 _TEXT_OVERHEAD_BYTES = 3
 # Encoded size of an integer by the number of its bits.
 _MSGPACK_SIZES = ((7, 1), (8, 2), (16, 3), (32, 5))
@@ -82,6 +87,10 @@
         """Reads the counts and the new prompt parts of ``choice``."""
         self._vm_name = vm_name
         self._choice = choice
+        # Tells this process from earlier ones of the VM, whose counts end with
+        # them.
+        random_id = uuid.uuid4().int >> _PROCESS_ID_SHIFT_BITS
+        self._process_id = random_id | _PROCESS_ID_FIRST_BIT
         self._numbers = itertools.count()
         self._sent: dict[str, _SentCounts] = {}
         self._sent_ms: int | None = None
@@ -101,6 +110,13 @@
         while len(self._pending_parts) > _MAX_PENDING_PARTS:
             self._pending_parts.pop(next(iter(self._pending_parts)))
 
+    def resend_counts(self, now_ms: int) -> None:
+        """Makes all counts due, as another VM does not know them."""
+        self._sent_ms = None
+        for sent in self._sent.values():
+            if sent.counts[0]:
+                sent.sent_ms = min(sent.sent_ms, now_ms - _OVERDUE_MS)
+
     def next_delta(
         self,
         leaving: tuple[str, ...],
@@ -165,6 +181,7 @@
                     min(left_bytes, max_paces_bytes),
                     now_ms,
                 ),
+                process_id=self._process_id,
             ),
         )
 
--- a/teaseldale/routing/_placement_messages.py
+++ b/teaseldale/routing/_placement_messages.py
@@ -63,6 +63,8 @@
     # Encoded ``PaceObservation``. VMs of earlier builds send none, and ignore
     # those of others.
     paces: bytes = b''
+    # Random number of the sender's process; 0 from earlier builds.
+    process_id: int = 0
 
 
 def runner_code(runner: str) -> int:
--- a/teaseldale/routing/_placement_notices.py
+++ b/teaseldale/routing/_placement_notices.py
@@ -164,7 +164,9 @@
             return
         now_ms = self._clock.monotonic_ms()
         self._last_received_ms[delta.vm_name] = now_ms
-        self._remote.apply_delta(delta, now_ms)
+        if self._remote.apply_delta(delta, now_ms):
+            self._deltas.resend_counts(now_ms)
+            self._change_event.set()
         self._leaving_runners.note_leaving(delta.leaving)
 
     def silent_for(
--- a/teaseldale/routing/_remote_placements.py
+++ b/teaseldale/routing/_remote_placements.py
@@ -15,8 +15,9 @@
 # Counts expire after this time without being heard again: the VM has stopped or
 # is unreachable, or the message that its work has ended was lost.
 COUNTS_LIFETIME_MS = 3000
-# A delta with a number that is lower by at most this was overtaken by others.
-# One that is lower by more comes from a new start of the sender.
+# A delta of an earlier build with a number that is lower by at most this was
+# overtaken by others. One that is lower by more comes from a new start of the
+# sender.
 _MAX_OVERTAKEN = 100
 # Interval at which runners that have become known get the counts heard before.
 _RECOUNT_INTERVAL_MS = 250
@@ -34,6 +35,16 @@
     counts: dict[int, _HeardCounts] = attrs.field(factory=dict)
     number: int = -1  # of the latest delta
     delta_ms: int | None = None  # when the latest delta was heard
+    process_id: int = 0  # of the latest delta
+    ended_ids: frozenset[int] = frozenset()  # of earlier processes
+
+    def is_restart(self, delta: PlacementDelta) -> bool:
+        """Returns whether a delta is the first one of a new process."""
+        if delta.process_id != self.process_id:
+            return True
+        # Processes of earlier builds differ in their numbers only.
+        is_named = delta.process_id != 0
+        return not is_named and self.number - delta.number > _MAX_OVERTAKEN
 
 
 class RemotePlacements:
@@ -74,12 +85,21 @@
         }
         self._recount(earlier.union(remote.counts))
 
-    def apply_delta(self, delta: PlacementDelta, now_ms: int) -> None:
-        """Replaces the counts that a delta has; ignores overtaken deltas."""
+    def apply_delta(self, delta: PlacementDelta, now_ms: int) -> bool:
+        """Replaces the counts that a delta has; ignores overtaken deltas.
+
+        Returns whether the delta is the first one of a process of its sender.
+        """
         remote = self._vms.setdefault(delta.vm_name, _RemoteVm())
+        if delta.process_id in remote.ended_ids:
+            return False
+        is_first = remote.is_restart(delta)
+        if is_first:
+            self._start_process(remote, delta.process_id)
+        elif delta.number <= remote.number:
+            remote.delta_ms = now_ms
+            return False
         remote.delta_ms = now_ms
-        if 0 <= remote.number - delta.number <= _MAX_OVERTAKEN:
-            return
         remote.number = delta.number
         for code, running_count, unread_tokens in delta.counts:
             if running_count:
@@ -96,6 +116,7 @@
             if runner is not None:
                 self._choice.note_remote_part(runner, part_id)
         self._note_paces(delta)
+        return is_first
 
     def remove_expired(self, now_ms: int) -> None:
         """Removes expired counts and applies the others to new runners."""
@@ -120,6 +141,18 @@
             if remote.counts or name in kept
         }
 
+    def _start_process(self, remote: _RemoteVm, process_id: int) -> None:
+        """Drops the counts of a VM's earlier process, whose work has ended."""
+        if remote.process_id and process_id:
+            # A late delta of an earlier build does not end this process.
+            remote.ended_ids |= {remote.process_id}
+        remote.process_id = process_id
+        if remote.delta_ms is None:
+            return  # The counts come from notices of the same process.
+        ended = tuple(remote.counts)
+        remote.counts.clear()
+        self._recount(ended)
+
     def _note_paces(self, delta: PlacementDelta) -> None:
         for observation in decode_observations(delta.paces):
             runner = self._find_name(observation.runner_code)
--- a/teaseldale/routing/tests/steps_placement_budget.py
+++ b/teaseldale/routing/tests/steps_placement_budget.py
@@ -13,6 +13,10 @@
     PlannedWork,
     SharedPart,
 )
+from teaseldale.routing._placement_messages import (
+    PLACEMENT_DELTA,
+    runner_code,
+)
 
 _STEP_MS = 33
 _HEADER_BYTES = 28
@@ -108,6 +112,8 @@
         self.sent = []  # time and bytes of the busy VM's datagrams
         self.placed = []
         runners = [f'runner-eu-west-{number}' for number in range(runner_count)]
+        self.runners = runners
+        self.first_delta = None  # of the busy VM's first process
         self.busy = _CurrentVm('vm-0', self.clock, runners)
         self.vms = {'vm-0': self.busy}
         for number in range(1, vm_count):
@@ -130,6 +136,18 @@
             self._end_due()
             self._exchange()
 
+    def restart(self):
+        """Ends all requests of the busy VM and starts it again."""
+        self.placed = []
+        self.busy = _CurrentVm('vm-0', self.clock, self.runners)
+        self.vms['vm-0'] = self.busy
+
+    def restart_others(self):
+        """Starts all but the busy VM again."""
+        for name, vm in tuple(self.vms.items()):
+            if vm is not self.busy:
+                self.vms[name] = type(vm)(name, self.clock, self.runners)
+
     def place(self, duration_ms=600):
         part = SharedPart(
             part_id=f'part-{self.random.randrange(40):030d}',
@@ -168,6 +186,8 @@
         if sender is self.busy:
             size = len(content) + _HEADER_BYTES
             self.sent.append((self.clock.now_ms, size))
+            if content[:1] == PLACEMENT_DELTA and self.first_delta is None:
+                self.first_delta = content
         if self.random.random() >= self.loss_share:
             self.vms[receiver].receive(content)
 
@@ -201,6 +221,60 @@
         context.cell.place(duration_ms=1_000_000)
 
 
+@when('this VM starts again after {delay} ms')
+def start_again(context, delay):
+    context.cell.run(int(delay.replace(',', '')))
+    context.cell.restart()
+
+
+@when('the other VMs start again after {delay:d} ms')
+def others_start_again(context, delay):
+    context.cell.run(delay)
+    context.cell.restart_others()
+
+
+@when('the first delta of its earlier process arrives {delay:d} ms later')
+def late_delta(context, delay):
+    cell = context.cell
+    cell.run(delay)
+    for vm in cell.others:
+        vm.receive(cell.first_delta)
+
+
+def _send_earlier_delta(cell, number, count):
+    """Sends a delta as builds without process ids encode it."""
+    code = runner_code(cell.runners[0])
+    content = msgspec.msgpack.encode(
+        ('vm-0', number, ((code, count, 0),), (), ()),
+    )
+    for vm in cell.others:
+        vm.receive(PLACEMENT_DELTA + content)
+
+
+@when(
+    'one VM of an earlier build sends {delta_count:d} deltas of {count:d} '
+    'requests'
+)
+def earlier_build_sends(context, delta_count, count):
+    for number in range(delta_count):
+        _send_earlier_delta(context.cell, number, count)
+
+
+@when(
+    'this VM of an earlier build starts again and sends one of {count:d} '
+    'requests'
+)
+def earlier_build_starts_again(context, count):
+    _send_earlier_delta(context.cell, 0, count)
+
+
+@then('the others count {count:d} requests of it')
+def count_of_earlier_build(context, count):
+    for vm in context.cell.others:
+        total = sum(running for running, _ in vm.counts().values())
+        assert total == count, vm.counts()
+
+
 @then('its placement datagrams take at most {limit} bytes in any second')
 def within_budget(context, limit):
     limit_bytes = int(limit.replace(',', ''))
