--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -14,7 +14,9 @@
 )
 
 # Limited runners that are asked for a permit before a request is refused.
-_MAX_PERMIT_REQUESTS = 2
+# Counts of other VMs may be 250 ms old; with two runners asked, 8 VMs served
+# 0.85 of what 9 brittle runners can run.
+_MAX_PERMIT_REQUESTS = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -208,9 +210,8 @@
         now_ms = self._parts.clock.monotonic_ms()
         likely = [item for item in limited if self._is_likely(item)]
         candidates = likely or list(limited)
-        if not any(map(self._needs_room, candidates)):
-            # VMs with the same view would otherwise all ask the same runners.
-            self._parts.random_source.shuffle(candidates)
+        # VMs with the same view would otherwise all ask the same runners.
+        self._parts.random_source.shuffle(candidates)
         by_load = sorted(
             candidates,
             key=lambda backlog: backlog.load_count(now_ms),
@@ -222,12 +223,6 @@
             by_load.insert(0, best)
         return by_load[:_MAX_PERMIT_REQUESTS]
 
-    def _needs_room(self, backlog: RunnerBacklog) -> bool:
-        runner = self._runner_of(backlog)
-        return runner is not None and self._parts.permits.needs_room(
-            runner.incarnation_name,
-        )
-
     def _is_likely(self, backlog: RunnerBacklog) -> bool:
         runner = self._runner_of(backlog)
         return runner is not None and not self._parts.permits.is_unlikely(
