--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -15,9 +15,10 @@
 )
 
 # Limited runners that are asked for a permit before a request is refused.
-# Counts of other VMs may be 250 ms old; with two runners asked, 8 VMs served
-# 0.85 of what 9 brittle runners can run.
-_MAX_PERMIT_REQUESTS = 3
+_MAX_PERMIT_REQUESTS = 2
+# The same for brittle runners. Counts of other VMs may be 250 ms old; with two
+# runners asked, 8 VMs served 0.85 of what 9 brittle runners can run.
+_MAX_ROOM_REQUESTS = 3
 
 
 @attrs.frozen(kw_only=True)
@@ -241,7 +242,15 @@
         if best is not None:
             by_load.remove(best)
             by_load.insert(0, best)
-        return by_load[:_MAX_PERMIT_REQUESTS]
+        needs_room = any(map(self._needs_room, candidates))
+        count = _MAX_ROOM_REQUESTS if needs_room else _MAX_PERMIT_REQUESTS
+        return by_load[:count]
+
+    def _needs_room(self, backlog: RunnerBacklog) -> bool:
+        runner = self._runner_of(backlog)
+        return runner is not None and self._parts.permits.needs_room(
+            runner.incarnation_name,
+        )
 
     def _is_likely(self, backlog: RunnerBacklog) -> bool:
         runner = self._runner_of(backlog)
