--- a/teaseldale/routing/_placement_deltas.py
+++ b/teaseldale/routing/_placement_deltas.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 
 import attrs
-import msgspec
 
 from teaseldale.routing._backlog_choice import BacklogChoice
 from teaseldale.routing._pace_messages import encode_observations
 from teaseldale.routing._placement_messages import (
     PlacementDelta,
+    encode_delta,
     runner_code,
 )
 
@@ -41,12 +41,12 @@
 _LEAVING_DOUBLINGS = 5
 _MAX_LEAVING = 20  # newest leaving runners
 # Encoded size of everything but the elements, without the name of the VM.
-_FRAME_BYTES = 29
+_FRAME_BYTES = 27
 _CODE_BYTES = 5
-# Ids of processes have 32 bits, the first of them set, so that no id is 0 and
+# Ids of processes have 16 bits, the first of them set, so that no id is 0 and
 # all have the same encoded size.
-_PROCESS_ID_SHIFT_BITS = 96
-_PROCESS_ID_FIRST_BIT = 1 << 31
+_PROCESS_ID_SHIFT_BITS = 112
+_PROCESS_ID_FIRST_BIT = 1 << 15
 _TEXT_OVERHEAD_BYTES = 3
 # Encoded size of an integer by the number of its bits.
 _MSGPACK_SIZES = ((7, 1), (8, 2), (16, 3), (32, 5))
@@ -165,7 +165,7 @@
             counts.is_changed for counts in due[len(taken) :]
         )
         self._sent_ms = now_ms
-        return msgspec.msgpack.encode(
+        return encode_delta(
             PlacementDelta(
                 vm_name=self._vm_name,
                 number=next(self._numbers),
--- a/teaseldale/routing/_placement_messages.py
+++ b/teaseldale/routing/_placement_messages.py
@@ -60,11 +60,22 @@
     counts: tuple[tuple[int, int, int], ...]
     new_parts: tuple[tuple[int, str], ...]  # runner code and part id
     leaving: tuple[str, ...]  # as in ``PlacementNotice``
+    # Random number of the sender's process; 0 from earlier builds.
+    process_id: int = 0
     # Encoded ``PaceObservation``. VMs of earlier builds send none, and ignore
     # those of others.
     paces: bytes = b''
-    # Random number of the sender's process; 0 from earlier builds.
-    process_id: int = 0
+
+
+def encode_delta(delta: PlacementDelta) -> bytes:
+    """Encodes a delta, without paces if it has none.
+
+    Deltas share a small byte budget: each byte delays the next one.
+    """
+    fields = msgspec.structs.astuple(delta)
+    if not delta.paces:
+        fields = fields[:-1]
+    return msgspec.msgpack.encode(fields)
 
 
 def runner_code(runner: str) -> int:
