--- a/teaseldale/forwarding/_runner_selection.py
+++ b/teaseldale/forwarding/_runner_selection.py
@@ -16,9 +16,10 @@
 
 # Limited runners that are asked for a permit before a request is refused.
 _MAX_PERMIT_REQUESTS = 2
-# The same for brittle runners. Counts of other VMs may be 250 ms old; with two
-# runners asked, 8 VMs served 0.85 of what 9 brittle runners can run.
-_MAX_ROOM_REQUESTS = 3
+# The same for brittle runners. Counts of other VMs may be 250 ms old, so that
+# the first ones asked often have no room: with three, 8 VMs served 0.86 of what
+# 9 runners can run.
+_MAX_ROOM_REQUESTS = 5
 
 
 @attrs.frozen(kw_only=True)
--- a/teaseldale/forwarding/tests/brittle_runners.feature
+++ b/teaseldale/forwarding/tests/brittle_runners.feature
@@ -58,11 +58,7 @@
       | event                              | share |
       | the VMs that hold their room leave | 90    |
       | start again                        | 90    |
-
-    @known_red
-    Examples: restarted VMs
-      | event             | share |
-      | 3 VMs start again | 90    |
+      | 3 VMs start again                  | 90    |
 
   # Guards against a VM that starts again under its name and whose requests for
   # room pass for old ones.
