--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -256,9 +256,15 @@
         return sorted(server.getsockname()[1] for server in servers)
 
 
+def _interrupt(number, frame):
+    signal.signal(number, signal.SIG_IGN)  # not again while processes end
+    raise KeyboardInterrupt
+
+
 def run_script(script, main):
     """Runs a case; exits with its status, or 2 if it could not run."""
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    signal.signal(signal.SIGTERM, _interrupt)  # so that processes are ended
     fleet = Fleet()
     record = Record(script)
 
@@ -270,7 +276,7 @@
     status = 2
     try:
         status = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add('could_not_run', reason=repr(error))
         sys.stderr.write(f'could not run: {error!r}\n')
     finally:
--- a/review/standins-2/runner.py
+++ b/review/standins-2/runner.py
@@ -14,12 +14,16 @@
         self.runs = []  # ids of requests, in order
         self.address = ''
         self.born = int(time.time() * 1000)
+        self.is_down = False
         self._respond = respond
         self._record = record
         self._server = None
+        self._store = None
+        self._writers = set()
 
     async def start(self, ip, store, service, slots=6):
         """Listens on a free port and registers itself."""
+        self._store = store
         self._server = await asyncio.start_server(self._serve, ip, 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'{ip}:{port}'
@@ -36,7 +40,24 @@
         }
         store.put('servers', self.name, self.entry)
 
+    async def crash(self, seconds):
+        """Resets all channels; starts again at the same address later."""
+        if self.is_down:
+            return
+        self.is_down = True
+        ip, _, port = self.address.rpartition(':')
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(seconds)
+        self.born = int(time.time() * 1000)
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self.is_down = False
+        self.entry = {**self.entry, 'born': self.born}
+        self._store.put('servers', self.name, self.entry)
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while (message := await read_head(reader)) is not None:
                 message.body = await read_body(reader, message)
@@ -56,6 +77,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     def headers(self, message, *more):
@@ -67,10 +89,8 @@
         ]
 
 
-async def answer_whole(
-    runner, message, writer, body=b'x' * 800, status='200 OK'
-):
-    """Sends an answer with its length."""
+async def answer_whole(runner, message, writer, body=b'x' * 800, more=()):
+    """Sends a successful answer with its length."""
     length = ('Content-Length', str(len(body)))
-    headers = runner.headers(message, length)
-    writer.write(encode(f'HTTP/1.1 {status}', headers, body))
+    headers = runner.headers(message, length, *more)
+    writer.write(encode('HTTP/1.1 200 OK', headers, body))
