--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,8 @@
 import glob
 import pathlib
 
-for path in sorted(glob.glob('standins-2/*.py') + glob.glob('[0-9]*/case.py')):
-    compile(pathlib.Path(path).read_text(), path, 'exec')
+PATTERNS = ('standins-2/*.py', '[0-9]*/case.py', 'tried-2/*/*.py')
+for pattern in PATTERNS:
+    for path in sorted(glob.glob(pattern)):
+        compile(pathlib.Path(path).read_text(), path, 'exec')
 CHECK
--- /dev/null
+++ b/review/tried-2/long-part-ids/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+exec python3 "$(dirname "$0")/case.py"
