--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -501,6 +502,7 @@
         if self.process is not None:
             self.kill()
             self.process.wait(5)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def wait_ready(self, seconds=20):
         """Raises ``TimeoutError`` if the node does not become ready."""
