--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,13 @@
 import glob
 import pathlib
 
-PATTERNS = ('standins-2/*.py', '[0-9]*/case.py', 'tried-2/*/*.py')
+PATTERNS = (
+    'standins-2/*.py',
+    'standins-3/*.py',
+    '[0-9]*/case.py',
+    'tried-2/*/*.py',
+    'tried-3/*/*.py',
+)
 for pattern in PATTERNS:
     for path in sorted(glob.glob(pattern)):
         compile(pathlib.Path(path).read_text(), path, 'exec')
--- a/review/14/case.py
+++ b/review/tried-3/one-route-version/case.py
@@ -11,7 +11,7 @@
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'standins-3'))
+sys.path.insert(0, str(FOLDER.parents[1] / 'standins-3'))
 
 import harness  # noqa: E402
 
