Wait for the first line of a log before its last one is read

Cause: a step read the last of the lines that a writer thread had written, and failed with IndexError while there was none. Change: the step waits until there is a line. What it waits for, and its time-out, are the same.

--- a/teaseldale/logs/tests/steps_bounded_lines.py
+++ b/teaseldale/logs/tests/steps_bounded_lines.py
@@ -143,7 +143,11 @@
 def write_one(context):
     context.clock.now_ms += 2000
     write(context, lambda: context.log.changed('last'))
-    wait_until(lambda: context.stream.lines()[-1]['event'] == 'last')
+    # Nothing may have been written yet: the writer has a thread of its own.
+    wait_until(
+        lambda: [line['event'] for line in context.stream.lines()][-1:]
+        == ['last']
+    )
 
 
 @when('a second passes and one more line is written')
