--- a/teaseldale/logs/tests/steps_bounded_lines.py
+++ b/teaseldale/logs/tests/steps_bounded_lines.py
@@ -145,8 +145,9 @@
     write(context, lambda: context.log.changed('last'))
     # Nothing may have been written yet: the writer has a thread of its own.
     wait_until(
-        lambda: [line['event'] for line in context.stream.lines()][-1:]
-        == ['last']
+        lambda: (
+            [line['event'] for line in context.stream.lines()][-1:] == ['last']
+        )
     )
 
 
