Log how the end of an answer was judged, and what relays pass on

Cause: an answer without a length ends with its connection. The line request_ended said so, but not whether another VM relayed the answer nor what the examination of its end had found, and a relaying VM wrote nothing. So logs could not tell an unnoticed reset behind a relay from an end of the runner's process or an early end in good order.

Change: request_ended states answer_end and is_relayed, the relaying VM writes relayed_end_broken, and both count ends by finding. No decision changes.

--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -54,6 +54,8 @@
             reasons=record.reasons,
             fingerprint=record.fingerprint,
             answer_framing=record.answer_framing,
+            answer_end=record.answer_end,
+            is_relayed=record.is_relayed,
             partial_event_bytes=record.partial_event_bytes,
             may_have_run=record.may_have_run,
             reserved_tokens=record.reserved_tokens,
--- a/teaseldale/forwarding/_request_run.py
+++ b/teaseldale/forwarding/_request_run.py
@@ -71,6 +71,10 @@
     reserved_tokens: int = 0  # reserved from the account
     used_tokens: int = 0  # billed to the account
     answer_framing: str = ''  # of the last answer that a runner began
+    # What the examination of its end has found; empty if a length or chunks
+    # mark the end.
+    answer_end: str = ''
+    is_relayed: bool = False  # whether it came through another VM
     # Bytes after the last complete event when the runner's stream ended.
     partial_event_bytes: int = 0
     # Identifies the request in all of its attempts; empty until an answer broke
@@ -253,6 +257,7 @@
     async def _handle_reply(self, attempt: Attempt, sent: Replied) -> bool:
         self.record.may_have_run = True
         self.record.answer_framing = sent.answer.framing
+        self.record.is_relayed = sent.answer.is_relayed
         try:
             is_answered = await self._relay_reply(attempt, sent)
         except (UpstreamError, StreamOrderError, OversizedEventError) as error:
@@ -264,6 +269,7 @@
             self._events.resume()
             return False
         finally:
+            self.record.answer_end = sent.answer.end_finding
             sent.answer.release()
         if is_answered and sent.answer.status < _FIRST_FAILURE_STATUS:
             self._crash_guard.clear()
--- a/teaseldale/forwarding/tests/prompting_fleet.py
+++ b/teaseldale/forwarding/tests/prompting_fleet.py
@@ -19,7 +19,7 @@
     request_id_of,
     unbilled_headers,
 )
-from teaseldale.upstreams import BodyFraming, FailureKind
+from teaseldale.upstreams import BodyFraming, EndFinding, FailureKind
 
 BAD_PARTS = ('bad0', 'bad1')
 BAD_BODY = b'crashes its runner'
@@ -52,6 +52,8 @@
     """A stream that ends with its runner."""
 
     is_kept = False
+    is_relayed = False
+    end_finding = EndFinding.NONE
 
     def __init__(self, *, runner, first_event_ms, last_event_id):
         self.status = 200
--- a/teaseldale/forwarding/tests/scripted_runners.py
+++ b/teaseldale/forwarding/tests/scripted_runners.py
@@ -4,7 +4,12 @@
 
 from teaseldale.outcomes import Step
 from teaseldale.platform.tests.wire_names import NOT_RUN, STAMP
-from teaseldale.upstreams import BodyFraming, FailureKind, UpstreamError
+from teaseldale.upstreams import (
+    BodyFraming,
+    EndFinding,
+    FailureKind,
+    UpstreamError,
+)
 
 # Headers of answers whose kind is named by them.
 _HEADERS = {
@@ -43,6 +48,8 @@
     """A scripted runner answer: its head and its body parts."""
 
     is_kept = False
+    is_relayed = False
+    end_finding = EndFinding.NONE
 
     def __init__(
         self,
--- a/teaseldale/tunnels/_tunnel_server.py
+++ b/teaseldale/tunnels/_tunnel_server.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from teaseldale.kernel import BaseService
+from teaseldale.logs import StateLog
 from teaseldale.memory import ByteBudget
 from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.tunnels._entrance import Entrance
@@ -23,7 +24,12 @@
 from teaseldale.tunnels._relay_policy import BaseRelayPolicy
 from teaseldale.tunnels._runner_end import RunnerEnd
 from teaseldale.tunnels._runner_paths import RunnerPaths
-from teaseldale.upstreams import BaseTcpNetwork, Listener, PeerAddress
+from teaseldale.upstreams import (
+    BaseTcpNetwork,
+    EndFinding,
+    Listener,
+    PeerAddress,
+)
 
 _HEAD_TIMEOUT_SECONDS = 1
 _DIAL_TIMEOUT_MS = 300
@@ -53,6 +59,7 @@
         self._paths = paths
         self._held_bytes = held_bytes
         self._metrics = metrics
+        self._log = StateLog(channel='tunnels')
         self._traffic = PeerTraffic(metrics=metrics, peer='tunnel')
         self._tasks: TaskGroup | None = None
         self._listener: Listener | None = None
@@ -148,9 +155,10 @@
         address: PeerAddress,
     ) -> tuple[TunnelStatus, PipeEnd | None]:
         on_head = functools.partial(self._policy.note_answer, address)
+        on_end = functools.partial(self._note_end, address)
         try:
             _, runner_end = await self._network.dial(
-                lambda: RunnerEnd(on_head=on_head),
+                lambda: RunnerEnd(on_head=on_head, on_end=on_end),
                 address,
                 timeout_ms=_DIAL_TIMEOUT_MS,
             )
@@ -161,3 +169,12 @@
         self._paths.note_heard(address)
         runner_end.traffic = self._traffic
         return TunnelStatus.OPEN, runner_end
+
+    def _note_end(self, address: PeerAddress, finding: EndFinding) -> None:
+        self._metrics.increment('relayed_ends', finding)
+        if finding is not EndFinding.COMPLETE:
+            self._log.routine(
+                'relayed_end_broken',
+                runner_address='{0}:{1}'.format(*address),
+                finding=finding,
+            )
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -17,7 +17,10 @@
         ServiceCall,
         UpstreamError,
     )
-    from teaseldale.upstreams._connection_end import SURVIVAL_MS
+    from teaseldale.upstreams._connection_end import (
+        SURVIVAL_MS,
+        EndFinding,
+    )
     from teaseldale.upstreams._connector import (
         BaseConnector,
         DirectConnector,
@@ -66,6 +69,7 @@
         RunnerConnections,
         RunnerMessage,
     )
+    from teaseldale.upstreams._socket_error import has_socket_error
     from teaseldale.upstreams._tcp_network import (
         BaseTcpNetwork,
         Listener,
@@ -93,7 +97,7 @@
             'ServiceCall',
             'UpstreamError',
         ),
-        'teaseldale.upstreams._connection_end': ('SURVIVAL_MS',),
+        'teaseldale.upstreams._connection_end': ('SURVIVAL_MS', 'EndFinding'),
         'teaseldale.upstreams._connector': (
             'BaseConnector',
             'DirectConnector',
@@ -143,6 +147,7 @@
             'RunnerConnections',
             'RunnerMessage',
         ),
+        'teaseldale.upstreams._socket_error': ('has_socket_error',),
         'teaseldale.upstreams._tcp_network': (
             'BaseTcpNetwork',
             'Listener',
@@ -172,6 +177,7 @@
     'CrashQuarantine',
     'CrashSuspects',
     'DirectConnector',
+    'EndFinding',
     'EngineCall',
     'EngineEvents',
     'EngineFinished',
@@ -204,6 +210,7 @@
     'WireHeaders',
     'check_partial_event',
     'fingerprint_of',
+    'has_socket_error',
     'header_of',
     'probe_listener',
 )
--- a/teaseldale/upstreams/_connection_end.py
+++ b/teaseldale/upstreams/_connection_end.py
@@ -3,13 +3,13 @@
 import abc
 import asyncio
 import enum
-import socket
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
 import httpcore
 
 from teaseldale.upstreams._listener_probe import ListenerProbe, ProbeOutcome
+from teaseldale.upstreams._socket_error import has_socket_error
 from teaseldale.upstreams._tcp_network import PeerAddress
 
 # A process that exits closes its connections one after another, and a CPU quota
@@ -30,6 +30,17 @@
     NONE = 'none'  # there was none, or it ended because it was idle
 
 
+@enum.unique
+class EndFinding(enum.StrEnum):
+    """What the examination of a connection's end has found."""
+
+    NONE = ''  # the body did not end with its connection
+    COMPLETE = 'complete'
+    RESET = 'reset'
+    PROCESS_ENDED = 'process_ended'  # the process has lost its connections
+    UNPROVEN = 'unproven'  # the process could not be reached
+
+
 # Returns what became of a connection since the check was made.
 WitnessCheck = Callable[[], Testimony]
 
@@ -46,6 +57,20 @@
 )
 
 
+_FAULTS: Mapping[EndFinding, str] = MappingProxyType(
+    {
+        EndFinding.RESET: 'the connection was reset',
+        EndFinding.PROCESS_ENDED: (
+            'the response has no length, and another connection to its '
+            'process has ended as well'
+        ),
+        EndFinding.UNPROVEN: (
+            'the response has no length, and a new connection is {outcome}'
+        ),
+    },
+)
+
+
 class BaseProcessWitness(abc.ABC):
     """Another connection to the process that sends a response."""
 
@@ -79,6 +104,7 @@
         self._peer_address = peer_address
         self._probe = probe
         self._check = None if witness is None else witness.watch()
+        self.finding = EndFinding.NONE  # until the end is examined
 
     async def find_fault(self) -> httpcore.ReadError | None:
         """Returns why the response must count as truncated, or None.
@@ -90,29 +116,26 @@
         )
         outcome = await self._probe_peer()
         await survival
-        if self._is_reset():
-            return httpcore.ReadError('the connection was reset')
-        testimony = Testimony.NONE if self._check is None else self._check()
-        if testimony is Testimony.ENDED:
-            return httpcore.ReadError(
-                'the response has no length, and another connection to its '
-                'process has ended as well',
-            )
-        if outcome in _PROOFS[testimony]:
+        self.finding = self._find(outcome)
+        if self.finding is EndFinding.COMPLETE:
             return None
         return httpcore.ReadError(
-            f'the response has no length, and a new connection is {outcome}',
+            _FAULTS[self.finding].format(outcome=outcome),
         )
 
     def close(self) -> None:
         """Closes the transport."""
         self._transport.close()
 
-    def _is_reset(self) -> bool:
-        connection_socket = self._transport.get_extra_info('socket')
-        return bool(
-            connection_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR),
-        )
+    def _find(self, outcome: ProbeOutcome) -> EndFinding:
+        if has_socket_error(self._transport):
+            return EndFinding.RESET
+        testimony = Testimony.NONE if self._check is None else self._check()
+        if testimony is Testimony.ENDED:
+            return EndFinding.PROCESS_ENDED
+        if outcome in _PROOFS[testimony]:
+            return EndFinding.COMPLETE
+        return EndFinding.UNPROVEN
 
     async def _probe_peer(self) -> ProbeOutcome:
         outcome = ProbeOutcome.UNANSWERED
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -14,6 +14,7 @@
     SURVIVAL_MS,
     BaseProcessWitness,
     ConnectionEnd,
+    EndFinding,
 )
 from teaseldale.upstreams._listener_probe import ListenerProbe, probe_listener
 from teaseldale.upstreams._response_sizes import ResponseSizes
@@ -57,6 +58,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.has_head = False
         self.framing = BodyFraming.CONNECTION  # known once the head is
+        # What the examination has found if the body ended with its connection.
+        self.end_finding = EndFinding.NONE
         self.is_complete = False
         self.is_lost = False
         self.has_unsolicited_bytes = False  # not of an awaited response
@@ -279,6 +282,7 @@
     async def _examine_end(self, end: ConnectionEnd) -> None:
         """Completes a response that ended with its connection, or fails it."""
         fault = await end.find_fault()
+        self.end_finding = end.finding
         if self._error is None:
             self._error = fault or _find_missing_body(
                 self.status,
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -12,6 +12,7 @@
 from teaseldale.outcomes import Step
 from teaseldale.upstreams._body_framing import BodyFraming
 from teaseldale.upstreams._clients import FailureKind, UpstreamError
+from teaseldale.upstreams._connection_end import EndFinding
 from teaseldale.upstreams._connector import BaseConnector, RunnerChannel
 from teaseldale.upstreams._process_witness import ProcessWitness
 from teaseldale.upstreams._response_protocol import (
@@ -102,9 +103,15 @@
         self.framing = protocol.framing
         # Whether the connection has carried requests before this one.
         self.is_kept = connection.request_count > 1
+        self.is_relayed = connection.channel.is_tunnel
         self._uses_witness = _needs_witness(protocol)
         self._has_ended = False
 
+    @property
+    def end_finding(self) -> EndFinding:
+        """What the examination of the body's end has found, if it took one."""
+        return self._connection.protocol.end_finding
+
     async def read(self, timeout_ms: float | None = None) -> bytes:
         """Returns the buffered body data; empty at the end of the body.
 
@@ -139,7 +146,10 @@
     def _end_exchange(self) -> None:
         if not self._has_ended:
             self._has_ended = True
-            self._owner.end_exchange(uses_witness=self._uses_witness)
+            self._owner.end_exchange(
+                uses_witness=self._uses_witness,
+                end_finding=self.end_finding,
+            )
 
 
 class RunnerConnections:
@@ -210,8 +220,15 @@
             self._witness.begin_use()
         return RunnerAnswer(owner=self, connection=connection)
 
-    def end_exchange(self, *, uses_witness: bool) -> None:
-        """Releases what the answer of an exchange needed."""
+    def end_exchange(
+        self,
+        *,
+        uses_witness: bool,
+        end_finding: EndFinding,
+    ) -> None:
+        """Releases what the answer of an exchange needed; counts its end."""
+        if end_finding:
+            self._metrics.increment('response_ends', end_finding)
         if uses_witness:
             self._witness.end_use()
             self._close_witness()
