Keep the log lines of answers that end with their connection

Cause: a truncated answer that is taken for whole is logged as a served request, and these lines are dropped first. So the record of the incident has no line of the five answers that callers found truncated.

Change: request_ended of an answer that its runner framed by neither a length nor chunks is written at the level of changes, whose rate is limited as well.

Result: the example of such an answer failed before; path.feature passes (66 scenarios).

--- a/teaseldale/forwarding/_request_log.py
+++ b/teaseldale/forwarding/_request_log.py
@@ -8,6 +8,7 @@
 from teaseldale.logs import StateLog
 from teaseldale.metrics import Metrics
 from teaseldale.outcomes import Refusal
+from teaseldale.upstreams import BodyFraming
 
 _FIRST_FAILURE_STATUS = 400
 
@@ -38,7 +39,11 @@
         refusal = answer.refusal
         if refusal is not None:
             self._metrics.increment('refusals', refusal.code)
-        write = self._log.routine if _is_served(answer) else self._log.changed
+        # Nothing but an examination tells an answer that ends with its
+        # connection from a truncated one, so its line is kept.
+        is_unmarked = record.answer_framing == BodyFraming.CONNECTION
+        is_routine = _is_served(answer) and not is_unmarked
+        write = self._log.routine if is_routine else self._log.changed
         write(
             'request_ended',
             request=admitted.request.request_id,
--- a/teaseldale/forwarding/tests/path.feature
+++ b/teaseldale/forwarding/tests/path.feature
@@ -119,6 +119,18 @@
       | stream | cut after 1-3             | runner_broke_off |
       | stream | silent after 1-3          | time_over        |
 
+  # Guards against an incident whose answers have no log line, since each of them
+  # was taken for whole.
+  Scenario Outline: The log line of a request that is served by <answers> is <kept>
+    Given 3 runners and a "stream" route limited to 1 runners
+    When the runners answer: <answers>
+    Then the log line of the request is <kept>
+
+    Examples:
+      | answers      | kept          |
+      | chunked 1-3  | dropped first |
+      | unframed 1-3 | kept          |
+
   Scenario Outline: A request that <case> is refused with <status>
     Given 3 runners and a "safe" route limited to 2 runners
     When a request arrives that <case>
--- a/teaseldale/forwarding/tests/steps_path.py
+++ b/teaseldale/forwarding/tests/steps_path.py
@@ -89,6 +89,17 @@
     assert cut_reasons == [cut], cut_reasons
 
 
+@then('the log line of the request is {kept}')
+def log_line_is_kept(context, kept):
+    levels = [
+        record.level_name
+        for record in context.lines.records
+        if record.message == 'request_ended'
+    ]
+    expected = {'kept': 'INFO', 'dropped first': 'DEBUG'}[kept]
+    assert levels == [expected], levels
+
+
 @given('an unproven version is selected for the first attempt')
 def unproven_runner(context):
     context.unproven_runner = attrs.evolve(
