--- a/teaseldale/command/_node_program.py
+++ b/teaseldale/command/_node_program.py
@@ -17,7 +17,6 @@
 from teaseldale.clock import PROCESS_START_MS, SystemClock
 from teaseldale.command._runner_links import RunnerLinks, build_runner_links
 from teaseldale.forwarding import (
-    ConfigurationHolder,
     CrashReports,
     FleetState,
     FleetWatch,
@@ -224,7 +223,7 @@
     paces = RunnerPaces(clock=clock, needs_reports=True, metrics=metrics)
     return ForwardingDependencies(
         wire=PlatformWireFormat(),
-        configuration=ConfigurationHolder(),
+        configuration=links.configuration,
         directory=directory,
         connections=connections,
         choice=BacklogChoice(
--- a/teaseldale/command/_runner_links.py
+++ b/teaseldale/command/_runner_links.py
@@ -7,6 +7,7 @@
 from teaseldale.budgets import StoreAccess
 from teaseldale.forwarding import (
     CellLimitHolders,
+    ConfigurationHolder,
     NodeSettings,
     RelayedRunners,
     RunnerAnnouncements,
@@ -41,6 +42,7 @@
 class RunnerLinks:
     """Runners, connections to them, and the services in charge of both."""
 
+    configuration: ConfigurationHolder
     directory: RunnerDirectory
     cells: FleetCells
     terms: RunnerTerms
@@ -81,13 +83,17 @@
         limit_bytes=budget_bytes_of(settings.memory_bytes),
         metrics=store.metrics,
     )
+    configuration = ConfigurationHolder()
     connections = RunnerConnectionPools(
         connector=relaying,
+        wire=PlatformWireFormat(),
+        configuration=configuration,
         clock=store.clock,
         metrics=store.metrics,
     )
     paths.add_change_listener(connections.apply_path_change)
     return RunnerLinks(
+        configuration=configuration,
         directory=directory,
         cells=cells,
         terms=terms,
--- a/teaseldale/forwarding/_configuration.py
+++ b/teaseldale/forwarding/_configuration.py
@@ -63,6 +63,7 @@
 
     name: str
     connection_limit: int  # maximum connections per runner, fleet-wide
+    health_path: str = ''  # of health checks; empty if the service has none
     engine: EngineLimits | None = None  # set for model runners
     # Requests per second that a cold runner tolerates; 0 if none is ever cold.
     cold_limit_per_s: float = 0
--- a/teaseldale/forwarding/_connection_pools.py
+++ b/teaseldale/forwarding/_connection_pools.py
@@ -1,11 +1,14 @@
 """Connection pools of all runners, by incarnation."""
 
 from teaseldale.clock import BaseClock
+from teaseldale.forwarding._configuration import ConfigurationHolder
 from teaseldale.forwarding._runners import ForwardingRunner
+from teaseldale.forwarding._wire import BaseWireFormat
 from teaseldale.metrics import Metrics
 from teaseldale.tunnels import PathChange
 from teaseldale.upstreams import (
     BaseConnector,
+    BaseProcessInquiry,
     FailureKind,
     PeerAddress,
     ProbeOutcome,
@@ -20,11 +23,15 @@
         self,
         *,
         connector: BaseConnector,
+        wire: BaseWireFormat,
+        configuration: ConfigurationHolder,
         clock: BaseClock,
         metrics: Metrics,
     ) -> None:
         """Starts without pools; they are created on first use."""
         self._connector = connector
+        self._wire = wire
+        self._configuration = configuration
         self._clock = clock
         self._metrics = metrics
         self._connections: dict[tuple[str, int], RunnerConnections] = {}
@@ -36,6 +43,7 @@
             pool = RunnerConnections(
                 address=_peer_address(runner),
                 connector=self._connector,
+                inquiry=self._inquiry_of(runner),
                 clock=self._clock,
                 metrics=self._metrics,
             )
@@ -87,6 +95,13 @@
         for connections in self._connections.values():
             connections.close_expired()
 
+    def _inquiry_of(self, runner: ForwardingRunner) -> BaseProcessInquiry:
+        configuration = self._configuration.current
+        services = {} if configuration is None else configuration.services
+        service = services.get(runner.service)
+        health_path = '' if service is None else service.health_path
+        return self._wire.inquiry(runner, health_path)
+
 
 def _peer_address(runner: ForwardingRunner) -> PeerAddress:
     return runner.address.ip, runner.address.port
--- a/teaseldale/forwarding/_wire.py
+++ b/teaseldale/forwarding/_wire.py
@@ -8,7 +8,7 @@
 from teaseldale.forwarding._runners import ForwardingRunner
 from teaseldale.outcomes import Refusal
 from teaseldale.routing import SharedPart
-from teaseldale.upstreams import WireHeaders
+from teaseldale.upstreams import BaseProcessInquiry, WireHeaders
 
 
 @attrs.frozen(kw_only=True)
@@ -131,6 +131,17 @@
     def read_reply(self, status: int, headers: WireHeaders) -> RunnerReply:
         """Decodes the head of a runner's answer."""
 
+    @abc.abstractmethod
+    def inquiry(
+        self,
+        runner: ForwardingRunner,
+        health_path: str,
+    ) -> BaseProcessInquiry:
+        """Returns a request that asks the runner for a sign of life.
+
+        ``health_path`` is empty if the service has no health checks.
+        """
+
     @abc.abstractmethod
     def caller_headers(self, headers: WireHeaders) -> WireHeaders:
         """Returns the runner's headers that are forwarded to the caller."""
--- a/teaseldale/forwarding/tests/cut_fleet.py
+++ b/teaseldale/forwarding/tests/cut_fleet.py
@@ -7,7 +7,11 @@
 import httptools
 
 from teaseldale.fakes import FakeTcpFabric, FakeTcpNetwork, VirtualClock
-from teaseldale.forwarding import RelayedRunners, RunnerConnectionPools
+from teaseldale.forwarding import (
+    ConfigurationHolder,
+    RelayedRunners,
+    RunnerConnectionPools,
+)
 from teaseldale.forwarding.tests.entry_world import make_runner
 from teaseldale.forwarding.tests.fleet_world import (
     Arrival,
@@ -17,6 +21,7 @@
 from teaseldale.forwarding.tests.pausing_fleet import Pause
 from teaseldale.memory import ByteBudget
 from teaseldale.metrics import Metrics
+from teaseldale.platform import PlatformWireFormat
 from teaseldale.platform.tests.wire_names import NOT_RUN, STAMP, pause_header
 from teaseldale.tunnels import (
     BaseRelayPolicy,
@@ -214,6 +219,8 @@
         )
         self.pools = RunnerConnectionPools(
             connector=relaying,
+            wire=PlatformWireFormat(),
+            configuration=ConfigurationHolder(),
             clock=clock,
             metrics=self.metrics,
         )
--- a/teaseldale/platform/_fleet_rows.py
+++ b/teaseldale/platform/_fleet_rows.py
@@ -77,6 +77,7 @@
 class _ServiceRecord(msgspec.Struct):
     name: str = msgspec.field(name='Name')
     connection_limit: int = msgspec.field(name='MaxConns', default=0)
+    health_path: str | None = msgspec.field(name='HealthPath', default=None)
     engine: _EngineRecord | None = msgspec.field(name='Engine', default=None)
     # Seconds for which a runner is cold after its start, and the requests per
     # second that it tolerates until then.
@@ -296,6 +297,7 @@
     return ForwardingService(
         name=record.name,
         connection_limit=record.connection_limit,
+        health_path=record.health_path or '',
         cold_limit_per_s=decode_non_negative(record.cold_limit_per_s) or 0,
         cold_start_ms=_MS_PER_SECOND
         * (decode_non_negative(record.cold_start_seconds) or 0),
--- /dev/null
+++ b/teaseldale/platform/_health_inquiry.py
@@ -0,0 +1,48 @@
+"""Health checks as inquiries whether a runner's process goes on."""
+
+import re
+
+from teaseldale.forwarding import ForwardingRunner
+from teaseldale.upstreams import (
+    BaseProcessInquiry,
+    RunnerMessage,
+    WireHeaders,
+    header_of,
+)
+
+_STATUS_MISDIRECTED = 421
+_RUNNER_ID = b'x-instance-id'
+# A health check waits for a slot. One that waits any longer is rejected,
+# which is an answer as well.
+_DEADLINE_MS = 100
+_PATH = re.compile('/[!-~]*')
+
+
+class HealthInquiry(BaseProcessInquiry):
+    """A health check; any answer to it shows that its process goes on."""
+
+    def __init__(self, *, runner: ForwardingRunner, health_path: str) -> None:
+        """Pings the server as a whole if the service names no usable path."""
+        has_path = _PATH.fullmatch(health_path) is not None
+        self._runner_id = runner.runner_id.encode()
+        self._message = RunnerMessage(
+            method='GET' if has_path else 'OPTIONS',
+            target=health_path.encode() if has_path else b'*',
+            headers=(
+                (b'host', str(runner.address).encode()),
+                (b'x-expect-instance', self._runner_id),
+                (b'x-deadline-ms', b'%d' % _DEADLINE_MS),
+            ),
+            body=b'',
+        )
+
+    @property
+    def message(self) -> RunnerMessage:
+        """The health check."""
+        return self._message
+
+    def is_from_runner(self, status: int, headers: WireHeaders) -> bool:
+        """Returns whether no other runner has answered."""
+        answering_id = header_of(headers, _RUNNER_ID) or self._runner_id
+        is_misdirected = status == _STATUS_MISDIRECTED
+        return answering_id == self._runner_id and not is_misdirected
--- a/teaseldale/platform/_wire_format.py
+++ b/teaseldale/platform/_wire_format.py
@@ -9,13 +9,15 @@
     BaseWireFormat,
     ClientRequest,
     Dispatch,
+    ForwardingRunner,
     RunnerLoad,
     RunnerReply,
     TokenUsage,
 )
 from teaseldale.outcomes import Refusal
+from teaseldale.platform._health_inquiry import HealthInquiry
 from teaseldale.routing import SharedPart
-from teaseldale.upstreams import WireHeaders, header_of
+from teaseldale.upstreams import BaseProcessInquiry, WireHeaders, header_of
 
 _REQUEST_ID = b'x-request-id'
 _LAST_EVENT_ID = b'last-event-id'
@@ -183,6 +185,14 @@
             ),
         )
 
+    def inquiry(
+        self,
+        runner: ForwardingRunner,
+        health_path: str,
+    ) -> BaseProcessInquiry:
+        """Returns a health check."""
+        return HealthInquiry(runner=runner, health_path=health_path)
+
     def caller_headers(self, headers: WireHeaders) -> WireHeaders:
         """Returns a runner's headers without the hop-by-hop headers."""
         dropped = _HOP_BY_HOP_HEADERS | _hop_by_hop_names(headers)
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -62,6 +62,7 @@
     And path "/elsewhere/" matches no route
     And key "n2ctnfzs989anu6wsjnb" belongs to account "hule930" with 1,685,105 prepaid tokens
     And an event of service "huvo11a" holds 5 tokens
+    And health checks of service "huvo11a" use the path "/healthz"
 
   Scenario Outline: The longest matching path prefix selects the route
     Given routes for the prefixes "/a/", "/a/b/" and "/" of a host
@@ -92,6 +93,21 @@
       | /a/b?c=/x/       | /a/    |
       | /a/b%252Fc       | /a/    |
 
+  # Guards against a health check that takes another process for the runner.
+  Scenario Outline: A health check that is answered by <answer> is <finding>
+    Given a health check of the runner i-1 at <path>
+    Then the request "<request>" is sent, which names i-1
+    And an answer by <answer> is <finding>
+
+    Examples:
+      | path     | request          | answer                  | finding         |
+      | /healthz | GET /healthz     | 200 without an id       | from the runner |
+      | /healthz | GET /healthz     | 503 of i-1              | from the runner |
+      | /healthz | GET /healthz     | 200 of i-2              | from another    |
+      | /healthz | GET /healthz     | 421 without an id       | from another    |
+      | no path  | OPTIONS *        | 405 without an id       | from the runner |
+      | health   | OPTIONS *        | 200 of i-1              | from the runner |
+
   Scenario: An older configuration never replaces a newer one
     Given configurations of version 7 and then 5
     Then version 7 is in force
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -24,12 +24,14 @@
     UnreadableRowError,
     WeightedService,
 )
+from teaseldale.forwarding.tests.entry_world import make_runner
 from teaseldale.outcomes import Refusal, RefusalCode, Step
 from teaseldale.platform import (
     PlatformFleetFormat,
     PlatformWireFormat,
     read_settings_file,
 )
+from teaseldale.platform.tests.wire_names import RUNNER_ID
 from teaseldale.settings import SettingsError
 from teaseldale.tables import Row
 
@@ -382,6 +384,11 @@
     assert engine.tokens_per_event == tokens
 
 
+@then('health checks of service "{service}" use the path "{path}"')
+def health_checks_use(context, service, path):
+    assert context.configuration.services[service].health_path == path
+
+
 @given('routes for the prefixes "/a/", "/a/b/" and "/" of a host')
 def three_routes(context):
     context.configuration = ForwardingConfiguration(
@@ -427,6 +434,30 @@
     assert context.route.path_prefix == prefix, context.route
 
 
+@given('a health check of the runner i-1 at {path}')
+def health_check(context, path):
+    context.inquiry = PlatformWireFormat().inquiry(
+        make_runner(1),
+        '' if path == 'no path' else path,
+    )
+
+
+@then('the request "{line}" is sent, which names i-1')
+def health_check_sent(context, line):
+    head = context.inquiry.message.encode_head()
+    assert head.startswith(f'{line} HTTP/1.1\r\n'.encode()), head
+    assert b'\r\nx-expect-instance: i-1\r\n' in head, head
+
+
+@then('an answer by {status:d} {source} is {finding}')
+def health_check_answered(context, status, source, finding):
+    headers = ()
+    if source.startswith('of '):
+        headers = ((RUNNER_ID, source.removeprefix('of ').encode()),)
+    is_own = context.inquiry.is_from_runner(status, headers)
+    assert is_own == (finding == 'from the runner'), is_own
+
+
 @given('configurations of version 7 and then 5')
 def two_versions(context):
     context.holder = ConfigurationHolder()
--- a/teaseldale/platform/tests/steps_orders.py
+++ b/teaseldale/platform/tests/steps_orders.py
@@ -36,7 +36,11 @@
 )
 from teaseldale.metrics import Metrics
 from teaseldale.moves import OrderPhase
-from teaseldale.platform import PlatformFleetFormat, PlatformOrderStatus
+from teaseldale.platform import (
+    PlatformFleetFormat,
+    PlatformOrderStatus,
+    PlatformWireFormat,
+)
 from teaseldale.routing import BacklogChoice, RunnerLimits, RunnerRooms
 from teaseldale.tables import InMemoryTable, Row
 from teaseldale.upstreams import DirectConnector
@@ -74,6 +78,8 @@
             directory=directory,
             connections=RunnerConnectionPools(
                 connector=DirectConnector(),
+                wire=PlatformWireFormat(),
+                configuration=ConfigurationHolder(),
                 clock=clock,
                 metrics=metrics,
             ),
--- a/teaseldale/platform/tests/wire_names.py
+++ b/teaseldale/platform/tests/wire_names.py
@@ -11,6 +11,7 @@
     (b'x-token-usage', b'1000,500'),
 )
 REQUEST_ID = b'x-request-id'
+RUNNER_ID = b'x-instance-id'
 
 
 def unbilled_headers(request_id, deadline_ms):
--- a/teaseldale/tunnels/_entrance.py
+++ b/teaseldale/tunnels/_entrance.py
@@ -32,10 +32,9 @@
 
         A VM that accepts no chunks can be told of a fault by a reset only.
         """
-        is_complete = finding is EndFinding.COMPLETE
-        if self._sends_chunks and is_complete:
+        if self._sends_chunks and finding.is_complete:
             self._sends_chunks = False
             self.write(LAST_CHUNK)
-        elif finding and not (self._sends_chunks or is_complete):
+        elif finding and not (self._sends_chunks or finding.is_complete):
             self.reset()
         super().write_end(finding)
--- a/teaseldale/tunnels/_runner_end.py
+++ b/teaseldale/tunnels/_runner_end.py
@@ -8,6 +8,7 @@
 from teaseldale.tunnels._pipe import PipeEnd
 from teaseldale.upstreams import (
     BaseProcessWitness,
+    BaseWitnessUse,
     BodyFraming,
     ConnectionEnd,
     EndFinding,
@@ -55,6 +56,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._observed_bytes = 0
         self._framing: BodyFraming | None = None  # known once the head is
+        # Set while a response is received that ends with its connection.
+        self._witness_use: BaseWitnessUse | None = None
         self._examination: asyncio.Task[None] | None = None
 
     def data_received(self, received: bytes) -> None:
@@ -75,7 +78,7 @@
             transport=self._transport,
             peer_address=self._address,
             probe=self._probe,
-            witness=self._witness,
+            witness=self._witness_use,
         )
         self._examination = asyncio.create_task(self._examine(end))
         return True
@@ -84,8 +87,8 @@
         """Ends the pipe, and what has observed the runner for it."""
         if self._examination is not None:
             self._examination.cancel()
-        if self._witness is not None and self._is_witnessed:
-            self._witness.end_use()
+        if self._witness_use is not None:
+            self._witness_use.end()
         super().connection_lost(error)
 
     def on_header(self, name: bytes, content: bytes) -> None:
@@ -102,7 +105,7 @@
             headers = tuple(self._headers)
             self._framing = framing_of(headers)
             if self._witness is not None and self._is_witnessed:
-                self._witness.begin_use()
+                self._witness_use = self._witness.begin_use()
             self._on_head(status, headers)
         self._headers.clear()
 
--- a/teaseldale/tunnels/_tunnel_server.py
+++ b/teaseldale/tunnels/_tunnel_server.py
@@ -191,7 +191,7 @@
 
     def _note_end(self, address: PeerAddress, finding: EndFinding) -> None:
         self._metrics.increment('relayed_ends', finding)
-        if finding is not EndFinding.COMPLETE:
+        if not finding.is_complete:
             self._log.routine(
                 'relayed_end_broken',
                 runner_address='{0}:{1}'.format(*address),
--- a/teaseldale/tunnels/tests/relayed_ends.feature
+++ b/teaseldale/tunnels/tests/relayed_ends.feature
@@ -12,6 +12,7 @@
       | without a length | the runner closes the connection      | whole   |
       | without a length | the relaying VM is killed halfway     | broken  |
       | without a length | the runner crashes halfway            | broken  |
+      | without a length | the runner crashes halfway and its next process listens | broken |
       | without a length | the relaying VM is killed while it examines the end | broken |
       | without a length | the relaying VM is killed after its end | whole   |
       | with a length    | the relaying VM is killed halfway     | broken  |
--- a/teaseldale/tunnels/tests/steps_relayed_ends.py
+++ b/teaseldale/tunnels/tests/steps_relayed_ends.py
@@ -24,7 +24,11 @@
     TunnelClient,
     TunnelServer,
 )
-from teaseldale.upstreams import SURVIVAL_MS, DirectConnector
+from teaseldale.upstreams import (
+    SURVIVAL_MS,
+    DirectConnector,
+    RunnerConnections,
+)
 
 _RUNNER = ('10.0.0.9', 80)
 _RELAY = ('10.0.0.2', 7340)
@@ -34,6 +38,7 @@
 _HEAD = b'HTTP/1.1 200 OK\r\n'
 # A new connection is held for ``SURVIVAL_MS``, and all messages take a while.
 _EXAMINATION_SECONDS = (SURVIVAL_MS + 20) / 1000
+_OPTIONS = b'HTTP/1.1 204 No Content\r\n\r\n'
 _OLDER_REQUEST = b'CONNECT 10.0.0.9:80 HTTP/1.1\r\n\r\n'
 # First half, second half and end of a response.
 _RESPONSES = {
@@ -56,6 +61,14 @@
 
 
 class _OpenPolicy(BaseRelayPolicy):
+    def __init__(self, network):
+        self._connections = RunnerConnections(
+            address=_RUNNER,
+            connector=DirectConnector(network=network),
+            clock=VirtualClock(),
+            metrics=Metrics(),
+        )
+
     def is_registered(self, address):
         return True
 
@@ -63,7 +76,7 @@
         return False
 
     def witness_of(self, address):
-        return None
+        return self._connections.witness
 
     def note_answer(self, address, status, headers):
         """Ignores answers."""
@@ -80,6 +93,9 @@
         self._transport = transport
 
     def data_received(self, received):
+        if received.startswith(b'OPTIONS'):
+            self._transport.write(_OPTIONS)
+            return
         halves = _RESPONSES[self._world.framing]
         self._transport.write(halves[0])
         loop = asyncio.get_running_loop()
@@ -137,8 +153,7 @@
         self.fabric = FakeTcpFabric()
 
     async def start(self, tasks):
-        runner = FakeTcpNetwork(fabric=self.fabric, host='runner')
-        self.listener = await runner.listen(lambda: _Runner(self), _RUNNER)
+        self.listener = await self._listen('runner')
         relay = FakeTcpNetwork(fabric=self.fabric, host='relay')
         if self.is_older:
             await relay.listen(lambda: _OlderRelay(relay), _RELAY)
@@ -146,6 +161,10 @@
             await _server(relay, _RELAY).start(tasks)
         self.tasks = tasks
 
+    async def _listen(self, host):
+        network = FakeTcpNetwork(fabric=self.fabric, host=host)
+        return await network.listen(lambda: _Runner(self), _RUNNER)
+
     def connector(self):
         network = FakeTcpNetwork(fabric=self.fabric, host='vm')
         paths = RunnerPaths(clock=VirtualClock(), metrics=Metrics())
@@ -159,7 +178,7 @@
 
     async def bring_about(self):
         """Lets the event of the scenario happen."""
-        if self.event.endswith('halfway'):
+        if 'halfway' in self.event:
             await asyncio.sleep(0.05)
         else:
             await asyncio.sleep(0.114)
@@ -168,6 +187,8 @@
         if 'runner crashes' in self.event:
             self.listener.close()
             self.fabric.kill('runner')
+            if 'next process' in self.event:
+                await self._listen('next runner')
         elif 'killed' in self.event:
             self.fabric.kill('relay')
             other = FakeTcpNetwork(fabric=self.fabric, host='other relay')
@@ -179,7 +200,7 @@
     return TunnelServer(
         address=address,
         network=network,
-        policy=_OpenPolicy(),
+        policy=_OpenPolicy(network),
         paths=RunnerPaths(clock=VirtualClock(), metrics=metrics),
         held_bytes=ByteBudget(limit_bytes=1_000_000, metrics=metrics),
         metrics=metrics,
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -20,6 +20,7 @@
     from teaseldale.upstreams._connection_end import (
         SURVIVAL_MS,
         BaseProcessWitness,
+        BaseWitnessUse,
         ConnectionEnd,
         EndFinding,
     )
@@ -52,6 +53,10 @@
         ProbeOutcome,
         probe_listener,
     )
+    from teaseldale.upstreams._process_inquiry import (
+        BaseProcessInquiry,
+        OptionsInquiry,
+    )
     from teaseldale.upstreams._quarantine import (
         CrashQuarantine,
     )
@@ -70,8 +75,8 @@
     from teaseldale.upstreams._runner_connections import (
         RunnerAnswer,
         RunnerConnections,
-        RunnerMessage,
     )
+    from teaseldale.upstreams._runner_message import RunnerMessage
     from teaseldale.upstreams._tcp_network import (
         BaseTcpNetwork,
         Listener,
@@ -102,6 +107,7 @@
         'teaseldale.upstreams._connection_end': (
             'SURVIVAL_MS',
             'BaseProcessWitness',
+            'BaseWitnessUse',
             'ConnectionEnd',
             'EndFinding',
         ),
@@ -134,6 +140,10 @@
             'ProbeOutcome',
             'probe_listener',
         ),
+        'teaseldale.upstreams._process_inquiry': (
+            'BaseProcessInquiry',
+            'OptionsInquiry',
+        ),
         'teaseldale.upstreams._quarantine': (
             'CrashQuarantine',
             'CrashSuspects',
@@ -153,8 +163,8 @@
         'teaseldale.upstreams._runner_connections': (
             'RunnerAnswer',
             'RunnerConnections',
-            'RunnerMessage',
         ),
+        'teaseldale.upstreams._runner_message': ('RunnerMessage',),
         'teaseldale.upstreams._tcp_network': (
             'BaseTcpNetwork',
             'Listener',
@@ -174,11 +184,13 @@
     'SURVIVAL_MS',
     'BaseConnector',
     'BaseEngineClient',
+    'BaseProcessInquiry',
     'BaseProcessWitness',
     'BaseQuarantine',
     'BaseRunnerReports',
     'BaseServiceClient',
     'BaseTcpNetwork',
+    'BaseWitnessUse',
     'BodyFraming',
     'CacheChange',
     'CacheChanges',
@@ -202,6 +214,7 @@
     'RunnerConnections',
     'RunnerMessage',
     'NoQuarantine',
+    'OptionsInquiry',
     'OversizedEventError',
     'PeerAddress',
     'ProbeOutcome',
--- a/teaseldale/upstreams/_connection_end.py
+++ b/teaseldale/upstreams/_connection_end.py
@@ -3,7 +3,7 @@
 import abc
 import asyncio
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from types import MappingProxyType
 
 import httpcore
@@ -25,9 +25,11 @@
 class Testimony(enum.StrEnum):
     """What another connection shows about the end of a response."""
 
-    SURVIVED = 'survived'  # it outlived the end
-    ENDED = 'ended'  # it ended at about the same time
-    NONE = 'none'  # there was none, or it ended because it was idle
+    SURVIVED = 'survived'  # its process has answered after the end
+    REACHED = 'reached'  # there was none; the runner answers on a new one
+    ENDED = 'ended'  # it ended as well
+    SILENT = 'silent'  # the runner does not answer
+    NONE = 'none'  # nothing was asked
 
 
 @enum.unique
@@ -36,13 +38,16 @@
 
     NONE = ''  # the body did not end with its connection
     COMPLETE = 'complete'
+    # Found on a connection that was opened after the end only.
+    COMPLETE_BY_NEW = 'complete_by_new_connection'
     RESET = 'reset'
     PROCESS_ENDED = 'process_ended'  # the process has lost its connections
     UNPROVEN = 'unproven'  # the process could not be reached
 
-
-# Returns what became of a connection since the check was made.
-WitnessCheck = Callable[[], Testimony]
+    @property
+    def is_complete(self) -> bool:
+        """Whether the body counts as whole."""
+        return self in {EndFinding.COMPLETE, EndFinding.COMPLETE_BY_NEW}
 
 
 # Outcomes of a new connection that prove a good end beside a testimony. Runners
@@ -52,6 +57,7 @@
         Testimony.SURVIVED: frozenset(
             (ProbeOutcome.ACCEPTED, ProbeOutcome.ENDED),
         ),
+        Testimony.REACHED: frozenset((ProbeOutcome.ACCEPTED,)),
         Testimony.NONE: frozenset((ProbeOutcome.ACCEPTED,)),
     },
 )
@@ -65,26 +71,35 @@
             'process has ended as well'
         ),
         EndFinding.UNPROVEN: (
-            'the response has no length, and a new connection is {outcome}'
+            'the response has no length, a new connection is {outcome}, and '
+            'the testimony of another one is {testimony}'
         ),
     },
 )
 
 
-class BaseProcessWitness(abc.ABC):
-    """Another connection to the process that sends a response."""
+class BaseWitnessUse(abc.ABC):
+    """Observation of the process that sends one response."""
+
+    @abc.abstractmethod
+    def note_end(self) -> None:
+        """Records that the connection of the response has ended just now."""
 
     @abc.abstractmethod
-    def begin_use(self) -> None:
-        """Opens the connection unless it is open."""
+    async def testify(self) -> Testimony:
+        """Returns what a request to the process shows that is sent now."""
 
     @abc.abstractmethod
-    def end_use(self) -> None:
-        """Ends one use; the connection may close after the last."""
+    def end(self) -> None:
+        """Ends the observation, also if it has ended."""
+
+
+class BaseProcessWitness(abc.ABC):
+    """Other connections to the process that sends responses."""
 
     @abc.abstractmethod
-    def watch(self) -> WitnessCheck:
-        """Returns a check of whether it outlives this moment."""
+    def begin_use(self) -> BaseWitnessUse:
+        """Observes the process from the head of a response on."""
 
 
 class BaseConnectionEnd(abc.ABC):
@@ -122,9 +137,9 @@
     """Evidence that a peer closed its connection in good order.
 
     The end of a process may look the same as the end of a response. The end
-    counts as intended if another connection to the process, which was open
-    before, is still open after a while, and the peer's address accepts
-    connections. Without such a connection, a new one has to stay open as long.
+    counts as intended if the process answers on another connection, which was
+    open before, and the peer's address accepts connections. Without such a
+    connection, a new one has to be answered and stay open for a while.
     """
 
     def __init__(
@@ -133,7 +148,7 @@
         transport: asyncio.Transport,
         peer_address: PeerAddress,
         probe: ListenerProbe,
-        witness: BaseProcessWitness | None = None,
+        witness: BaseWitnessUse | None = None,
     ) -> None:
         """Examines a transport whose peer has sent its end-of-file just now.
 
@@ -142,39 +157,46 @@
         self._transport = transport
         self._peer_address = peer_address
         self._probe = probe
-        self._check = None if witness is None else witness.watch()
+        self._witness = witness
+        if witness is not None:
+            witness.note_end()
         self.finding = EndFinding.NONE  # until the end is examined
 
     async def find_fault(self) -> httpcore.ReadError | None:
         """Returns why the response must count as truncated, or None.
 
-        Takes the time of a new connection, and ``SURVIVAL_MS`` at least.
+        Takes the time of a new connection, ``SURVIVAL_MS`` at least, and then
+        that of an answer from the process.
         """
         survival = asyncio.create_task(
             asyncio.sleep(SURVIVAL_MS / _MS_PER_SECOND),
         )
         outcome = await self._probe_peer()
         await survival
-        self.finding = self._find(outcome)
-        if self.finding is EndFinding.COMPLETE:
+        testimony = Testimony.NONE
+        if self._witness is not None:
+            testimony = await self._witness.testify()
+        self.finding = self._find(outcome, testimony)
+        if self.finding.is_complete:
             return None
         return httpcore.ReadError(
-            _FAULTS[self.finding].format(outcome=outcome),
+            _FAULTS[self.finding].format(outcome=outcome, testimony=testimony),
         )
 
     def close(self) -> None:
         """Closes the transport."""
         self._transport.close()
 
-    def _find(self, outcome: ProbeOutcome) -> EndFinding:
+    def _find(self, outcome: ProbeOutcome, testimony: Testimony) -> EndFinding:
         if has_socket_error(self._transport):
             return EndFinding.RESET
-        testimony = Testimony.NONE if self._check is None else self._check()
         if testimony is Testimony.ENDED:
             return EndFinding.PROCESS_ENDED
-        if outcome in _PROOFS[testimony]:
+        if outcome not in _PROOFS.get(testimony, ()):
+            return EndFinding.UNPROVEN
+        if testimony is Testimony.SURVIVED:
             return EndFinding.COMPLETE
-        return EndFinding.UNPROVEN
+        return EndFinding.COMPLETE_BY_NEW
 
     async def _probe_peer(self) -> ProbeOutcome:
         outcome = ProbeOutcome.UNANSWERED
--- a/teaseldale/upstreams/_process_witness.py
+++ b/teaseldale/upstreams/_process_witness.py
@@ -1,46 +1,51 @@
-"""A connection that shows whether the process of a runner goes on."""
+"""Connections that show whether the process of a runner goes on."""
 
 import asyncio
-
-import attrs
-import httpcore
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from teaseldale.clock import BaseClock
+from teaseldale.metrics import Metrics
 from teaseldale.upstreams._connection_end import (
-    SURVIVAL_MS,
     BaseProcessWitness,
+    BaseWitnessUse,
     Testimony,
-    WitnessCheck,
 )
 from teaseldale.upstreams._connector import BaseConnector, RunnerChannel
+from teaseldale.upstreams._process_inquiry import BaseProcessInquiry
 from teaseldale.upstreams._tcp_network import PeerAddress
+from teaseldale.upstreams._witness_connection import (
+    InquiryResult,
+    WitnessConnection,
+)
 
-_MS_PER_SECOND = 1000
 _CONNECT_TIMEOUT_MS = 700
 _RECONNECT_PAUSE_SECONDS = 0.25
 # Kept for the next responses without a length, which may end at once.
 _UNUSED_MS = 10_000
-# A runner closes idle connections at about the same age.
-_IDLE_TOLERANCE = 0.2
-
-
-@attrs.define(kw_only=True)
-class _Connection:
-    channel: RunnerChannel
-    opened_ms: int  # monotonic
-    lost_ms: int | None = None  # monotonic; None while it is open
-
-    @property
-    def is_open(self) -> bool:
-        return self.lost_ms is None and not self.channel.protocol.is_lost
+_TESTIMONIES: Mapping[InquiryResult, Testimony] = MappingProxyType(
+    {
+        InquiryResult.ANSWERED: Testimony.SURVIVED,
+        InquiryResult.MISDIRECTED: Testimony.SILENT,
+        InquiryResult.LOST: Testimony.ENDED,
+        InquiryResult.UNANSWERED: Testimony.SILENT,
+    },
+)
 
 
 class ProcessWitness(BaseProcessWitness):
-    """Holds a connection without requests while responses need one.
-
-    A process that is gone has lost all of its connections, one that has ended
-    a response keeps the others. Unlike a new connection, one that was open
-    before cannot belong to the next process at the same address.
+    """Holds a connection of its own while responses need one.
+
+    A process that is gone has lost all of its connections and answers on none,
+    one that has ended a response keeps the others. Unlike a new connection, one
+    that was open before cannot belong to the next process at the same address.
+    How long the end of a connection takes to arrive differs between
+    connections, so only an answer to a request that was sent after the end
+    of a response shows that its process has outlived it.
+
+    Runners close idle connections, which looks like the end of a process. So
+    the connection is kept busy where the runner answers more than one request
+    on it.
     """
 
     def __init__(
@@ -48,26 +53,37 @@
         *,
         address: PeerAddress,
         connector: BaseConnector,
+        inquiry: BaseProcessInquiry,
         clock: BaseClock,
+        metrics: Metrics,
     ) -> None:
         """Opens no connection before the first use."""
         self._address = address
         self._connector = connector
+        self._inquiry = inquiry
         self._clock = clock
+        self._metrics = metrics
         self._use_count = 0
         self._unused_since_ms = 0  # monotonic
-        self._latest: _Connection | None = None
-        self._watched_ms: int | None = None  # monotonic, latest watch
-        # Age at which the runner closes idle connections, once it was seen.
-        self._idle_limit_ms: int | None = None
+        self._connection: WitnessConnection | None = None
+        self._loss_count = 0  # of connections, and of listeners
+        # Whether the runner keeps a connection open after an inquiry; None
+        # until it is known.
+        self._keeps_open: bool | None = None
         self._is_closed = False
         self._task: asyncio.Task[None] | None = None
 
-    def begin_use(self) -> None:
+    @property
+    def has_connection(self) -> bool:
+        """Whether a connection is open."""
+        return self._connection is not None
+
+    def begin_use(self) -> BaseWitnessUse:
         """Opens the connection, and again when it is lost."""
         self._use_count += 1
         if self._task is None:
             self._task = asyncio.create_task(self._keep_open())
+        return _WitnessUse(witness=self, loss_count=self._loss_count)
 
     def end_use(self) -> None:
         """Ends one use; the connection stays open for a while."""
@@ -89,87 +105,115 @@
         self._task.cancel()
         self._task = None
 
-    def watch(self) -> WitnessCheck:
-        """Returns a check of whether the connection outlives this moment.
+    async def testify(self, loss_count: int) -> Testimony:
+        """Returns what is known of the process since ``loss_count`` losses.
 
-        One that was lost shortly before has not outlived it.
+        Takes the time of an answer from the runner.
         """
-        self._watched_ms = self._clock.monotonic_ms()
-        watched = self._latest
-        if watched is None or self._is_long_lost(watched):
-            return _testify_nothing
-        return lambda: self._testify(watched)
-
-    def _testify(self, watched: _Connection) -> Testimony:
-        if watched.is_open:
-            return Testimony.SURVIVED
-        return (
-            Testimony.NONE if self._is_idle_close(watched) else Testimony.ENDED
-        )
+        connection = self._connection
+        if loss_count == self._loss_count and connection is not None:
+            testimony = _TESTIMONIES[await connection.ask()]
+            if not connection.is_dismissed or testimony is Testimony.SURVIVED:
+                return testimony
+        if loss_count != self._loss_count:
+            return Testimony.ENDED
+        return await self._reach_anew()
+
+    async def _reach_anew(self) -> Testimony:
+        """Returns whether the runner answers on a new connection."""
+        results = await self._ask_anew(inquiry_count=1)
+        if results[-1] is InquiryResult.ANSWERED:
+            return Testimony.REACHED
+        return Testimony.SILENT
+
+    async def _ask_anew(self, *, inquiry_count: int) -> list[InquiryResult]:
+        """Returns the results of inquiries on a connection of their own."""
+        channel = await self._connect()
+        if channel is None:
+            return [InquiryResult.LOST]
+        connection = self._connection_of(channel)
+        holding = asyncio.create_task(connection.hold())
+        try:
+            return [await connection.ask() for _ in range(inquiry_count)]
+        finally:
+            holding.cancel()
 
-    def _is_long_lost(self, connection: _Connection) -> bool:
-        if connection.lost_ms is None:
-            return False
-        lost_for_ms = self._clock.monotonic_ms() - connection.lost_ms
-        return lost_for_ms >= SURVIVAL_MS
+    def _connection_of(self, channel: RunnerChannel) -> WitnessConnection:
+        return WitnessConnection(
+            channel=channel,
+            inquiry=self._inquiry,
+            metrics=self._metrics,
+        )
 
-    def _is_idle_close(self, connection: _Connection) -> bool:
-        if self._idle_limit_ms is None:
-            return False
-        lost_ms = connection.lost_ms or self._clock.monotonic_ms()
-        age_ms = lost_ms - connection.opened_ms
-        tolerance_ms = self._idle_limit_ms * _IDLE_TOLERANCE
-        return abs(age_ms - self._idle_limit_ms) <= tolerance_ms
+    async def _learn_persistence(self, connection: WitnessConnection) -> None:
+        """Finds out on another connection whether the runner keeps it open."""
+        if self._keeps_open is None:
+            first, *later = await self._ask_anew(inquiry_count=2)
+            if first is InquiryResult.ANSWERED:
+                self._keeps_open = later == [InquiryResult.ANSWERED]
+        connection.asks_regularly = bool(self._keeps_open)
 
     async def _keep_open(self) -> None:
         """Holds connections until one is lost that is not in use."""
         while True:
             channel = await self._connect()
-            if channel is not None:
-                await self._hold(channel)
-            await asyncio.sleep(_RECONNECT_PAUSE_SECONDS)
-            self._learn_idle_limit()
+            if channel is None or not await self._hold(channel):
+                await asyncio.sleep(_RECONNECT_PAUSE_SECONDS)
             if not self._use_count:
                 self._task = None
                 return
 
+    async def _hold(self, channel: RunnerChannel) -> bool:
+        """Returns once the connection has ended, and whether as announced."""
+        connection = self._connection_of(channel)
+        self._connection = connection
+        learning = asyncio.create_task(self._learn_persistence(connection))
+        try:
+            await connection.hold()
+        finally:
+            learning.cancel()
+            self._connection = None
+            if not connection.is_dismissed:
+                self._loss_count += 1
+        return connection.is_dismissed
+
     async def _connect(self) -> RunnerChannel | None:
         try:
             return await self._connector.connect(
                 self._address,
                 timeout_ms=_CONNECT_TIMEOUT_MS,
             )
+        except ConnectionRefusedError:
+            # No process listens, and the next one is another.
+            self._loss_count += 1
         except OSError:
             # Responses are examined by a new connection instead.
             return None
-
-    async def _hold(self, channel: RunnerChannel) -> None:
-        """Returns once the connection is lost."""
-        connection = _Connection(
-            channel=channel,
-            opened_ms=self._clock.monotonic_ms(),
-        )
-        self._latest = connection
-        try:
-            await channel.protocol.wait_for_head(None)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
-            return
-        finally:
-            connection.lost_ms = self._clock.monotonic_ms()
-            channel.transport.abort()
-
-    def _learn_idle_limit(self) -> None:
-        """Takes a loss for that of an idle connection if nothing else ended.
-
-        The end of a process would have ended a response at that time.
-        """
-        connection = self._latest
-        if connection is None or connection.lost_ms is None:
-            return
-        distance_ms = abs((self._watched_ms or 0) - connection.lost_ms)
-        if self._watched_ms is None or distance_ms > SURVIVAL_MS:
-            self._idle_limit_ms = connection.lost_ms - connection.opened_ms
-
-
-def _testify_nothing() -> Testimony:
-    return Testimony.NONE
+        return None
+
+
+class _WitnessUse(BaseWitnessUse):
+    """Observation since the head of one response."""
+
+    def __init__(self, *, witness: ProcessWitness, loss_count: int) -> None:
+        self._witness = witness
+        self._loss_count = loss_count
+        self._has_connection = False  # once the response has ended
+        self._has_ended = False
+
+    def note_end(self) -> None:
+        """Records whether there is a connection from before the end."""
+        self._has_connection = self._witness.has_connection
+
+    async def testify(self) -> Testimony:
+        """Returns what an inquiry shows that is sent from now on."""
+        testimony = await self._witness.testify(self._loss_count)
+        if testimony is Testimony.SURVIVED and not self._has_connection:
+            return Testimony.REACHED
+        return testimony
+
+    def end(self) -> None:
+        """Ends the observation."""
+        if not self._has_ended:
+            self._has_ended = True
+            self._witness.end_use()
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -14,6 +14,7 @@
     SURVIVAL_MS,
     BaseConnectionEnd,
     BaseProcessWitness,
+    BaseWitnessUse,
     ConnectionEnd,
     EndFinding,
     ExaminedEnd,
@@ -27,6 +28,7 @@
 _BUFFER_LIMIT_BYTES = 16_384
 _FIRST_FINAL_STATUS = 200
 _FIRST_UNSUCCESSFUL_STATUS = 300
+_BODILESS_STATUSES = frozenset((204, 304))
 _LINE_BREAKS = b'\r\n'
 
 _holding_probe = functools.partial(probe_listener, hold_ms=SURVIVAL_MS)
@@ -57,7 +59,7 @@
         ``probe`` examines whether the peer still listens; None if only ends
         that have been examined are received.
         """
-        # Another connection to the same process, if there is one.
+        # Other connections to the same process, if there are any.
         self.witness: BaseProcessWitness | None = None
         # Counts the bytes that are received, if set.
         self.traffic: PeerTraffic | None = None
@@ -84,6 +86,8 @@
         self._buffered_bytes = 0
         self._has_body = False
         self._error: Exception | None = None
+        # Set while a body is received that ends with its connection.
+        self._witness_use: BaseWitnessUse | None = None
         # Set when a body ends with its connection, until it is examined.
         self._end: BaseConnectionEnd | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -113,6 +117,8 @@
         self.is_lost = True
         self._can_write.set()
         self._timer.cancel()
+        if self._witness_use is not None:
+            self._witness_use.end()
         if not self.is_complete and self._error is None:
             self._error = httpcore.ReadError('the connection was closed')
         self._wake()
@@ -133,7 +139,7 @@
                 transport=self._transport,
                 peer_address=self._peer_address,
                 probe=self._probe,
-                witness=self.witness,
+                witness=self._witness_use,
             )
         self._wake()
         return True
@@ -185,6 +191,8 @@
             self.framing = framing_of(tuple(self.headers))
             self.has_head = True
             self.is_complete = not self._expects_body
+            if self.witness is not None and _awaits_end(self):
+                self._witness_use = self.witness.begin_use()
         else:
             self.has_unsolicited_bytes = True
             self._is_skipping = True
@@ -315,12 +323,19 @@
             self._waiter.set_exception(httpcore.ReadTimeout())
 
 
+def _awaits_end(protocol: ResponseProtocol) -> bool:
+    """Returns whether a body follows that ends with its connection."""
+    is_unframed = protocol.framing is BodyFraming.CONNECTION
+    has_body = protocol.status not in _BODILESS_STATUSES
+    return is_unframed and has_body and not protocol.is_complete
+
+
 def _make_end(
     *,
     transport: asyncio.Transport,
     peer_address: PeerAddress,
     probe: ListenerProbe | None,
-    witness: BaseProcessWitness | None,
+    witness: BaseWitnessUse | None,
 ) -> BaseConnectionEnd:
     if probe is None:
         return ExaminedEnd(transport=transport)
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -1,7 +1,6 @@
 """Pool of keep-alive connections to one runner."""
 
 import asyncio
-import re
 from collections.abc import Callable
 
 import attrs
@@ -10,62 +9,33 @@
 from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics, PeerTraffic
 from teaseldale.outcomes import Step
-from teaseldale.upstreams._body_framing import BodyFraming
 from teaseldale.upstreams._clients import FailureKind, UpstreamError
 from teaseldale.upstreams._connection_end import (
     BaseProcessWitness,
     EndFinding,
 )
 from teaseldale.upstreams._connector import BaseConnector, RunnerChannel
+from teaseldale.upstreams._idle_time import usable_idle_ms
+from teaseldale.upstreams._process_inquiry import (
+    BaseProcessInquiry,
+    OptionsInquiry,
+)
 from teaseldale.upstreams._process_witness import ProcessWitness
 from teaseldale.upstreams._response_protocol import (
     ResponseMatcher,
     ResponseProtocol,
 )
 from teaseldale.upstreams._response_sizes import OversizedResponseError
+from teaseldale.upstreams._runner_message import RunnerMessage
 from teaseldale.upstreams._tcp_network import PeerAddress
-from teaseldale.upstreams._wire_headers import WireHeaders, header_of
+from teaseldale.upstreams._wire_headers import WireHeaders
 
 _MS_PER_SECOND = 1000
-# Runners without a Keep-Alive timeout header close idle connections after less
-# than a second.
-_DEFAULT_IDLE_MS = 300
-# Usable part of the advertised keep-alive timeout: a request must not race with
-# the runner closing the connection.
-_USABLE_IDLE_SHARE = 0.6
 # Requests on one connection; bounds the ids that are kept for it.
 _MAX_REQUESTS = 1000
 # Larger bodies are not copied behind their heads.
 _JOINED_BODY_BYTES = 16_384
 _HEAD = 'HEAD'
-_BODILESS_METHODS = frozenset(('GET', _HEAD, 'DELETE', 'OPTIONS'))
-_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})')
-
-
-@attrs.frozen(kw_only=True)
-class RunnerMessage:
-    """HTTP request for a runner."""
-
-    method: str
-    target: bytes  # raw path with the query
-    headers: WireHeaders  # without content-length
-    body: bytes
-    # Names the request in its answer; empty if answers name none.
-    request_id: str = ''
-
-    def encode_head(self) -> bytes:
-        """Returns the encoded request without its body.
-
-        Raises ``ValueError`` if a header contains a line break.
-        """
-        lines = [b'%s %s HTTP/1.1' % (self.method.encode(), self.target)]
-        lines.extend(b'%s: %s' % header for header in self.headers)
-        if self.body or self.method not in _BODILESS_METHODS:
-            lines.append(b'content-length: %d' % len(self.body))
-        if any(b'\r' in line or b'\n' in line for line in lines):
-            raise ValueError('header contains a line break')
-        return b'\r\n'.join((*lines, b'', b''))
-
 
 # Returns the request to be written, or raises an error if it may no longer be.
 MessageSource = Callable[[], RunnerMessage]
@@ -107,7 +77,6 @@
         # Whether the connection has carried requests before this one.
         self.is_kept = connection.request_count > 1
         self.is_relayed = connection.channel.is_tunnel
-        self._uses_witness = _needs_witness(connection)
         self._has_ended = False
 
     @property
@@ -149,10 +118,7 @@
     def _end_exchange(self) -> None:
         if not self._has_ended:
             self._has_ended = True
-            self._owner.end_exchange(
-                uses_witness=self._uses_witness,
-                end_finding=self.end_finding,
-            )
+            self._owner.end_exchange(self.end_finding)
 
 
 class RunnerConnections:
@@ -165,8 +131,12 @@
         connector: BaseConnector,
         clock: BaseClock,
         metrics: Metrics,
+        inquiry: BaseProcessInquiry | None = None,
     ) -> None:
-        """Creates a pool; opens connections to ``address`` on demand."""
+        """Creates a pool; opens connections to ``address`` on demand.
+
+        ``inquiry`` asks the runner for a sign of life.
+        """
         self.address = address
         self._connector = connector
         self._clock = clock
@@ -178,7 +148,9 @@
         self._witness = ProcessWitness(
             address=address,
             connector=connector,
+            inquiry=inquiry or OptionsInquiry(),
             clock=clock,
+            metrics=metrics,
         )
 
     @property
@@ -224,21 +196,12 @@
             connection.transport.abort()
             raise
         self.note_heard(connection)
-        if _needs_witness(connection):
-            self._witness.begin_use()
         return RunnerAnswer(owner=self, connection=connection)
 
-    def end_exchange(
-        self,
-        *,
-        uses_witness: bool,
-        end_finding: EndFinding,
-    ) -> None:
-        """Releases what the answer of an exchange needed; counts its end."""
+    def end_exchange(self, end_finding: EndFinding) -> None:
+        """Counts what the examination of a response's end has found."""
         if end_finding:
             self._metrics.increment('response_ends', end_finding)
-        if uses_witness:
-            self._witness.end_use()
 
     def note_heard(self, connection: _Connection) -> None:
         """Records that the runner has sent something."""
@@ -258,7 +221,7 @@
         if self._is_closed or connection.channel.is_tunnel or not is_usable:
             connection.transport.abort()
             return
-        idle_ms = _idle_time_ms(connection.protocol)
+        idle_ms = usable_idle_ms(tuple(connection.protocol.headers))
         connection.idle_until_ms = self._clock.monotonic_ms() + idle_ms
         self._idle.append(connection)
 
@@ -324,7 +287,8 @@
         except OSError as error:
             raise self.count_failure(error, FailureKind.REFUSED) from error
         self._metrics.increment('runner_connections_opened')
-        channel.protocol.witness = self._witness
+        if not channel.is_tunnel:
+            channel.protocol.witness = self._witness
         channel.protocol.traffic = self._traffic_of(channel)
         return _Connection(channel=channel)
 
@@ -360,22 +324,6 @@
         connection.transport.write(message.body)
 
 
-def _needs_witness(connection: _Connection) -> bool:
-    """Returns whether a body follows whose end this VM has to examine."""
-    protocol = connection.protocol
-    is_unframed = protocol.framing is BodyFraming.CONNECTION
-    is_direct = not connection.channel.is_tunnel
-    return is_direct and is_unframed and not protocol.is_complete
-
-
 def _is_usable(connection: _Connection, now_ms: int) -> bool:
     protocol = connection.protocol
     return protocol.can_be_reused and now_ms < connection.idle_until_ms
-
-
-def _idle_time_ms(protocol: ResponseProtocol) -> int:
-    keep_alive = header_of(tuple(protocol.headers), b'keep-alive') or b''
-    match = _KEEP_ALIVE_TIMEOUT.search(keep_alive)
-    if match is None:
-        return _DEFAULT_IDLE_MS
-    return int(int(match.group(1)) * _MS_PER_SECOND * _USABLE_IDLE_SHARE)
--- a/teaseldale/upstreams/tests/process_ends.feature
+++ b/teaseldale/upstreams/tests/process_ends.feature
@@ -12,6 +12,9 @@
       | the runner ends the response                                | whole   |
       | the runner ends the response, and refuses new connections by a reset | whole |
       | the next process listens, and the runner ends the response  | whole   |
+      | the runner ends the response, and answers inquiries after 400 ms | whole |
+      | the runner ends the response, and answers inquiries after 1,500 ms | whole |
+      | the runner ends the response, and closes connections after inquiries | whole |
 
     Examples: the process ends
       | event                                                       | outcome |
@@ -20,6 +23,19 @@
       | the next process listens, and the process is killed after 5 ms | broken |
       | the process is killed after 500 ms and closes its other connections 100 ms later | broken |
       | the process is killed after 500 ms and closes its other connections 100 ms earlier | broken |
+      | the next process listens, and the process is killed after 500 ms and closes connections after inquiries | broken |
+
+    # On paths that differ in their delay, the ends of the connections to a process
+    # arrive apart.
+    Examples: the ends of its connections arrive apart
+      | event                                                       | outcome |
+      | the process is killed after 500 ms and closes its other connections 400 ms later | broken |
+      | the process is killed after 500 ms and closes its other connections 1,000 ms later | broken |
+      | the process is killed after 500 ms and closes its other connections 400 ms earlier | broken |
+      | the next process listens, and the process is killed after 500 ms and closes its other connections 400 ms later | broken |
+      | the next process listens, and the process is killed after 500 ms and closes its other connections 1,000 ms later | broken |
+      | the next process listens, and the process is killed after 500 ms and closes its other connections 400 ms earlier | broken |
+      | the next process listens, and the process is killed after 500 ms and closes its other connections 1,000 ms earlier | broken |
 
   # Guards against sound responses that are cut because the runner closes an idle
   # connection near their end.
--- a/teaseldale/upstreams/tests/steps_process_ends.py
+++ b/teaseldale/upstreams/tests/steps_process_ends.py
@@ -25,6 +25,8 @@
 _PIECE = b'piece\n'
 _PIECE_MS = 50
 _NEXT_PROCESS_MS = 300  # when it begins to listen
+_IDLE_SECONDS = 0.4  # for which some runners keep idle connections
+_OPTIONS = b'HTTP/1.1 204 No Content\r\n\r\n'
 
 
 class _ServedConnection(asyncio.Protocol):
@@ -34,15 +36,31 @@
         self._process = process
         self.transport = None
         self.has_request = False
+        self.inquiry_count = 0
 
     def connection_made(self, transport):
         self.transport = transport
         self._process.accept(self)
 
     def data_received(self, received):
+        if self._process.is_gone:
+            return
+        if received.startswith(b'OPTIONS'):
+            self._answer_inquiry()
+            return
         self.has_request = True
         self._process.tasks.add(asyncio.create_task(self._answer()))
 
+    def _answer_inquiry(self):
+        self.inquiry_count += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._process.inquiry_ms / 1000, self._send_options)
+
+    def _send_options(self):
+        self.transport.write(_OPTIONS)
+        if self._process.closes_after_inquiries:
+            self.transport.close()
+
     async def _answer(self):
         self.transport.write(HEAD + b'connection: close\r\n\r\n' + _PIECE)
         for _ in range(self._process.answering_ms // _PIECE_MS):
@@ -60,6 +78,16 @@
         self.answering_ms = answering_ms
         self.connections = []
         self.tasks = set()
+        self.is_gone = False
+
+    @property
+    def inquiry_ms(self):
+        """Time that it takes to answer an inquiry."""
+        return _milliseconds_in(r'inquiries after', self._world.event) or 0
+
+    @property
+    def closes_after_inquiries(self):
+        return 'closes connections after inquiries' in self._world.event
 
     async def listen(self):
         network = FakeTcpNetwork(fabric=self._world.fabric, host=self.name)
@@ -73,7 +101,7 @@
             if len(self.connections) > 2:
                 connection.transport.close()
         elif 'closes idle connections' in self._world.event:
-            loop.call_later(0.4, self._close_idle, connection)
+            loop.call_later(_IDLE_SECONDS, self._close_idle, connection, 0)
 
     def kill(self):
         """Ends the process; connections may end one after another."""
@@ -84,21 +112,37 @@
         first, second = answering, others
         if self._world.event.endswith('earlier'):
             first, second = others, answering
+        self.is_gone = True
         self._end(first)
-        if 'closes its other' in self._world.event:
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.1, self._end, second)
-        else:
-            self._end(second)
+        apart_ms = _milliseconds_in('other connections', self._world.event)
+        loop = asyncio.get_running_loop()
+        loop.call_later((apart_ms or 0) / 1000, self._end, second)
         self._world.fabric.stop_listening(self.name)
 
     def _end(self, connections):
         for connection in connections:
             connection.transport.abort()
 
-    def _close_idle(self, connection):
-        if not connection.has_request:
+    def _close_idle(self, connection, inquiry_count):
+        """Closes a connection that has carried nothing for some time."""
+        if connection.has_request:
+            return
+        if connection.inquiry_count == inquiry_count:
             connection.transport.close()
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            _IDLE_SECONDS,
+            self._close_idle,
+            connection,
+            connection.inquiry_count,
+        )
+
+
+def _milliseconds_in(prefix, event):
+    """Returns the milliseconds behind a prefix, or None."""
+    found = re.search(rf'{prefix} ([\d,]+) ms', event)
+    return int(found.group(1).replace(',', '')) if found else None
 
 
 class ProcessWorld:
