--- a/teaseldale/upstreams/tests/steps_answers.py
+++ b/teaseldale/upstreams/tests/steps_answers.py
@@ -126,6 +126,9 @@
     def resume_reading(self):
         self.is_paused = False
 
+    def is_closing(self):
+        return self.is_closed
+
     def close(self):
         self.is_closed = True
         self.protocol.connection_lost(None)
