Reset a tunnel whose end cannot be examined

Callers would wait until their deadline for the end of an answer without a length behind a relaying VM; none was seen.

Nothing told the VM that had asked for the tunnel, and the tunnel stayed open.

Evidence: both scenarios of unexamined_ends.feature failed before: the tunnel was not lost a second after the end.

Change: the relaying VM resets the tunnel and lets the error go on to the log. An older VM needs a reset, as it takes an end for a good one.

Result: both scenarios pass.

--- a/teaseldale/tunnels/_runner_end.py
+++ b/teaseldale/tunnels/_runner_end.py
@@ -124,7 +124,13 @@
         return self._is_witnessed or is_unread
 
     async def _examine(self, end: ConnectionEnd) -> None:
-        await end.find_fault()
+        try:
+            await end.find_fault()
+        except Exception:
+            # The VM that asked must neither wait nor take the end for good.
+            if self._other is not None:
+                self._other.reset()
+            raise
         self._on_end(end.finding)
         if not self._pass_end(end.finding):
             self.close()
