Observe a runner's process from the sending of the request on

Cause: each end of the observing connection counted as that of the process, also where the runner had rejected it for want of room, had announced it, or had sent bytes that were no answer. One inquiry on another connection decided for good whether it is kept busy. An observation began with the head of the response, so a loss before a slow head was not seen. A write to a connection that was closing ended the task that holds it, on uvloop, for good.

Change: the observation begins as the request is written, or as a relaying VM dials the runner. Only an end that is none of these counts as a loss. After any other time without a connection, an answer has to name the runner. An idle connection of the pool is used where there is one: it is older, and needs no place at a full runner. Where the runner closes a connection after an answer, its successor is opened before the inquiry. Nothing is asked once no response needs it. A relaying VM reads heads up to the same limit as the one that asks.

Not covered: a reset of the observing connection by a faulty runner, and inquiries without an answer for 3 s, still break answers under way.

--- a/teaseldale/platform/_health_inquiry.py
+++ b/teaseldale/platform/_health_inquiry.py
@@ -6,6 +6,7 @@
 from teaseldale.upstreams import (
     BaseProcessInquiry,
     RunnerMessage,
+    Sender,
     WireHeaders,
     header_of,
 )
@@ -41,8 +42,12 @@
         """The health check."""
         return self._message
 
-    def is_from_runner(self, status: int, headers: WireHeaders) -> bool:
-        """Returns whether no other runner has answered."""
-        answering_id = header_of(headers, _RUNNER_ID) or self._runner_id
-        is_misdirected = status == _STATUS_MISDIRECTED
-        return answering_id == self._runner_id and not is_misdirected
+    def sender_of(self, status: int, headers: WireHeaders) -> Sender:
+        """Returns who has answered; rejections need not name the runner."""
+        sender_id = header_of(headers, _RUNNER_ID)
+        if status == _STATUS_MISDIRECTED:
+            return Sender.OTHER
+        if sender_id is None:
+            return Sender.UNNAMED
+        is_own = sender_id == self._runner_id
+        return Sender.NAMED if is_own else Sender.OTHER
--- a/teaseldale/platform/tests/messages.feature
+++ b/teaseldale/platform/tests/messages.feature
@@ -94,19 +94,19 @@
       | /a/b%252Fc       | /a/    |
 
   # Guards against a health check that takes another process for the runner.
-  Scenario Outline: A health check that is answered by <answer> is <finding>
+  Scenario Outline: The sender of <answer> to a health check is <finding>
     Given a health check of the runner i-1 at <path>
     Then the request "<request>" is sent, which names i-1
-    And an answer by <answer> is <finding>
+    And the sender of <answer> is <finding>
 
     Examples:
       | path     | request          | answer                  | finding         |
-      | /healthz | GET /healthz     | 200 without an id       | from the runner |
-      | /healthz | GET /healthz     | 503 of i-1              | from the runner |
-      | /healthz | GET /healthz     | 200 of i-2              | from another    |
-      | /healthz | GET /healthz     | 421 without an id       | from another    |
-      | no path  | OPTIONS *        | 405 without an id       | from the runner |
-      | health   | OPTIONS *        | 200 of i-1              | from the runner |
+      | /healthz | GET /healthz     | 200 without an id       | unnamed |
+      | /healthz | GET /healthz     | 503 of i-1              | named |
+      | /healthz | GET /healthz     | 200 of i-2              | other    |
+      | /healthz | GET /healthz     | 421 without an id       | other    |
+      | no path  | OPTIONS *        | 405 without an id       | unnamed |
+      | health   | OPTIONS *        | 200 of i-1              | named |
 
   Scenario: An older configuration never replaces a newer one
     Given configurations of version 7 and then 5
--- a/teaseldale/platform/tests/steps_messages.py
+++ b/teaseldale/platform/tests/steps_messages.py
@@ -449,13 +449,13 @@
     assert b'\r\nx-expect-instance: i-1\r\n' in head, head
 
 
-@then('an answer by {status:d} {source} is {finding}')
+@then('the sender of {status:d} {source} is {finding}')
 def health_check_answered(context, status, source, finding):
     headers = ()
     if source.startswith('of '):
         headers = ((RUNNER_ID, source.removeprefix('of ').encode()),)
-    is_own = context.inquiry.is_from_runner(status, headers)
-    assert is_own == (finding == 'from the runner'), is_own
+    sender = context.inquiry.sender_of(status, headers)
+    assert sender == finding, sender
 
 
 @given('configurations of version 7 and then 5')
--- a/teaseldale/tunnels/_runner_end.py
+++ b/teaseldale/tunnels/_runner_end.py
@@ -8,7 +8,6 @@
 from teaseldale.tunnels._pipe import PipeEnd
 from teaseldale.upstreams import (
     BaseProcessWitness,
-    BaseWitnessUse,
     BodyFraming,
     ConnectionEnd,
     EndFinding,
@@ -19,8 +18,9 @@
 )
 
 _FIRST_FINAL_STATUS = 200
-# Bytes in which the head of the answer is looked for.
-_MAX_OBSERVED_BYTES = 16_384
+# Bytes in which the head of the answer is looked for. The other VM accepts no
+# longer one.
+_MAX_OBSERVED_BYTES = 65_536
 
 
 class RunnerEnd(PipeEnd):
@@ -48,7 +48,7 @@
         super().__init__()
         self._address = address
         self._probe = probe
-        self._witness = witness
+        self._witness_use = None if witness is None else witness.observe()
         self._on_head = on_head
         self._on_end = on_end
         self._parser: httptools.HttpResponseParser | None
@@ -56,8 +56,6 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._observed_bytes = 0
         self._framing: BodyFraming | None = None  # known once the head is
-        # Set while a response is received that ends with its connection.
-        self._witness_use: BaseWitnessUse | None = None
         self._examination: asyncio.Task[None] | None = None
 
     def data_received(self, received: bytes) -> None:
@@ -104,13 +102,13 @@
             self._parser = None
             headers = tuple(self._headers)
             self._framing = framing_of(headers)
-            if self._witness is not None and self._is_witnessed:
-                self._witness_use = self._witness.begin_use()
+            if self._witness_use is not None and self._ends_response:
+                self._witness_use.begin()
             self._on_head(status, headers)
         self._headers.clear()
 
     @property
-    def _is_witnessed(self) -> bool:
+    def _ends_response(self) -> bool:
         """Whether the response is known to end with its connection."""
         return self._framing is BodyFraming.CONNECTION
 
@@ -121,7 +119,7 @@
         The other VM judges bytes in which this one has found no head.
         """
         is_unread = self._framing is None and self._parser is None
-        return self._is_witnessed or is_unread
+        return self._ends_response or is_unread
 
     async def _examine(self, end: ConnectionEnd) -> None:
         try:
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -56,6 +56,7 @@
     from teaseldale.upstreams._process_inquiry import (
         BaseProcessInquiry,
         OptionsInquiry,
+        Sender,
     )
     from teaseldale.upstreams._quarantine import (
         CrashQuarantine,
@@ -143,6 +144,7 @@
         'teaseldale.upstreams._process_inquiry': (
             'BaseProcessInquiry',
             'OptionsInquiry',
+            'Sender',
         ),
         'teaseldale.upstreams._quarantine': (
             'CrashQuarantine',
@@ -222,6 +224,7 @@
     'ReportedCrash',
     'ResponseProtocol',
     'RunnerChannel',
+    'Sender',
     'ServiceAnswer',
     'ServiceCall',
     'Suspect',
--- a/teaseldale/upstreams/_connection_end.py
+++ b/teaseldale/upstreams/_connection_end.py
@@ -81,6 +81,10 @@
 class BaseWitnessUse(abc.ABC):
     """Observation of the process that sends one response."""
 
+    @abc.abstractmethod
+    def begin(self) -> None:
+        """Begins with the head of a response that ends with its connection."""
+
     @abc.abstractmethod
     def note_end(self) -> None:
         """Records that the connection of the response has ended just now."""
@@ -98,8 +102,8 @@
     """Other connections to the process that sends responses."""
 
     @abc.abstractmethod
-    def begin_use(self) -> BaseWitnessUse:
-        """Observes the process from the head of a response on."""
+    def observe(self) -> BaseWitnessUse:
+        """Observes the process from the sending of a request on."""
 
 
 class BaseConnectionEnd(abc.ABC):
--- a/teaseldale/upstreams/_process_inquiry.py
+++ b/teaseldale/upstreams/_process_inquiry.py
@@ -1,11 +1,21 @@
 """Requests that ask the process of a runner for a sign of life."""
 
 import abc
+import enum
 
 from teaseldale.upstreams._runner_message import RunnerMessage
 from teaseldale.upstreams._wire_headers import WireHeaders
 
 
+@enum.unique
+class Sender(enum.StrEnum):
+    """Who has sent the response to an inquiry."""
+
+    NAMED = 'named'  # the runner, which names itself
+    UNNAMED = 'unnamed'  # the runner, as far as the response says
+    OTHER = 'other'  # another runner
+
+
 class BaseProcessInquiry(abc.ABC):
     """A request that a runner answers without running anything."""
 
@@ -15,11 +25,8 @@
         """The request."""
 
     @abc.abstractmethod
-    def is_from_runner(self, status: int, headers: WireHeaders) -> bool:
-        """Returns whether a response may come from the runner itself.
-
-        It does not if it names another runner.
-        """
+    def sender_of(self, status: int, headers: WireHeaders) -> Sender:
+        """Returns who has sent a response with this head."""
 
 
 class OptionsInquiry(BaseProcessInquiry):
@@ -35,6 +42,6 @@
             body=b'',
         )
 
-    def is_from_runner(self, status: int, headers: WireHeaders) -> bool:
-        """Returns True, as no response names its sender."""
-        return True
+    def sender_of(self, status: int, headers: WireHeaders) -> Sender:
+        """Returns that the response names no sender."""
+        return Sender.UNNAMED
--- a/teaseldale/upstreams/_process_witness.py
+++ b/teaseldale/upstreams/_process_witness.py
@@ -1,10 +1,10 @@
 """Connections that show whether the process of a runner goes on."""
 
 import asyncio
-from collections.abc import Mapping
-from types import MappingProxyType
+from collections.abc import Callable
+
+import attrs
 
-from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.upstreams._connection_end import (
     BaseProcessWitness,
@@ -15,22 +15,32 @@
 from teaseldale.upstreams._process_inquiry import BaseProcessInquiry
 from teaseldale.upstreams._tcp_network import PeerAddress
 from teaseldale.upstreams._witness_connection import (
+    ConnectionLoss,
     InquiryResult,
     WitnessConnection,
 )
 
 _CONNECT_TIMEOUT_MS = 700
 _RECONNECT_PAUSE_SECONDS = 0.25
-# Kept for the next responses without a length, which may end at once.
-_UNUSED_MS = 10_000
-_TESTIMONIES: Mapping[InquiryResult, Testimony] = MappingProxyType(
-    {
-        InquiryResult.ANSWERED: Testimony.SURVIVED,
-        InquiryResult.MISDIRECTED: Testimony.SILENT,
-        InquiryResult.LOST: Testimony.ENDED,
-        InquiryResult.UNANSWERED: Testimony.SILENT,
-    },
-)
+# Connections on which an end is asked about, one after another, if the runner
+# announces that it closes them.
+_TRIES = 3
+_SWAP_SECONDS = 0.01
+_ANSWERS = frozenset((InquiryResult.NAMED, InquiryResult.ANSWERED))
+
+# Returns an idle connection to the runner and what is left of its idle time.
+IdleSource = Callable[[], tuple[RunnerChannel, int] | None]
+
+
+@attrs.frozen(kw_only=True)
+class _Observations:
+    """What a witness has seen until some moment."""
+
+    # Ends that may be those of the process.
+    loss_count: int = 0
+    # Times without a connection, after which the next one may belong to another
+    # process.
+    gap_count: int = 0
 
 
 class ProcessWitness(BaseProcessWitness):
@@ -44,8 +54,9 @@
     of a response shows that its process has outlived it.
 
     Runners close idle connections, which looks like the end of a process. So
-    the connection is kept busy where the runner answers more than one request
-    on it.
+    the connection is kept busy. Where the runner closes it after an answer, its
+    successor is opened before: the process that answers has outlived that
+    moment.
     """
 
     def __init__(
@@ -54,152 +65,236 @@
         address: PeerAddress,
         connector: BaseConnector,
         inquiry: BaseProcessInquiry,
-        clock: BaseClock,
         metrics: Metrics,
+        take_idle: IdleSource,
     ) -> None:
         """Opens no connection before the first use."""
         self._address = address
         self._connector = connector
         self._inquiry = inquiry
-        self._clock = clock
         self._metrics = metrics
+        self._take_idle = take_idle
         self._use_count = 0
-        self._unused_since_ms = 0  # monotonic
         self._connection: WitnessConnection | None = None
-        self._loss_count = 0  # of connections, and of listeners
-        # Whether the runner keeps a connection open after an inquiry; None
-        # until it is known.
-        self._keeps_open: bool | None = None
-        self._is_closed = False
+        self._successor: WitnessConnection | None = None
+        # Whether the process has answered since the successor was opened.
+        self._is_confirmed = False
+        self._preparing = asyncio.Lock()
+        # Whether the runner answers more than one request on a connection.
+        self._keeps_open = False
+        self._names_itself = False
+        self._seen = _Observations()
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def seen(self) -> _Observations:
+        """What has been seen until now."""
+        return self._seen
+
     @property
     def has_connection(self) -> bool:
         """Whether a connection is open."""
         return self._connection is not None
 
-    def begin_use(self) -> BaseWitnessUse:
+    def observe(self) -> BaseWitnessUse:
+        """Returns an observation from now on, which opens no connection."""
+        return _WitnessUse(witness=self)
+
+    def begin_use(self) -> None:
         """Opens the connection, and again when it is lost."""
         self._use_count += 1
-        if self._task is None:
+        if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._keep_open())
-        return _WitnessUse(witness=self, loss_count=self._loss_count)
 
     def end_use(self) -> None:
-        """Ends one use; the connection stays open for a while."""
+        """Ends one use; the connection is closed once it has been idle."""
         self._use_count -= 1
-        self._unused_since_ms = self._clock.monotonic_ms()
-        if self._is_closed:
-            self.close_unused(unused_ms=0)
 
     def close(self) -> None:
-        """Closes the connection as soon as it is not in use."""
-        self._is_closed = True
-        self.close_unused(unused_ms=0)
-
-    def close_unused(self, unused_ms: int = _UNUSED_MS) -> None:
-        """Closes the connection if it has not been used for some time."""
-        idle_ms = self._clock.monotonic_ms() - self._unused_since_ms
-        if self._task is None or self._use_count or idle_ms < unused_ms:
-            return
-        self._task.cancel()
-        self._task = None
+        """Closes the connection unless it is in use."""
+        if self._task is not None and not self._use_count:
+            self._task.cancel()
 
-    async def testify(self, loss_count: int) -> Testimony:
-        """Returns what is known of the process since ``loss_count`` losses.
+    async def testify(self, since: _Observations) -> Testimony:
+        """Returns what is known of the process since ``since``.
 
         Takes the time of an answer from the runner.
         """
-        connection = self._connection
-        if loss_count == self._loss_count and connection is not None:
-            testimony = _TESTIMONIES[await connection.ask()]
-            if not connection.is_dismissed or testimony is Testimony.SURVIVED:
-                return testimony
-        if loss_count != self._loss_count:
+        if since.loss_count != self._seen.loss_count:
+            return Testimony.ENDED
+        outcome = await self._ask()
+        is_new = outcome is None
+        if outcome is None:
+            outcome = await self._ask_anew()
+        if since.loss_count != self._seen.loss_count:
             return Testimony.ENDED
-        return await self._reach_anew()
+        has_gap = since.gap_count != self._seen.gap_count
+        # After a time without a connection, the next process may answer.
+        if outcome not in _ANSWERS or (
+            has_gap and outcome is not InquiryResult.NAMED
+        ):
+            return Testimony.SILENT
+        return Testimony.REACHED if has_gap or is_new else Testimony.SURVIVED
 
-    async def _reach_anew(self) -> Testimony:
-        """Returns whether the runner answers on a new connection."""
-        results = await self._ask_anew(inquiry_count=1)
-        if results[-1] is InquiryResult.ANSWERED:
-            return Testimony.REACHED
-        return Testimony.SILENT
-
-    async def _ask_anew(self, *, inquiry_count: int) -> list[InquiryResult]:
-        """Returns the results of inquiries on a connection of their own."""
-        channel = await self._connect()
-        if channel is None:
-            return [InquiryResult.LOST]
-        connection = self._connection_of(channel)
-        holding = asyncio.create_task(connection.hold())
+    async def _ask(self) -> InquiryResult | None:
+        """Returns the outcome on the open connection, if there is one."""
+        for _ in range(_TRIES):
+            connection = self._connection
+            if connection is None:
+                return None
+            outcome = await self._ask_on(connection)
+            if outcome is not InquiryResult.LOST:
+                return outcome
+            # Until the task that holds the connection has replaced it.
+            while self._connection is connection:
+                await asyncio.sleep(_SWAP_SECONDS)
+        return None
+
+    async def _ask_on(self, connection: WitnessConnection) -> InquiryResult:
+        await self._prepare_successor()
+        successor = self._successor
+        outcome = await connection.ask()
+        if outcome in _ANSWERS:
+            self._keeps_open = self._keeps_open and connection.loss is None
+            if successor is not None and successor is self._successor:
+                self._is_confirmed = True
+        return outcome
+
+    async def _learn(self) -> None:
+        """Finds out on another connection how the runner answers."""
+        connection = None if self._keeps_open else await self._open()
+        if connection is None:
+            return
         try:
-            return [await connection.ask() for _ in range(inquiry_count)]
+            first = await connection.ask()
+            second = await connection.ask()
         finally:
-            holding.cancel()
+            connection.close()
+        self._names_itself = first is InquiryResult.NAMED
+        self._keeps_open = second in _ANSWERS
+        if self._keeps_open:
+            self._drop_successor()
 
-    def _connection_of(self, channel: RunnerChannel) -> WitnessConnection:
-        return WitnessConnection(
-            channel=channel,
-            inquiry=self._inquiry,
-            metrics=self._metrics,
-        )
+    async def _prepare_successor(self) -> None:
+        async with self._preparing:
+            successor = self._successor
+            if successor is not None and successor.loss is not None:
+                self._drop_successor()
+            if not self._keeps_open and self._successor is None:
+                self._successor = await self._open()
 
-    async def _learn_persistence(self, connection: WitnessConnection) -> None:
-        """Finds out on another connection whether the runner keeps it open."""
-        if self._keeps_open is None:
-            first, *later = await self._ask_anew(inquiry_count=2)
-            if first is InquiryResult.ANSWERED:
-                self._keeps_open = later == [InquiryResult.ANSWERED]
-        connection.asks_regularly = bool(self._keeps_open)
+    def _drop_successor(self) -> None:
+        if self._successor is not None:
+            self._successor.close()
+            self._successor = None
+        self._is_confirmed = False
+
+    async def _ask_anew(self) -> InquiryResult:
+        """Returns the outcome on a new connection."""
+        connection = await self._open()
+        if connection is None:
+            return InquiryResult.UNANSWERED
+        try:
+            return await connection.ask()
+        finally:
+            connection.close()
 
     async def _keep_open(self) -> None:
-        """Holds connections until one is lost that is not in use."""
-        while True:
-            channel = await self._connect()
-            if channel is None or not await self._hold(channel):
-                await asyncio.sleep(_RECONNECT_PAUSE_SECONDS)
-            if not self._use_count:
-                self._task = None
-                return
+        """Holds one connection after another while there are uses."""
+        try:
+            while self._use_count:
+                connection = self._successor or await self._open()
+                self._successor = None
+                self._is_confirmed = False
+                if connection is not None:
+                    await self._hold(connection)
+                if self._successor is None and self._use_count:
+                    await asyncio.sleep(_RECONNECT_PAUSE_SECONDS)
+        finally:
+            self._drop_successor()
 
-    async def _hold(self, channel: RunnerChannel) -> bool:
-        """Returns once the connection has ended, and whether as announced."""
-        connection = self._connection_of(channel)
+    async def _hold(self, connection: WitnessConnection) -> None:
+        """Returns once the connection has ended or is not needed."""
         self._connection = connection
-        learning = asyncio.create_task(self._learn_persistence(connection))
+        learning = asyncio.create_task(self._learn())
         try:
-            await connection.hold()
+            is_lost = await self._keep_busy(connection)
         finally:
             learning.cancel()
             self._connection = None
-            if not connection.is_dismissed:
-                self._loss_count += 1
-        return connection.is_dismissed
+            connection.close()
+        if is_lost:
+            self._note_loss(connection.loss)
 
-    async def _connect(self) -> RunnerChannel | None:
+    async def _keep_busy(self, connection: WitnessConnection) -> bool:
+        """Returns whether the connection was lost while it was needed."""
+        while not await connection.wait_until_lost(connection.idle_ms):
+            if not self._use_count:
+                return False
+            # A successor that names no runner proves too little to give up a
+            # connection for it.
+            if self._keeps_open or self._names_itself:
+                await self._ask_on(connection)
+        return True
+
+    def _note_loss(self, loss: ConnectionLoss | None) -> None:
+        if self._is_confirmed:
+            return
+        self._drop_successor()
+        self._keeps_open = False
+        seen = self._seen
+        if loss is ConnectionLoss.LOST:
+            self._seen = attrs.evolve(seen, loss_count=seen.loss_count + 1)
+        else:
+            self._seen = attrs.evolve(seen, gap_count=seen.gap_count + 1)
+
+    async def _open(self) -> WitnessConnection | None:
+        """Prefers an idle connection, which needs no place at the runner."""
+        idle = self._take_idle()
+        if idle is not None:
+            return self._connection_of(idle[0], idle_ms=idle[1])
         try:
-            return await self._connector.connect(
+            channel = await self._connector.connect(
                 self._address,
                 timeout_ms=_CONNECT_TIMEOUT_MS,
             )
         except ConnectionRefusedError:
             # No process listens, and the next one is another.
-            self._loss_count += 1
+            self._note_loss(ConnectionLoss.LOST)
+            return None
         except OSError:
             # Responses are examined by a new connection instead.
             return None
-        return None
+        return self._connection_of(channel)
+
+    def _connection_of(
+        self,
+        channel: RunnerChannel,
+        *,
+        idle_ms: int | None = None,
+    ) -> WitnessConnection:
+        return WitnessConnection(
+            channel=channel,
+            inquiry=self._inquiry,
+            metrics=self._metrics,
+            idle_ms=idle_ms,
+        )
 
 
 class _WitnessUse(BaseWitnessUse):
-    """Observation since the head of one response."""
+    """Observation since one request was sent."""
 
-    def __init__(self, *, witness: ProcessWitness, loss_count: int) -> None:
+    def __init__(self, *, witness: ProcessWitness) -> None:
         self._witness = witness
-        self._loss_count = loss_count
+        self._since = witness.seen
         self._has_connection = False  # once the response has ended
-        self._has_ended = False
+        self._is_in_use = False
+
+    def begin(self) -> None:
+        """Needs a connection from now on."""
+        if not self._is_in_use:
+            self._is_in_use = True
+            self._witness.begin_use()
 
     def note_end(self) -> None:
         """Records whether there is a connection from before the end."""
@@ -207,13 +302,13 @@
 
     async def testify(self) -> Testimony:
         """Returns what an inquiry shows that is sent from now on."""
-        testimony = await self._witness.testify(self._loss_count)
+        testimony = await self._witness.testify(self._since)
         if testimony is Testimony.SURVIVED and not self._has_connection:
             return Testimony.REACHED
         return testimony
 
     def end(self) -> None:
-        """Ends the observation."""
-        if not self._has_ended:
-            self._has_ended = True
+        """Needs no connection any more."""
+        if self._is_in_use:
+            self._is_in_use = False
             self._witness.end_use()
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -71,6 +71,7 @@
         self.end_finding = EndFinding.NONE
         self.is_complete = False
         self.is_lost = False
+        self.is_reset = False
         self.has_unsolicited_bytes = False  # not of an awaited response
         self._belongs: ResponseMatcher = accept_any
         self._expects_body = True
@@ -86,7 +87,7 @@
         self._buffered_bytes = 0
         self._has_body = False
         self._error: Exception | None = None
-        # Set while a body is received that ends with its connection.
+        # Of the current request, if there is a witness.
         self._witness_use: BaseWitnessUse | None = None
         # Set when a body ends with its connection, until it is examined.
         self._end: BaseConnectionEnd | None = None
@@ -110,11 +111,14 @@
         """Stores the transport."""
         # The transports of uvloop do not subclass asyncio.Transport.
         self._transport = cast(asyncio.Transport, transport)
-        self._peer_address = transport.get_extra_info('peername')[:2]
+        # There is none if the peer has reset the connection by now.
+        peer = transport.get_extra_info('peername') or self._peer_address
+        self._peer_address = peer[:2]
 
     def connection_lost(self, error: Exception | None) -> None:
         """Wakes the reader; fails a response that is not complete."""
         self.is_lost = True
+        self.is_reset = isinstance(error, ConnectionResetError)
         self._can_write.set()
         self._timer.cancel()
         if self._witness_use is not None:
@@ -191,8 +195,8 @@
             self.framing = framing_of(tuple(self.headers))
             self.has_head = True
             self.is_complete = not self._expects_body
-            if self.witness is not None and _awaits_end(self):
-                self._witness_use = self.witness.begin_use()
+            if self._witness_use is not None and _awaits_end(self):
+                self._witness_use.begin()
         else:
             self.has_unsolicited_bytes = True
             self._is_skipping = True
@@ -233,6 +237,9 @@
         with its head, whatever that says.
         """
         self._expects_body = has_body
+        self._witness_use = (
+            None if self.witness is None else self.witness.observe()
+        )
         self._parser = httptools.HttpResponseParser(self)
         self._sizes = ResponseSizes()
         self._belongs = belongs
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -149,8 +149,8 @@
             address=address,
             connector=connector,
             inquiry=inquiry or OptionsInquiry(),
-            clock=clock,
             metrics=metrics,
+            take_idle=self._take_idle,
         )
 
     @property
@@ -247,7 +247,6 @@
             else:
                 connection.transport.abort()
         self._idle = kept
-        self._witness.close_unused()
 
     def count_failure(
         self, error: Exception, kind: FailureKind
@@ -264,6 +263,15 @@
             kind=kind,
         )
 
+    def _take_idle(self) -> tuple[RunnerChannel, int] | None:
+        """Takes an idle connection out of the pool for other requests."""
+        connection = self._pop_idle()
+        if connection is None:
+            return None
+        connection.protocol.witness = None
+        now_ms = self._clock.monotonic_ms()
+        return connection.channel, connection.idle_until_ms - now_ms
+
     def _pop_idle(self) -> _Connection | None:
         now_ms = self._clock.monotonic_ms()
         while self._idle:
--- a/teaseldale/upstreams/tests/process_ends.feature
+++ b/teaseldale/upstreams/tests/process_ends.feature
@@ -56,6 +56,26 @@
       | 1,700    |
       | 1,750    |
 
+  # Guards against sound responses that are cut because the connection that
+  # observes the process is rejected, closed or of no use.
+  Scenario Outline: A response of a runner that names itself is <outcome> if <event>
+    Given a runner that names itself and answers for <duration> ms
+    When <event>
+    Then the response is read as <outcome>
+
+    Examples: the process goes on
+      | duration | event                                                                | outcome |
+      | 1,000    | the runner ends the response, and resets connections beside an answer | whole  |
+      | 5,000    | the runner ends the response, and resets connections beside an answer | whole  |
+      | 1,000    | the runner ends the response, and closes connections after inquiries | whole   |
+      | 2,000    | the runner ends the response, and closes idle connections after 400 ms, and closes connections after inquiries | whole |
+      | 1,000    | the runner ends the response, and garbles an answer to an inquiry    | whole   |
+
+    Examples: the process ends
+      | duration | event                                                                | outcome |
+      | 1,000    | the process is killed after 500 ms and closes its other connections 400 ms later | broken |
+      | 1,000    | the process is killed after 500 ms and closes connections after inquiries | broken |
+
   Scenario: A response without a length that ends at once is whole
     Given a runner that answers without a length for 0 ms
     When the runner ends the response
--- a/teaseldale/upstreams/tests/steps_process_ends.py
+++ b/teaseldale/upstreams/tests/steps_process_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import socket
 
 from behave import given, then, when
 
@@ -14,8 +15,10 @@
 from teaseldale.metrics import Metrics
 from teaseldale.upstreams import (
     DirectConnector,
+    OptionsInquiry,
     RunnerConnections,
     RunnerMessage,
+    Sender,
     UpstreamError,
     probe_listener,
 )
@@ -27,6 +30,8 @@
 _NEXT_PROCESS_MS = 300  # when it begins to listen
 _IDLE_SECONDS = 0.4  # for which some runners keep idle connections
 _OPTIONS = b'HTTP/1.1 204 No Content\r\n\r\n'
+_CLOSING_OPTIONS = b'HTTP/1.1 204 No Content\r\nconnection: close\r\n\r\n'
+_GARBLED_INQUIRY = 2
 
 
 class _ServedConnection(asyncio.Protocol):
@@ -42,6 +47,18 @@
         self.transport = transport
         self._process.accept(self)
 
+    @property
+    def is_open(self):
+        return not self.transport.is_closing()
+
+    def reset(self):
+        self.transport.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            None,
+        )
+        self.transport.abort()
+
     def data_received(self, received):
         if self._process.is_gone:
             return
@@ -57,7 +74,13 @@
         loop.call_later(self._process.inquiry_ms / 1000, self._send_options)
 
     def _send_options(self):
-        self.transport.write(_OPTIONS)
+        if self._process.garbles(self.inquiry_count):
+            self.transport.write(b'no answer')
+            return
+        if self._process.closes_after_inquiries:
+            self.transport.write(_CLOSING_OPTIONS)
+        else:
+            self.transport.write(_OPTIONS)
         if self._process.closes_after_inquiries:
             self.transport.close()
 
@@ -89,6 +112,11 @@
     def closes_after_inquiries(self):
         return 'closes connections after inquiries' in self._world.event
 
+    def garbles(self, inquiry_count):
+        """Returns whether an inquiry is answered with other bytes."""
+        is_garbled = inquiry_count == _GARBLED_INQUIRY
+        return is_garbled and 'garbles an answer' in self._world.event
+
     async def listen(self):
         network = FakeTcpNetwork(fabric=self._world.fabric, host=self.name)
         await network.listen(lambda: _ServedConnection(self), _ADDRESS)
@@ -100,6 +128,10 @@
             # As many connections as it accepts are open after the second one.
             if len(self.connections) > 2:
                 connection.transport.close()
+        elif 'resets connections beside' in self._world.event:
+            open_ones = [one for one in self.connections if one.is_open]
+            if len(open_ones) > 1:
+                connection.reset()
         elif 'closes idle connections' in self._world.event:
             loop.call_later(_IDLE_SECONDS, self._close_idle, connection, 0)
 
@@ -148,7 +180,7 @@
 class ProcessWorld:
     """A VM that reads a response from a runner whose process may end."""
 
-    def __init__(self, *, answering_ms):
+    def __init__(self, *, answering_ms, inquiry=None):
         self.event = ''
         self.fabric = FakeTcpFabric()
         self.process = _Process(
@@ -168,6 +200,7 @@
             ),
             clock=VirtualClock(),
             metrics=Metrics(),
+            inquiry=inquiry,
         )
 
     async def read(self):
@@ -211,6 +244,21 @@
             await asyncio.sleep(0.001)
 
 
+class _NamingInquiry(OptionsInquiry):
+    """The runner and its next process name themselves by one name."""
+
+    def sender_of(self, status, headers):
+        return Sender.NAMED
+
+
+@given('a runner that names itself and answers for {duration} ms')
+def naming_runner(context, duration):
+    context.world = ProcessWorld(
+        answering_ms=int(duration.replace(',', '')),
+        inquiry=_NamingInquiry(),
+    )
+
+
 @given('a runner that answers without a length for {duration} ms')
 def answering_runner(context, duration):
     context.world = ProcessWorld(
