Observe a runner's process from the first request on

Callers saw truncated answers as whole where the head of the answer arrived after its process had ended and the next one, with the same id, listened.

Cause: the observing connection was opened with the head of a response without a length, so it could reach the next process.

Change: the connection is opened as a request is written, until the runner's first response has come, and for 10 s after each response without a length.

--- a/teaseldale/tunnels/_runner_end.py
+++ b/teaseldale/tunnels/_runner_end.py
@@ -8,6 +8,7 @@
 from teaseldale.tunnels._pipe import PipeEnd
 from teaseldale.upstreams import (
     BaseProcessWitness,
+    BaseWitnessUse,
     BodyFraming,
     ConnectionEnd,
     EndFinding,
@@ -102,11 +103,17 @@
             self._parser = None
             headers = tuple(self._headers)
             self._framing = framing_of(headers)
-            if self._witness_use is not None and self._ends_response:
-                self._witness_use.begin()
+            if self._witness_use is not None:
+                self._note_framing(self._witness_use)
             self._on_head(status, headers)
         self._headers.clear()
 
+    def _note_framing(self, use: BaseWitnessUse) -> None:
+        if self._ends_response:
+            use.begin()
+        else:
+            use.dismiss()
+
     @property
     def _ends_response(self) -> bool:
         """Whether the response is known to end with its connection."""
--- a/teaseldale/upstreams/_connection_end.py
+++ b/teaseldale/upstreams/_connection_end.py
@@ -83,7 +83,11 @@
 
     @abc.abstractmethod
     def begin(self) -> None:
-        """Begins with the head of a response that ends with its connection."""
+        """Notes the head of a response that ends with its connection."""
+
+    @abc.abstractmethod
+    def dismiss(self) -> None:
+        """Notes the head of another response, and ends the observation."""
 
     @abc.abstractmethod
     def note_end(self) -> None:
--- a/teaseldale/upstreams/_process_witness.py
+++ b/teaseldale/upstreams/_process_witness.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from teaseldale.clock import BaseClock
 from teaseldale.metrics import Metrics
 from teaseldale.upstreams._connection_end import (
     BaseProcessWitness,
@@ -12,6 +13,7 @@
     Testimony,
 )
 from teaseldale.upstreams._connector import BaseConnector, RunnerChannel
+from teaseldale.upstreams._expected_framing import ExpectedFraming
 from teaseldale.upstreams._process_inquiry import BaseProcessInquiry
 from teaseldale.upstreams._tcp_network import PeerAddress
 from teaseldale.upstreams._witness_connection import (
@@ -65,6 +67,7 @@
         address: PeerAddress,
         connector: BaseConnector,
         inquiry: BaseProcessInquiry,
+        clock: BaseClock,
         metrics: Metrics,
         take_idle: IdleSource,
     ) -> None:
@@ -72,6 +75,7 @@
         self._address = address
         self._connector = connector
         self._inquiry = inquiry
+        self.expected_framing = ExpectedFraming(clock=clock)
         self._metrics = metrics
         self._take_idle = take_idle
         self._use_count = 0
@@ -97,7 +101,7 @@
         return self._connection is not None
 
     def observe(self) -> BaseWitnessUse:
-        """Returns an observation from now on, which opens no connection."""
+        """Returns an observation from now on."""
         return _WitnessUse(witness=self)
 
     def begin_use(self) -> None:
@@ -289,12 +293,19 @@
         self._since = witness.seen
         self._has_connection = False  # once the response has ended
         self._is_in_use = False
+        if witness.expected_framing.may_be_unframed:
+            # The head may arrive after the end of the process.
+            self._open()
 
     def begin(self) -> None:
         """Needs a connection from now on."""
-        if not self._is_in_use:
-            self._is_in_use = True
-            self._witness.begin_use()
+        self._witness.expected_framing.note_head(is_unframed=True)
+        self._open()
+
+    def dismiss(self) -> None:
+        """Needs no connection, as the response marks its end itself."""
+        self._witness.expected_framing.note_head(is_unframed=False)
+        self.end()
 
     def note_end(self) -> None:
         """Records whether there is a connection from before the end."""
@@ -312,3 +323,8 @@
         if self._is_in_use:
             self._is_in_use = False
             self._witness.end_use()
+
+    def _open(self) -> None:
+        if not self._is_in_use:
+            self._is_in_use = True
+            self._witness.begin_use()
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -195,8 +195,7 @@
             self.framing = framing_of(tuple(self.headers))
             self.has_head = True
             self.is_complete = not self._expects_body
-            if self._witness_use is not None and _awaits_end(self):
-                self._witness_use.begin()
+            _note_head(self._witness_use, is_unframed=_awaits_end(self))
         else:
             self.has_unsolicited_bytes = True
             self._is_skipping = True
@@ -237,6 +236,8 @@
         with its head, whatever that says.
         """
         self._expects_body = has_body
+        if self._witness_use is not None:
+            self._witness_use.end()
         self._witness_use = (
             None if self.witness is None else self.witness.observe()
         )
@@ -337,6 +338,15 @@
     return is_unframed and has_body and not protocol.is_complete
 
 
+def _note_head(use: BaseWitnessUse | None, *, is_unframed: bool) -> None:
+    if use is None:
+        return
+    if is_unframed:
+        use.begin()
+    else:
+        use.dismiss()
+
+
 def _make_end(
     *,
     transport: asyncio.Transport,
--- a/teaseldale/upstreams/_runner_connections.py
+++ b/teaseldale/upstreams/_runner_connections.py
@@ -149,6 +149,7 @@
             address=address,
             connector=connector,
             inquiry=inquiry or OptionsInquiry(),
+            clock=clock,
             metrics=metrics,
             take_idle=self._take_idle,
         )
