Break off answers whose status is none of HTTP

Callers waited until their deadline (504) if a runner answered with status 000 or 099, and lost their connection if it answered with 600 or 999.

Cause: the parser accepts any three digits. A status below 200 counted as an interim answer, after which the final one was waited for; one above 599 was passed on, and a server cannot write it. A relaying VM applied what the head of such an answer announces.

Change: a status outside 100 to 599 (RFC 9110, 15) is an error of the protocol as soon as the head is read, like bytes that are no answer. The error of a connection names the cause instead of "User callback error". The steps of relayed_resets.feature take the relaying VM as an argument, so that others can use them; what they check is unchanged.

--- a/teaseldale/tunnels/_runner_end.py
+++ b/teaseldale/tunnels/_runner_end.py
@@ -15,6 +15,7 @@
     ListenerProbe,
     PeerAddress,
     WireHeaders,
+    check_status,
     framing_of,
 )
 
@@ -99,6 +100,7 @@
         if self._parser is None:
             return
         status = self._parser.get_status_code()
+        check_status(status)
         if status >= _FIRST_FINAL_STATUS:
             self._parser = None
             headers = tuple(self._headers)
--- a/teaseldale/tunnels/tests/steps_relayed_resets.py
+++ b/teaseldale/tunnels/tests/steps_relayed_resets.py
@@ -58,7 +58,11 @@
         async with runner.serving(), anyio.create_task_group() as tasks:
             connector = DirectConnector()
             if path != 'directly':
-                connector = await _relaying_connector(tasks, runner)
+                connector = await relaying_connector(
+                    tasks,
+                    runner,
+                    RelayingVm(),
+                )
             requests = (
                 _read(connector, runner, context.answer, _UPLOADS[upload])
                 for _ in range(count)
@@ -69,9 +73,8 @@
     anyio.run(scenario, backend_options={'use_uvloop': True})
 
 
-async def _relaying_connector(tasks, runner):
+async def relaying_connector(tasks, runner, relay):
     """Returns the connector of a VM that reaches no runner itself."""
-    relay = RelayingVm()
     relay.policy.registered.add((runner.ip, runner.port))
     await relay.start(tasks)
     paths = RunnerPaths(clock=SystemClock(), metrics=Metrics())
--- a/teaseldale/upstreams/__init__.py
+++ b/teaseldale/upstreams/__init__.py
@@ -73,6 +73,7 @@
         LoadReport,
     )
     from teaseldale.upstreams._response_protocol import ResponseProtocol
+    from teaseldale.upstreams._response_status import check_status
     from teaseldale.upstreams._runner_connections import (
         RunnerAnswer,
         RunnerConnections,
@@ -162,6 +163,7 @@
             'LoadReport',
         ),
         'teaseldale.upstreams._response_protocol': ('ResponseProtocol',),
+        'teaseldale.upstreams._response_status': ('check_status',),
         'teaseldale.upstreams._runner_connections': (
             'RunnerAnswer',
             'RunnerConnections',
@@ -235,6 +237,7 @@
     'UpstreamRejectedError',
     'WireHeaders',
     'check_partial_event',
+    'check_status',
     'fingerprint_of',
     'framing_of',
     'header_of',
--- a/teaseldale/upstreams/_response_protocol.py
+++ b/teaseldale/upstreams/_response_protocol.py
@@ -21,6 +21,7 @@
 )
 from teaseldale.upstreams._listener_probe import ListenerProbe, probe_listener
 from teaseldale.upstreams._response_sizes import ResponseSizes
+from teaseldale.upstreams._response_status import check_status
 from teaseldale.upstreams._tcp_network import PeerAddress
 from teaseldale.upstreams._wait_timer import WaitTimer
 from teaseldale.upstreams._wire_headers import WireHeaders
@@ -188,6 +189,7 @@
             return
         self._sizes.end_part()
         status = self._parser.get_status_code()
+        check_status(status)
         if status < _FIRST_FINAL_STATUS:
             return
         if self._belongs(status, tuple(self.headers)):
@@ -371,7 +373,8 @@
     try:
         parser.feed_data(received)
     except httptools.HttpParserError as error:
-        return httpcore.RemoteProtocolError(str(error))
+        # An error of a callback is the context of the parser's own.
+        return httpcore.RemoteProtocolError(str(error.__context__ or error))
     return None
 
 
