Draw the ports of a VM under test at the same time

Cause: each port was drawn from the kernel and freed before the next one, so the kernel could offer it again. The second port of the range was not tried.

Evidence: of 20,000 VMs drawn as before, 29 had a port twice, about one in 690; misbehaving_clients.feature starts 73 VMs. node_ports.feature, with a kernel that offers the lowest free port, failed before: one port five times.

Change: all ports of a VM are held until the last one is drawn, and the two of the range are tried together. Another process may still take one before the VM listens, but only on the address of this VM or on all addresses.

Result: of 20,000 VMs drawn now, none has a port twice. Both scenarios of node_ports.feature pass.

--- a/teaseldale/platform/tests/node_process.py
+++ b/teaseldale/platform/tests/node_process.py
@@ -24,6 +24,8 @@
 _CALL_TIMEOUT_SECONDS = 5
 _POLL_SECONDS = 0.05
 _BYTES_PER_KB = 1024
+# For callers, readiness, the store and the runner.
+_SINGLE_PORTS = 4
 _ORDINARY_BYTES = 72_000
 
 
@@ -35,11 +37,10 @@
         # own.
         numbers = [random.randint(1, 250) for _ in range(3)]
         self.ip = '.'.join(map(str, (127, *numbers)))
-        self.callers = self._free_address()
-        self.readiness = self._free_address()
+        ports, self._first_port = draw_ports(self.ip, _SINGLE_PORTS)
+        addresses = [(self.ip, port) for port in ports]
+        self.callers, self.readiness, self._store, self._runner = addresses
         self.metrics = (self.ip, METRICS_PORT)
-        self._store = self._free_address()
-        self._runner = self._free_address()
         self._memory_mb = memory_mb
         self._descriptor_count = descriptor_count
         self._settings = settings
@@ -154,12 +155,11 @@
             )
 
     def _settings_text(self):
-        first_port = _free_port(self.ip)
         return f"""
 NodeName = "edge-1"
 Ip = "{self.ip}"
 Zone = "mill"
-PortRange = [{first_port}, {first_port + 1}]
+PortRange = [{self._first_port}, {self._first_port + 1}]
 Bootstrap = true
 
 [Listen]
@@ -178,9 +178,6 @@
 {self._settings}
 """
 
-    def _free_address(self):
-        return (self.ip, _free_port(self.ip))
-
 
 def read_peak_memory_bytes(pid):
     """Returns the most resident memory of a process since its start."""
@@ -194,6 +191,24 @@
     return f'{ip}:{port}'
 
 
-def _free_port(ip):
-    with socket.create_server((ip, 0)) as server:
-        return server.getsockname()[1]
+def draw_ports(ip, count):
+    """Returns free ports, and the first one of two that follow each other.
+
+    All are held until the last one is drawn, so that none is drawn twice.
+    """
+    with contextlib.ExitStack() as held:
+        ports = [_hold_port(held, ip) for _ in range(count)]
+        return ports, _hold_pair(held, ip)
+
+
+def _hold_pair(held, ip):
+    while True:
+        first_port = _hold_port(held, ip)
+        with contextlib.suppress(OSError, OverflowError):
+            _hold_port(held, ip, first_port + 1)
+            return first_port
+
+
+def _hold_port(held, ip, port=0):
+    server = held.enter_context(socket.create_server((ip, port)))
+    return server.getsockname()[1]
