--- a/teaseldale/platform/tests/node_process.py
+++ b/teaseldale/platform/tests/node_process.py
@@ -32,7 +32,16 @@
 class NodeProcess:
     """A VM with limits on memory and descriptors, and what it depends on."""
 
-    def __init__(self, *, memory_mb, descriptor_count, settings=''):
+    def __init__(
+        self,
+        *,
+        memory_mb,
+        descriptor_count,
+        settings='',
+        name='edge-1',
+        store=None,
+    ):
+        """Starts no process; a VM with a ``store`` starts none of its own."""
         # The port of the metrics is fixed, so each VM needs an address of its
         # own.
         numbers = [random.randint(1, 250) for _ in range(3)]
@@ -41,6 +50,10 @@
         addresses = [(self.ip, port) for port in ports]
         self.callers, self.readiness, self._store, self._runner = addresses
         self.metrics = (self.ip, METRICS_PORT)
+        self.name = name
+        self._has_store = store is not None
+        self._start_count = 0
+        self._store = store or self._store
         self._memory_mb = memory_mb
         self._descriptor_count = descriptor_count
         self._settings = settings
@@ -75,13 +88,15 @@
 
     def start(self):
         """Starts all processes and waits until the VM is ready."""
-        self._spawn(
-            'store',
-            '-m',
-            'teaseldale.platform.tests.store_process',
-            _text(self._store),
-            _text(self._runner),
-        )
+        if not self._has_store:
+            self._spawn(
+                'store',
+                '-m',
+                'teaseldale.platform.tests.store_process',
+                _text(self._store),
+                _text(self._runner),
+            )
+        self._start_count += 1
         settings = self._folder / 'node.toml'
         settings.write_text(self._settings_text())
         self._spawn(
@@ -97,6 +112,15 @@
                 raise TimeoutError(self.log[-2000:])
             time.sleep(_POLL_SECONDS)
 
+    def signal(self, number):
+        """Sends a signal to the VM."""
+        self._processes[-1].send_signal(number)
+
+    def end(self, number):
+        """Ends the VM by a signal; it may be started again."""
+        self.signal(number)
+        self._processes[-1].wait()
+
     def stop(self):
         """Ends all processes."""
         for process in reversed(self._processes):
@@ -144,7 +168,7 @@
             return 0
 
     def _spawn(self, name, *arguments, environment=()):
-        with (self._folder / f'{name}.log').open('wb') as log:
+        with (self._folder / f'{name}.log').open('ab') as log:
             self._processes.append(
                 subprocess.Popen(
                     [sys.executable, *arguments],
@@ -155,12 +179,14 @@
             )
 
     def _settings_text(self):
+        # One VM forms the fleet when it starts for the first time.
+        is_first = self.name == 'edge-1' and self._start_count == 1
         return f"""
-NodeName = "edge-1"
+NodeName = "{self.name}"
 Ip = "{self.ip}"
 Zone = "mill"
 PortRange = [{self._first_port}, {self._first_port + 1}]
-Bootstrap = true
+Bootstrap = {str(is_first).lower()}
 
 [Listen]
 Frontend = "{_text(self.callers)}"
