Give each inquiry to a runner its own time to be answered

Callers got sound answers without a length as broken on slow paths.

Cause: an end asks anew after the inquiry that is on its way has been answered, and the 3 s counted from before that.

Change: an inquiry that waits for the one before it has 3 s more.

Result: process_ends passes, 41 scenarios.

--- a/teaseldale/upstreams/_witness_connection.py
+++ b/teaseldale/upstreams/_witness_connection.py
@@ -103,9 +103,12 @@
         if self._queued is None:
             self._queued = self._loop.create_future()
         queued = self._queued
+        # The one before has as long to be answered.
+        turn_count = 1 if self._sent is None else 2
+        timeout_ms = _ANSWER_TIMEOUT_MS * turn_count
         self._send_queued()
         try:
-            async with asyncio.timeout(_ANSWER_TIMEOUT_MS / _MS_PER_SECOND):
+            async with asyncio.timeout(timeout_ms / _MS_PER_SECOND):
                 # Others may wait for the same answer.
                 return await asyncio.shield(queued)
         except TimeoutError:
--- a/teaseldale/upstreams/tests/process_ends.feature
+++ b/teaseldale/upstreams/tests/process_ends.feature
@@ -70,6 +70,7 @@
       | 1,000    | the runner ends the response, and closes connections after inquiries | whole   |
       | 2,000    | the runner ends the response, and closes idle connections after 400 ms, and closes connections after inquiries | whole |
       | 1,000    | the runner ends the response, and garbles an answer to an inquiry    | whole   |
+      | 7,000    | the runner ends the response, and answers inquiries after 2,000 ms   | whole   |
 
     Examples: the process ends
       | duration | event                                                                | outcome |
