--- a/teaseldale/platform/tests/answer_ends_soak.feature
+++ b/teaseldale/platform/tests/answer_ends_soak.feature
@@ -3,7 +3,6 @@
   # Guards against answers that were cut as their runner, its connection or a VM
   # ended, and that callers see as whole: a VM judges the end of an answer
   # without a length by other connections, which may deliver later.
-  @known_red
   Scenario Outline: Callers see no answer as whole that was cut on a slow path
     Given a history of slow paths, ends and resets, drawn by seed <seed>
     When it is played with two VMs and four runners
