Check that each kind of fault of the soak takes effect

Cause: the soak asked for 100 answers of killed runners that are not whole in each history, under the name of all answers with a fault.

Change: the step asks for 40 answers of killed runners and for 40 of reset connections, which were not counted before.

--- a/teaseldale/platform/tests/answer_ends_soak.feature
+++ b/teaseldale/platform/tests/answer_ends_soak.feature
@@ -9,7 +9,8 @@
     Then no answer that was cut is complete by its framing
     And no answer has bytes of another one
     And at least 95 in 100 answers without a fault are whole
-    And at least 100 answers with a fault were not whole
+    And at least 40 answers of killed runners were not whole
+    And at least 40 answers of reset connections were not whole
 
     Examples:
       | seed |
--- a/teaseldale/platform/tests/steps_answer_ends.py
+++ b/teaseldale/platform/tests/steps_answer_ends.py
@@ -37,14 +37,15 @@
     assert counts['undisturbed', 'whole'] * 100 >= percentage * total, counts
 
 
-@then('at least {count:d} answers with a fault were not whole')
-def faults_took_effect(context, count):
+@then('at least {count:d} answers of {fault} were not whole')
+def faults_took_effect(context, count, fault):
     counts = context.soak.counts
-    ends = ('cut', 'failed')
+    title_start = {'killed runners': 'killed', 'reset connections': 'reset'}
     found = sum(
         counted
         for (title, verdict), counted in counts.items()
-        if title.startswith('killed') and verdict.startswith(ends)
+        if title.startswith(title_start[fault])
+        and verdict.startswith(('cut', 'failed'))
     )
     assert found >= count, counts
 
