Reject requests without an id in the runners of two tests

Cause: the modelled runners of cut_paths.feature counted health checks, which have no id, as runs of one request, and kept the id of the request before on a connection; evacuated_zones.feature made a relay policy without connections.

The runner of the soak leaves alone a connection that its VM has closed.

--- a/teaseldale/forwarding/tests/cut_fleet.py
+++ b/teaseldale/forwarding/tests/cut_fleet.py
@@ -46,6 +46,12 @@
     b'keep-alive: timeout=5\r\n'
     b'content-length: 0\r\n\r\n'
 )
+_REJECTION_WITHOUT_ID = (
+    b'HTTP/1.1 400 Bad Request\r\n'
+    b'%b: %b\r\n'
+    b'keep-alive: timeout=5\r\n'
+    b'content-length: 0\r\n\r\n'
+)
 _ANSWER = (
     b'HTTP/1.1 200 OK\r\n'
     b'x-request-id: %b\r\n'
@@ -87,6 +93,15 @@
         self._body += part
 
     def on_message_complete(self):
+        if self._request_id:
+            self._run()
+        else:
+            self._send(_REJECTION_WITHOUT_ID % NOT_RUN)
+        self._parser = httptools.HttpRequestParser(self)
+        self._request_id = b''
+        self._body = b''
+
+    def _run(self):
         self._runner.note_arrival(
             self._request_id,
             self._body,
@@ -98,8 +113,6 @@
             self._transport.hosts[1],
         )
         loop.call_later(_WORK_MS / 1000, self._send, answer)
-        self._parser = httptools.HttpRequestParser(self)
-        self._body = b''
 
     def _send(self, answer):
         if not self._transport.is_closing():
--- a/teaseldale/forwarding/tests/steps_evacuated_zones.py
+++ b/teaseldale/forwarding/tests/steps_evacuated_zones.py
@@ -99,6 +99,7 @@
     policy = RelayedRunners(
         directory=context.parts.directory,
         announcements=context.parts.announcements,
+        connections=context.parts.connections,
         wire=context.parts.wire,
     )
     zones = [
--- a/teaseldale/platform/tests/ends_runner.py
+++ b/teaseldale/platform/tests/ends_runner.py
@@ -115,6 +115,8 @@
         writer.write_eof()
     if fault != 'reset':
         await asyncio.sleep(_RESET_AFTER_SECONDS)
+    if writer.is_closing():  # by the VM
+        return
     channel = writer.get_extra_info('socket')
     channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
     writer.transport.abort()
